--- a/packages/serving/include/bambooquay/serving/forwarded_call.h
+++ b/packages/serving/include/bambooquay/serving/forwarded_call.h
@@ -106,6 +106,9 @@
   void RelayBody(std::string_view bytes);
   void StartRelay();
   void HandleComplete();
+  /// Sends a call that its upstream has failed to another one.
+  /// @returns whether an attempt was started.
+  [[nodiscard]] bool RetryFailure();
   /// Decides what follows an attempt that gave no usable response.
   void HandleFailedAttempt(AttemptEnd end, bool may_have_run,
                            std::string_view reason);
--- a/packages/serving/include/bambooquay/serving/upstream_set.h
+++ b/packages/serving/include/bambooquay/serving/upstream_set.h
@@ -57,6 +57,8 @@
   /// When the list dropped it while the store had been away; it is given this
   /// long to come back.
   std::optional<TimePoint> gone_at;
+  /// A later one has its address.
+  bool superseded = false;
   /// Told by its own responses.
   bool leaving = false;
   TimePoint cold_until{};
@@ -136,6 +138,8 @@
     double cost = 0.0;
   };
 
+  /// Marks whichever of `newest` and others at its address was born first.
+  void Supersede(const Upstream& newest);
   [[nodiscard]] bool Holds(const Upstream& upstream,
                            const ModelName& model) const;
   [[nodiscard]] bool HoldsAdapter(const Upstream& upstream,
--- a/packages/serving/src/engine_memory_plan.cc
+++ b/packages/serving/src/engine_memory_plan.cc
@@ -54,17 +54,24 @@
     return std::ranges::find(report.models, model, &ResidentModel::name) !=
            report.models.end();
   };
-  const auto wanted = std::ranges::find_if(target, [&](const ModelName& model) {
-    return !holds(model) && profile.Find(model) != nullptr;
-  });
-  if (wanted == target.end()) {
+  const auto is_local = [&](const ModelName& model) {
+    return Contains(report.in_host_memory, model) ||
+           Contains(report.on_disk, model);
+  };
+  std::vector<ModelName> missing;
+  std::ranges::copy_if(target, std::back_inserter(missing),
+                       [&](const ModelName& model) {
+                         return !holds(model) && profile.Find(model) != nullptr;
+                       });
+  if (missing.empty()) {
     return std::nullopt;
   }
+  // Local copies load fast and without a permit.
+  const auto local = std::ranges::find_if(missing, is_local);
+  const auto wanted = local == missing.end() ? missing.begin() : local;
   const double needed = profile.Find(*wanted)->weights_mb;
   if (HeldMb(profile, report) + needed <= profile.weights_mb) {
-    const bool local = Contains(report.in_host_memory, *wanted) ||
-                       Contains(report.on_disk, *wanted);
-    return PlannedOrder{OrderKind::kLoad, *wanted, {}, !local};
+    return PlannedOrder{OrderKind::kLoad, *wanted, {}, !is_local(*wanted)};
   }
   const auto surplus =
       std::ranges::find_if(report.models, [&](const ResidentModel& resident) {
--- a/packages/serving/src/forwarded_call.cc
+++ b/packages/serving/src/forwarded_call.cc
@@ -268,10 +268,6 @@
     return;
   }
   const bool failed = status >= ToCode(HttpStatus::kInternalError);
-  if (failed && CanRetry(true)) {
-    HandleFailedAttempt(AttemptEnd::kFailed, true, "upstream_error");
-    return;
-  }
   if (!m_relaying) {
     m_reply_headers = m_context.codec.CallerHeaders(headers);
     m_event_stream = m_route->kind == CallKind::kStream && !failed &&
@@ -345,6 +341,9 @@
 void ForwardedCall::HandleComplete() {
   const bool failed = m_status >= ToCode(HttpStatus::kInternalError);
   EndAttempt(failed ? AttemptEnd::kFailed : AttemptEnd::kServed);
+  if (failed && !m_relaying && RetryFailure()) {
+    return;
+  }
   if (!m_relaying) {
     m_exchange->Reply(m_status, m_reply_headers, m_body);
   } else {
@@ -357,6 +356,23 @@
   Finish(failed ? "upstream_error" : "served", std::to_string(m_status));
 }
 
+bool ForwardedCall::RetryFailure() {
+  m_may_have_run = true;
+  if (!CanRetry(true)) {
+    return false;
+  }
+  // The failure at hand is the answer unless another upstream is free now.
+  const auto picked = m_context.upstreams.Pick(MakeQuery());
+  const auto* upstream = std::get_if<UpstreamId>(&picked);
+  if (upstream == nullptr ||
+      !m_context.budget_of(m_service->name).TryRetry()) {
+    return false;
+  }
+  m_body.clear();
+  Attempt(*upstream);
+  return true;
+}
+
 void ForwardedCall::EndAttempt(AttemptEnd end) {
   m_silence_timer = nullptr;
   m_attempt = nullptr;
--- a/packages/serving/src/peer_exchange.cc
+++ b/packages/serving/src/peer_exchange.cc
@@ -124,7 +124,7 @@
 
 void PeerExchange::SendTargets(const PlacementTargets& targets) {
   for (const auto& [id, upstream] : m_upstreams.all()) {
-    if (!upstream.has_engine) {
+    if (!upstream.has_engine || upstream.superseded) {
       continue;
     }
     EngineTarget target;
--- a/packages/serving/src/placement_planner.cc
+++ b/packages/serving/src/placement_planner.cc
@@ -20,6 +20,11 @@
 // A copy moves only where the model that gains it has this many times the load
 // per copy of the one that loses it.
 constexpr double kMoveGain = 2.0;
+// Costs in load per copy, in tokens a second: a load from the weight store
+// weighs like the loss of this much.
+constexpr double kStoreLoadCost = 5000.0;
+// Copies in one data centre are lost together.
+constexpr double kSameDataCentreCost = 500.0;
 // Engines that change their models at the same time, in part of all.
 constexpr double kMovesShare = 0.25;
 
@@ -135,10 +140,6 @@
 
   /// @returns the best engine for one more copy of `model`.
   [[nodiscard]] Place FindPlace(const ModelName& model, bool may_evict) const {
-    // Costs in load per copy; a load from the weight store weighs like the
-    // loss of this much.
-    constexpr double kStoreLoadCost = 3000.0;
-    constexpr double kSameDataCentreCost = 500.0;
     Place best;
     for (const EngineView& engine : m_engines) {
       if (Targets(engine.id, model)) {
@@ -195,17 +196,30 @@
     }
   }
 
+  // Room is filled with what loads without the weight store, and from there
+  // only with models whose demand is worth it.
   void FillRoom() {
     for (bool placed = true; placed;) {
       placed = false;
-      for (const ModelName& model : ByLoadPerCopy()) {
-        const Place place = FindPlace(model, false);
-        if (place.engine != nullptr) {
-          Put(place, model);
-          placed = true;
-          break;
+      Place best;
+      const ModelName* best_model = nullptr;
+      for (const auto& [model, copies] : m_copies) {
+        Place place = FindPlace(model, false);
+        if (place.engine == nullptr) {
+          continue;
+        }
+        place.cost -= LoadPerCopy(model, copies + 1);
+        const bool worth = HasLocalCopy(*place.engine, model) ||
+                           LoadPerCopy(model, copies + 1) > kStoreLoadCost;
+        if (worth && place.cost < best.cost) {
+          best = place;
+          best_model = &model;
         }
       }
+      if (best_model != nullptr) {
+        Put(best, *best_model);
+        placed = true;
+      }
     }
   }
 
--- a/packages/serving/src/upstream_set.cc
+++ b/packages/serving/src/upstream_set.cc
@@ -72,6 +72,19 @@
   upstream.has_engine = m_engine_services.contains(record.service);
   upstream.listed = true;
   upstream.gone_at.reset();
+  Supersede(upstream);
+}
+
+void UpstreamSet::Supersede(const Upstream& newest) {
+  const UpstreamRecord& record = newest.record;
+  std::ranges::for_each(m_upstreams, [&](auto& item) {
+    const UpstreamRecord& other = item.second.record;
+    if (other.id != record.id && other.address == record.address) {
+      Upstream& older =
+          other.born_ms < record.born_ms ? item.second : m_upstreams[record.id];
+      older.superseded = true;
+    }
+  });
 }
 
 void UpstreamSet::Remove(const UpstreamId& id, Duration grace) {
@@ -180,7 +193,7 @@
 bool UpstreamSet::Usable(const Upstream& upstream) const {
   const bool report_drains =
       upstream.report.has_value() && upstream.report->draining;
-  return upstream.listed && !upstream.leaving && !upstream.record.draining &&
+  return upstream.listed && !upstream.superseded && !upstream.leaving && !upstream.record.draining &&
          !report_drains && !IsEvacuated(upstream.record.data_centre);
 }
 
