--- a/packages/serving/include/bambooquay/serving/demand_meter.h
+++ b/packages/serving/include/bambooquay/serving/demand_meter.h
@@ -22,12 +22,18 @@
   [[nodiscard]] std::vector<ModelDemand> Rates();
 
  private:
-  struct Rate {
+  /// Each a second.
+  struct Average {
     double requests = 0.0;
     double prompt_tokens = 0.0;
+  };
+  struct Rate {
+    Average fast;
+    Average slow;
     TimePoint updated_at{};
 
     void DecayTo(TimePoint now) noexcept;
+    void Add(double tokens) noexcept;
   };
 
   const Clock& m_clock;
--- a/packages/serving/include/bambooquay/serving/peer_exchange.h
+++ b/packages/serving/include/bambooquay/serving/peer_exchange.h
@@ -55,6 +55,8 @@
 
   /// @returns the number of entries that may be serving, this one included.
   [[nodiscard]] std::size_t member_count() const;
+  /// @returns those entries.
+  [[nodiscard]] std::vector<InstanceId> Members() const;
   /// @returns whether this entry's id is the lowest of those that are heard.
   [[nodiscard]] bool IsPlanner() const;
   [[nodiscard]] const std::map<InstanceId, PeerEntry>& peers() const noexcept {
--- a/packages/serving/include/bambooquay/serving/placement_planner.h
+++ b/packages/serving/include/bambooquay/serving/placement_planner.h
@@ -14,11 +14,23 @@
 struct EngineView {
   UpstreamId id;
   DataCentreId data_centre;
-  std::vector<ModelName> models;  ///< Held now.
+  /// Held now, or to be held by a plan that is being carried out.
+  std::vector<ModelName> models;
+  std::vector<ModelName> held;
+  /// False for an engine that cannot be told what to hold.
+  bool plannable = true;
   /// Copies that load without the weight store.
   std::vector<ModelName> local_copies;
 };
 
+struct PlanLimits {
+  /// Whether a model may be dropped for another one. Off while the list of
+  /// engines is still changing: what seems missing may be on the next one.
+  bool may_evict = true;
+  /// Loads from the weight store that may be outstanding.
+  int store_loads = 2;
+};
+
 using PlacementTargets = std::map<UpstreamId, std::vector<ModelName>>;
 
 /// Plans from what is held now, with few moves: every model is held by at
@@ -32,6 +44,6 @@
 ///   target may be dropped.
 [[nodiscard]] PlacementTargets PlanPlacement(
     const EngineProfile& profile, const std::vector<EngineView>& engines,
-    const std::vector<ModelDemand>& demand);
+    const std::vector<ModelDemand>& demand, const PlanLimits& limits);
 
 }  // namespace bambooquay
--- a/packages/serving/include/bambooquay/serving/serving_entry.h
+++ b/packages/serving/include/bambooquay/serving/serving_entry.h
@@ -54,6 +54,8 @@
   void PlanService(const ServingService& service,
                    const std::vector<ModelDemand>& demand,
                    PlacementTargets& targets);
+  [[nodiscard]] EngineView ViewOf(const UpstreamId& id,
+                                  const Upstream& upstream) const;
   void CheckDrained();
   [[nodiscard]] RetryBudget& BudgetOf(const ServiceName& service);
   [[nodiscard]] EntryStatus MakeStatus();
@@ -72,7 +74,13 @@
     TimePoint changed_at{};
   };
 
+  struct EngineList {
+    std::vector<UpstreamId> ids;
+    TimePoint changed_at{};
+  };
+
   std::unordered_map<ServiceName, RetryBudget> m_budgets;
+  std::unordered_map<ServiceName, EngineList> m_engine_lists;
   /// The last plan, while this entry is the planner.
   std::map<UpstreamId, PlannedEngine> m_planned;
   std::shared_ptr<const ActiveConfiguration> m_active;
--- a/packages/serving/include/bambooquay/serving/upstream_set.h
+++ b/packages/serving/include/bambooquay/serving/upstream_set.h
@@ -96,7 +96,9 @@
   void Remove(const UpstreamId& id, Duration grace);
   void SetReport(const UpstreamId& id, const EngineReport& report);
   void SetEvacuated(const DataCentreId& data_centre, bool evacuated);
-  void SetEntryCount(std::size_t entries) noexcept;
+  /// @param self  this entry.
+  /// @param entries  all entries that may be serving, this one included.
+  void SetEntries(const InstanceId& self, std::vector<InstanceId> entries);
   void SetColdRate(const ServiceName& service, double requests_per_second);
   /// Sets which services are served by engines.
   void SetEngineServices(std::set<ServiceName> services);
@@ -156,7 +158,13 @@
   const Clock& m_clock;
   RandomSource& m_random;
   DataCentreId m_own;
-  std::size_t m_entries = 4;
+  /// @returns how many entries may send to this cold upstream, or nothing if
+  /// this entry is not one of them.
+  [[nodiscard]] std::optional<std::size_t> ColdSenders(
+      const UpstreamId& id) const;
+
+  InstanceId m_self;
+  std::vector<InstanceId> m_entries;
   std::unordered_map<UpstreamId, Upstream> m_upstreams;
   std::set<DataCentreId> m_evacuated;
   std::unordered_map<ServiceName, double> m_cold_rates;
--- a/packages/serving/src/forwarded_call.cc
+++ b/packages/serving/src/forwarded_call.cc
@@ -364,8 +364,7 @@
   // The failure at hand is the answer unless another upstream is free now.
   const auto picked = m_context.upstreams.Pick(MakeQuery());
   const auto* upstream = std::get_if<UpstreamId>(&picked);
-  if (upstream == nullptr ||
-      !m_context.budget_of(m_service->name).TryRetry()) {
+  if (upstream == nullptr || !m_context.budget_of(m_service->name).TryRetry()) {
     return false;
   }
   m_body.clear();
--- a/packages/serving/src/peer_exchange.cc
+++ b/packages/serving/src/peer_exchange.cc
@@ -83,6 +83,16 @@
                  [](const auto& item) { return !item.second.status.leaving; }));
 }
 
+std::vector<InstanceId> PeerExchange::Members() const {
+  std::vector<InstanceId> members{m_self};
+  for (const auto& [id, peer] : m_peers) {
+    if (!peer.status.leaving) {
+      members.push_back(id);
+    }
+  }
+  return members;
+}
+
 bool PeerExchange::IsPlanner() const {
   return std::ranges::none_of(m_peers, [this](const auto& item) {
     return item.first < m_self && !IsSilent(item.second) &&
--- a/packages/serving/src/placement_planner.cc
+++ b/packages/serving/src/placement_planner.cc
@@ -32,8 +32,8 @@
 class Plan {
  public:
   Plan(const EngineProfile& profile, const std::vector<EngineView>& engines,
-       const std::vector<ModelDemand>& demand)
-      : m_profile(profile), m_engines(engines) {
+       const std::vector<ModelDemand>& demand, const PlanLimits& limits)
+      : m_profile(profile), m_engines(engines), m_limits(limits) {
     for (const ServingModel& model : profile.models) {
       m_load[model.name] = kBaseLoad;
       m_copies[model.name] = 0;
@@ -51,6 +51,11 @@
         if (m_copies.contains(model)) {
           target.push_back(model);
           ++m_copies[model];
+          const bool is_held =
+              std::ranges::find(engine.held, model) != engine.held.end();
+          if (!is_held && !HasLocalCopy(engine, model)) {
+            ++m_store_loads;
+          }
         }
       }
     }
@@ -59,7 +64,14 @@
   PlacementTargets Make() {
     CoverMissing();
     FillRoom();
-    MoveCopies();
+    if (m_limits.may_evict) {
+      MoveCopies();
+    }
+    std::ranges::for_each(m_engines, [this](const EngineView& engine) {
+      if (!engine.plannable) {
+        m_targets.erase(engine.id);
+      }
+    });
     return m_targets;
   }
 
@@ -142,7 +154,9 @@
   [[nodiscard]] Place FindPlace(const ModelName& model, bool may_evict) const {
     Place best;
     for (const EngineView& engine : m_engines) {
-      if (Targets(engine.id, model)) {
+      const bool local = HasLocalCopy(engine, model);
+      if (!engine.plannable || Targets(engine.id, model) ||
+          (!local && m_store_loads >= m_limits.store_loads)) {
         continue;
       }
       Place place{&engine, nullptr, 0.0};
@@ -154,7 +168,7 @@
         place.cost +=
             LoadPerCopy(*place.evicted, m_copies.at(*place.evicted) - 1);
       }
-      if (!HasLocalCopy(engine, model)) {
+      if (!local) {
         place.cost += kStoreLoadCost;
       }
       place.cost += kSameDataCentreCost * CopiesIn(engine.data_centre, model);
@@ -169,6 +183,9 @@
     if (place.evicted != nullptr) {
       Drop(*place.engine, *place.evicted);
     }
+    if (!HasLocalCopy(*place.engine, model)) {
+      ++m_store_loads;
+    }
     Add(*place.engine, model);
   }
 
@@ -189,7 +206,7 @@
       if (m_copies.at(model) > 0) {
         continue;
       }
-      const Place place = FindPlace(model, true);
+      const Place place = FindPlace(model, m_limits.may_evict);
       if (place.engine != nullptr) {
         Put(place, model);
       }
@@ -252,6 +269,8 @@
 
   const EngineProfile& m_profile;
   const std::vector<EngineView>& m_engines;
+  PlanLimits m_limits;
+  int m_store_loads = 0;
   std::map<ModelName, double> m_load;
   std::map<ModelName, int> m_copies;
   PlacementTargets m_targets;
@@ -261,8 +280,9 @@
 
 PlacementTargets PlanPlacement(const EngineProfile& profile,
                                const std::vector<EngineView>& engines,
-                               const std::vector<ModelDemand>& demand) {
-  return Plan(profile, engines, demand).Make();
+                               const std::vector<ModelDemand>& demand,
+                               const PlanLimits& limits) {
+  return Plan(profile, engines, demand, limits).Make();
 }
 
 }  // namespace bambooquay
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -26,6 +26,11 @@
 // An engine is given this long to come to its target before the plan starts
 // again from what it holds: two loads from the weight store and an unload.
 constexpr Duration kPlanTime = std::chrono::seconds(5);
+// The list of engines counts as settled when it has not changed for this
+// long; at a start it fills over some seconds.
+constexpr Duration kSettledTime = std::chrono::seconds(2);
+// Seconds of the weight store's rate that are planned ahead.
+constexpr double kLoadsAhead = 1.5;
 constexpr Duration kRegisterRetry = milliseconds(400);
 // Upstream connections are made in some milliseconds; the fleet's links are
 // short.
@@ -300,7 +305,7 @@
 void ServingEntry::Tick() {
   m_upstreams.Tick();
   const std::size_t entries = m_peers.member_count();
-  m_upstreams.SetEntryCount(entries);
+  m_upstreams.SetEntries(m_settings.id, m_peers.Members());
   std::ranges::for_each(
       m_budgets, [&](auto& item) { item.second.SetEntryCount(entries); });
   CheckDrained();
@@ -334,28 +339,25 @@
   std::vector<EngineView> engines;
   for (const auto& [id, upstream] : m_upstreams.all()) {
     if (upstream.record.service != service.name ||
-        !m_upstreams.Usable(upstream) ||
-        !m_upstreams.HasFreshReport(upstream)) {
+        !m_upstreams.Usable(upstream)) {
       m_planned.erase(id);
       continue;
     }
-    EngineView view{id, upstream.record.data_centre, {}, {}};
-    const auto planned = m_planned.find(id);
-    if (planned != m_planned.end() &&
-        now - planned->second.changed_at < kPlanTime) {
-      view.models = planned->second.models;
-    } else {
-      std::ranges::transform(upstream.report->models,
-                             std::back_inserter(view.models),
-                             &ResidentModel::name);
-    }
-    view.local_copies = upstream.report->in_host_memory;
-    std::ranges::copy(upstream.report->on_disk,
-                      std::back_inserter(view.local_copies));
-    engines.push_back(std::move(view));
+    engines.push_back(ViewOf(id, upstream));
   }
   std::ranges::sort(engines, {}, &EngineView::id);
-  for (auto& [id, models] : PlanPlacement(*service.engine, engines, demand)) {
+  std::vector<UpstreamId> ids;
+  std::ranges::transform(engines, std::back_inserter(ids), &EngineView::id);
+  EngineList& listed = m_engine_lists[service.name];
+  if (listed.ids != ids) {
+    listed = {std::move(ids), now};
+  }
+  PlanLimits limits;
+  limits.may_evict = now - listed.changed_at > kSettledTime;
+  limits.store_loads = std::max(
+      2, static_cast<int>(service.engine->loads_per_second * kLoadsAhead));
+  for (auto& [id, models] :
+       PlanPlacement(*service.engine, engines, demand, limits)) {
     PlannedEngine& planned = m_planned[id];
     if (planned.models != models) {
       LogEvent(LogLevel::kInfo, "placement")
@@ -367,6 +369,31 @@
   }
 }
 
+EngineView ServingEntry::ViewOf(const UpstreamId& id,
+                                const Upstream& upstream) const {
+  EngineView view;
+  view.id = id;
+  view.data_centre = upstream.record.data_centre;
+  view.plannable = m_upstreams.HasFreshReport(upstream);
+  const auto& held =
+      view.plannable ? upstream.report->models : upstream.record.models;
+  std::ranges::transform(held, std::back_inserter(view.held),
+                         &ResidentModel::name);
+  view.models = view.held;
+  if (!view.plannable) {
+    return view;
+  }
+  const auto planned = m_planned.find(id);
+  if (planned != m_planned.end() &&
+      m_deps.loop.clock().Now() - planned->second.changed_at < kPlanTime) {
+    view.models = planned->second.models;
+  }
+  view.local_copies = upstream.report->in_host_memory;
+  std::ranges::copy(upstream.report->on_disk,
+                    std::back_inserter(view.local_copies));
+  return view;
+}
+
 void ServingEntry::Drain(std::function<void()> done) {
   if (m_draining_since.has_value()) {
     return;
--- a/packages/serving/src/upstream_set.cc
+++ b/packages/serving/src/upstream_set.cc
@@ -45,6 +45,9 @@
 // Cold upstreams get this part of what they bear, so that entries that
 // disagree on their number keep the bound together.
 constexpr double kColdShare = 0.9;
+// Entries that may send to one cold upstream. Each may have one request ready
+// at any moment, so that more of them could exceed the bound together.
+constexpr std::size_t kMaxColdSenders = 5;
 // A record's remaining time is rounded and travels to get here.
 constexpr Duration kColdMargin = std::chrono::milliseconds(300);
 
@@ -140,8 +143,10 @@
   }
 }
 
-void UpstreamSet::SetEntryCount(std::size_t entries) noexcept {
-  m_entries = std::max<std::size_t>(1, entries);
+void UpstreamSet::SetEntries(const InstanceId& self,
+                             std::vector<InstanceId> entries) {
+  m_self = self;
+  m_entries = std::move(entries);
 }
 
 void UpstreamSet::SetColdRate(const ServiceName& service,
@@ -193,8 +198,9 @@
 bool UpstreamSet::Usable(const Upstream& upstream) const {
   const bool report_drains =
       upstream.report.has_value() && upstream.report->draining;
-  return upstream.listed && !upstream.superseded && !upstream.leaving && !upstream.record.draining &&
-         !report_drains && !IsEvacuated(upstream.record.data_centre);
+  return upstream.listed && !upstream.superseded && !upstream.leaving &&
+         !upstream.record.draining && !report_drains &&
+         !IsEvacuated(upstream.record.data_centre);
 }
 
 bool UpstreamSet::HasFreshReport(const Upstream& upstream) const {
@@ -238,7 +244,8 @@
 double UpstreamSet::Load(const Upstream& upstream) const {
   const auto own = static_cast<double>(upstream.in_flight);
   if (!HasFreshReport(upstream)) {
-    return own * static_cast<double>(m_entries);
+    return own *
+           static_cast<double>(std::max<std::size_t>(1, m_entries.size()));
   }
   return std::max(own, static_cast<double>(upstream.report->running +
                                            upstream.report->waiting +
@@ -377,8 +384,12 @@
   if (rate == m_cold_rates.end() || rate->second <= 0.0) {
     return true;
   }
+  const auto senders = ColdSenders(upstream.record.id);
+  if (!senders.has_value()) {
+    return false;
+  }
   const double own_rate =
-      rate->second * kColdShare / static_cast<double>(m_entries);
+      rate->second * kColdShare / static_cast<double>(*senders);
   const double seconds = ToSeconds(now - upstream.cold_refilled_at);
   upstream.cold_refilled_at = now;
   upstream.cold_level =
@@ -390,6 +401,25 @@
   return true;
 }
 
+std::optional<std::size_t> UpstreamSet::ColdSenders(
+    const UpstreamId& id) const {
+  if (m_entries.size() <= kMaxColdSenders) {
+    return std::max<std::size_t>(1, m_entries.size());
+  }
+  const auto rank_of = [&](const InstanceId& entry) {
+    std::size_t seed = 0;
+    boost::hash_combine(seed, id.value());
+    boost::hash_combine(seed, entry.value());
+    return seed;
+  };
+  const std::size_t own = rank_of(m_self);
+  const auto ahead = std::ranges::count_if(
+      m_entries, [&](const InstanceId& entry) { return rank_of(entry) < own; });
+  return static_cast<std::size_t>(ahead) < kMaxColdSenders
+             ? std::optional<std::size_t>(kMaxColdSenders)
+             : std::nullopt;
+}
+
 void UpstreamSet::Began(const UpstreamId& id, const PickQuery& query) {
   const auto known = m_upstreams.find(id);
   if (known == m_upstreams.end()) {
--- /dev/null
+++ b/packages/serving/tests/route_table_test.cc
@@ -0,0 +1,48 @@
+// Look-up of routes by host and longest prefix.
+#include "bambooquay/serving/route_table.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace bambooquay {
+namespace {
+
+ServingRoute Route(std::string name, std::string prefix) {
+  ServingRoute route;
+  route.name = std::move(name);
+  route.host = "Names.Example";
+  route.prefix = std::move(prefix);
+  return route;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(route_table)
+
+BOOST_AUTO_TEST_CASE(the_longest_prefix_of_the_path_wins) {
+  FleetConfiguration configuration;
+  configuration.routes = {Route("short", "/a/"), Route("long", "/a/b/"),
+                          Route("other", "/c/")};
+  const RouteTable routes(configuration);
+  BOOST_TEST(routes.FindRoute("names.example", "/a/b/c")->name == "long");
+  BOOST_TEST(routes.FindRoute("names.example:8080", "/a/x")->name == "short");
+  // A prefix ends at a slash, so "/a/bc" is not below "/a/b/".
+  BOOST_TEST(routes.FindRoute("names.example", "/a/bc")->name == "short");
+  BOOST_TEST(routes.FindRoute("names.example", "/a") == nullptr);
+  BOOST_TEST(routes.FindRoute("other.example", "/a/b/") == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(a_root_prefix_takes_what_no_other_takes) {
+  FleetConfiguration configuration;
+  configuration.routes = {Route("root", "/"), Route("a", "/a/")};
+  const RouteTable routes(configuration);
+  BOOST_TEST(routes.FindRoute("names.example", "/zzz")->name == "root");
+  BOOST_TEST(routes.FindRoute("names.example", "/a/1")->name == "a");
+}
+
+BOOST_AUTO_TEST_CASE(a_query_is_no_part_of_the_path) {
+  BOOST_TEST(PathOf("/a/b?c=/d/") == "/a/b");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace bambooquay
