--- a/packages/operators/include/bambooquay/operators/process_settings.h
+++ b/packages/operators/include/bambooquay/operators/process_settings.h
@@ -24,7 +24,7 @@
   Endpoint peers;  ///< Where the process offers its Node.
   Endpoint admin;  ///< Health, readiness and metrics.
   PlatformEndpoints platform;
-  LogLevel log_level = LogLevel::kInfo;
+  LogSettings log;
   /// Collector of spans in Zipkin's JSON format; port 0 exports none.
   Endpoint span_collector;
   /// How long a planned stop waits for running work.
--- a/packages/operators/include/bambooquay/operators/process_start.h
+++ b/packages/operators/include/bambooquay/operators/process_start.h
@@ -67,7 +67,7 @@
     return *code;
   }
   auto& settings = std::get<Settings>(parsed);
-  ConfigureLogging(settings.id.value(), settings.log_level);
+  ConfigureLogging(settings.id.value(), settings.log);
   return std::move(settings);
 }
 
--- a/packages/operators/src/process_settings.cc
+++ b/packages/operators/src/process_settings.cc
@@ -55,8 +55,7 @@
       m_settings.platform.objects = ReadEndpoint(reader, "objects");
       m_settings.platform.instances = ReadEndpoint(reader, "instances");
     } else if (name == "log") {
-      m_settings.log_level = ParseLogLevel(
-          reader.Choice("level", {"info", "debug", "warning", "error"}));
+      m_settings.log = ReadLogSettings(reader);
     } else if (name == "trace") {
       m_settings.span_collector = ReadEndpoint(reader, "collector");
     } else if (name == "limits" && m_role == ProcessRole::kEntry) {
--- a/packages/runtime/include/bambooquay/runtime/http_client.h
+++ b/packages/runtime/include/bambooquay/runtime/http_client.h
@@ -105,8 +105,10 @@
                                                 HttpObserver& observer);
   /// Closes the idle connections to `endpoint`.
   void CloseIdle(const Endpoint& endpoint);
+  void CloseAllIdle() noexcept;
   /// @returns the number of connections opened so far.
   [[nodiscard]] std::size_t opened() const noexcept { return m_opened; }
+  [[nodiscard]] std::size_t idle_count() const noexcept;
   [[nodiscard]] EventLoop& loop() noexcept { return m_loop; }
 
  private:
--- a/packages/runtime/include/bambooquay/runtime/log.h
+++ b/packages/runtime/include/bambooquay/runtime/log.h
@@ -10,9 +10,25 @@
 
 enum class LogLevel : std::uint8_t { kDebug, kInfo, kWarning, kError };
 
-/// Sends logs to standard error.
+/// What a process logs, and how much of it.
+struct LogSettings {
+  LogLevel level = LogLevel::kInfo;
+  /// Lines a second of each kind of event; what exceeds it is counted and
+  /// told in a `log_lines_left_out` event. 0 means no limit.
+  double lines_per_second = 200.0;
+};
+
+/// Sends logs to standard output. Writing never blocks: lines that a stalled
+/// reader does not take are kept up to a bound, and counted beyond it.
 /// @param process  written as `process=` on each line.
-void ConfigureLogging(std::string_view process, LogLevel level);
+void ConfigureLogging(std::string_view process, const LogSettings& settings);
+
+/// Lines that were not written since the start.
+struct LogLosses {
+  std::uint64_t over_budget = 0;  ///< Left out by the limit of their event.
+  std::uint64_t stalled = 0;      ///< Lost because nobody read the output.
+};
+[[nodiscard]] LogLosses GetLogLosses() noexcept;
 
 /// One event; the line is written when the object goes.
 ///
--- a/packages/runtime/include/bambooquay/runtime/metrics.h
+++ b/packages/runtime/include/bambooquay/runtime/metrics.h
@@ -1,4 +1,4 @@
-// Counters, gauges and latency summaries (Boost.Accumulators), printed in the
+// Counters, gauges and latency histograms, printed in the
 // Prometheus text format.
 #pragma once
 
@@ -29,7 +29,7 @@
   void Increment(const std::string& name, double amount = 1.0);
   /// Registers a gauge that is read when the page is printed.
   void SetGauge(const std::string& name, std::function<double()> read);
-  /// Adds a duration to a summary with its count, sum, median and p99.
+  /// Adds a duration to a histogram. The name may carry Prometheus labels.
   void Observe(const std::string& name, Duration duration);
   /// @returns a counter's value, 0 if it was never incremented.
   [[nodiscard]] double Counter(const std::string& name) const;
@@ -37,11 +37,14 @@
   [[nodiscard]] std::string Render() const;
 
  private:
-  struct Summary;
+  struct Histogram;
 
   std::map<std::string, double> m_counters;
   std::map<std::string, std::function<double()>> m_gauges;
-  std::map<std::string, std::unique_ptr<Summary>> m_summaries;
+  std::map<std::string, std::unique_ptr<Histogram>> m_histograms;
 };
 
+/// Adds gauges of the log lines that were left out or lost.
+void RegisterLogGauges(Metrics& metrics);
+
 }  // namespace bambooquay
--- a/packages/runtime/src/http_client.cc
+++ b/packages/runtime/src/http_client.cc
@@ -2,6 +2,7 @@
 #include "bambooquay/runtime/http_client.h"
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 #include "http_client_connection.h"
@@ -123,6 +124,15 @@
 
 void HttpClient::CloseIdle(const Endpoint& endpoint) { m_idle.erase(endpoint); }
 
+std::size_t HttpClient::idle_count() const noexcept {
+  return std::accumulate(m_idle.begin(), m_idle.end(), std::size_t{0},
+                         [](std::size_t sum, const auto& item) {
+                           return sum + item.second.size();
+                         });
+}
+
+void HttpClient::CloseAllIdle() noexcept { m_idle.clear(); }
+
 std::unique_ptr<HttpClientConnection> HttpClient::TakeIdle(
     const Endpoint& endpoint) {
   const auto found = m_idle.find(endpoint);
--- a/packages/runtime/src/log.cc
+++ b/packages/runtime/src/log.cc
@@ -2,14 +2,18 @@
 #include "bambooquay/runtime/log.h"
 
 #include <log4cxx/basicconfigurator.h>
-#include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/logmanager.h>
 #include <log4cxx/patternlayout.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <memory>
 
+#include "bambooquay/core/clock.h"
+#include "log_budget.h"
+#include "non_blocking_appender.h"
+
 namespace bambooquay {
 namespace {
 
@@ -31,6 +35,14 @@
   return log4cxx::Level::getError();
 }
 
+// The one log of the process.
+std::shared_ptr<NonBlockingAppender> g_appender;
+
+LogBudget& Budget() {
+  static LogBudget budget(0.0);
+  return budget;
+}
+
 bool NeedsQuotes(std::string_view value) {
   return value.empty() || std::ranges::any_of(value, [](unsigned char c) {
            return c <= ' ' || c == '"' || c == '=' || c == '\\' || c == 0x7f;
@@ -58,15 +70,22 @@
 
 }  // namespace
 
-void ConfigureLogging(std::string_view process, LogLevel level) {
+void ConfigureLogging(std::string_view process, const LogSettings& settings) {
   const std::string pattern =
       "ts=%d{ISO8601} level=%p process=" + std::string(process) + " %m%n";
   const auto layout = std::make_shared<log4cxx::PatternLayout>(pattern);
-  const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
-      layout, log4cxx::ConsoleAppender::getSystemErr());
+  g_appender = std::make_shared<NonBlockingAppender>(
+      std::make_unique<LogWriter>(STDOUT_FILENO));
+  g_appender->setLayout(layout);
   log4cxx::LogManager::resetConfiguration();
-  log4cxx::BasicConfigurator::configure(appender);
-  RootLogger()->setLevel(ToLevel(level));
+  log4cxx::BasicConfigurator::configure(g_appender);
+  RootLogger()->setLevel(ToLevel(settings.level));
+  Budget() = LogBudget(settings.lines_per_second);
+}
+
+LogLosses GetLogLosses() noexcept {
+  return {Budget().left_out(),
+          g_appender == nullptr ? 0 : g_appender->writer().lost()};
 }
 
 LogEvent::LogEvent(LogLevel level, std::string_view event)
@@ -75,9 +94,20 @@
 LogEvent::~LogEvent() {
   const log4cxx::LoggerPtr logger = RootLogger();
   const log4cxx::LevelPtr level = ToLevel(m_level);
-  if (logger->isEnabledFor(level)) {
-    logger->forcedLog(level, m_line);
+  if (!logger->isEnabledFor(level)) {
+    return;
+  }
+  const std::string event = m_line.substr(0, m_line.find(' '));
+  const LogBudget::Verdict verdict = Budget().Take(event, SteadyClock().Now());
+  if (!verdict.allowed) {
+    return;
+  }
+  if (verdict.left_out > 0) {
+    logger->forcedLog(log4cxx::Level::getWarn(),
+                      "event=log_lines_left_out of_" + event +
+                          " count=" + std::to_string(verdict.left_out));
   }
+  logger->forcedLog(level, m_line);
 }
 
 LogEvent& LogEvent::With(std::string_view key, std::string_view value) {
--- a/packages/runtime/src/settings_values.cc
+++ b/packages/runtime/src/settings_values.cc
@@ -1,6 +1,8 @@
 // Settings values that several processes read.
 #include "bambooquay/runtime/settings_values.h"
 
+#include <string>
+
 namespace bambooquay {
 
 Endpoint ReadEndpoint(IniSectionReader& reader, const char* key) {
@@ -12,6 +14,10 @@
   return endpoint.value_or(Endpoint{});
 }
 
+namespace {
+
+constexpr double kMaxLinesPerSecond = 1e6;
+
 LogLevel ParseLogLevel(const std::string& name) {
   if (name == "debug") {
     return LogLevel::kDebug;
@@ -22,4 +28,15 @@
   return name == "error" ? LogLevel::kError : LogLevel::kInfo;
 }
 
+}  // namespace
+
+LogSettings ReadLogSettings(IniSectionReader& reader) {
+  LogSettings settings;
+  settings.level = ParseLogLevel(
+      reader.Choice("level", {"info", "debug", "warning", "error"}));
+  settings.lines_per_second = reader.Number(
+      "lines_per_second", 0.0, kMaxLinesPerSecond, settings.lines_per_second);
+  return settings;
+}
+
 }  // namespace bambooquay
--- a/packages/serving/include/bambooquay/serving/forwarded_call.h
+++ b/packages/serving/include/bambooquay/serving/forwarded_call.h
@@ -118,6 +118,9 @@
   void WatchSilence(Duration limit);
   void HandleCallerGone();
   void Refuse(int status, std::string_view code, Duration retry_after);
+  void NoteEvent();
+  /// Logs and counts how the call ended.
+  void Record(std::string_view outcome, std::string_view reason);
   void Finish(std::string_view outcome, std::string_view reason);
 
   [[nodiscard]] Duration Elapsed() const;
@@ -153,6 +156,10 @@
   EventStreamSplitter m_events;
   std::size_t m_unsent_bytes = 0;
   bool m_done = false;
+  /// Since the call arrived.
+  std::optional<Duration> m_first_event;
+  Duration m_last_event{};
+  Duration m_longest_pause{};
 
   std::unique_ptr<Timer> m_limit_timer;
   std::unique_ptr<Timer> m_silence_timer;
--- a/packages/serving/include/bambooquay/serving/peer_exchange.h
+++ b/packages/serving/include/bambooquay/serving/peer_exchange.h
@@ -37,6 +37,10 @@
   /// Adds or moves a peer that the store lists as a member.
   void PutMember(const InstanceId& id, const Endpoint& address);
   void RemoveMember(const InstanceId& id);
+  /// Adds an address where an entry may be found before the store lists any.
+  void AddSeed(const Endpoint& address) { m_seeds.push_back(address); }
+  /// @returns the address of a peer that was heard of lately.
+  [[nodiscard]] std::optional<Endpoint> AnyLivePeer();
   /// Fills in the status that is sent.
   void OnStatus(std::function<EntryStatus()> make_status) {
     m_make_status = std::move(make_status);
@@ -94,6 +98,8 @@
   std::function<EntryStatus()> m_make_status;
   EngineStatusHandler m_engine_status;
   std::map<InstanceId, PeerEntry> m_peers;
+  std::vector<Endpoint> m_seeds;
+  std::size_t m_next_live_peer = 0;
   std::uint64_t m_next_load = 1;
   std::map<std::uint64_t, PendingLoad> m_loads;
   std::unique_ptr<Timer> m_status_timer;
--- a/packages/serving/include/bambooquay/serving/retry_budget.h
+++ b/packages/serving/include/bambooquay/serving/retry_budget.h
@@ -22,6 +22,7 @@
 
   /// @param entries  how many entries share the budget.
   void SetEntryCount(std::size_t entries) noexcept;
+  void SetLimits(const RetryLimits& limits) noexcept { m_limits = limits; }
   void CountRequest() noexcept;
   /// Takes one attempt out of the budget.
   [[nodiscard]] bool TryRetry() noexcept;
--- a/packages/serving/include/bambooquay/serving/serving_agent.h
+++ b/packages/serving/include/bambooquay/serving/serving_agent.h
@@ -42,6 +42,8 @@
   [[nodiscard]] std::string StatusJson() const;
 
  private:
+  void RegisterGauges();
+
   struct KnownEntry {
     Endpoint address;
     TimePoint heard_at{};
--- a/packages/serving/include/bambooquay/serving/serving_entry.h
+++ b/packages/serving/include/bambooquay/serving/serving_entry.h
@@ -7,6 +7,7 @@
 #include <unordered_map>
 
 #include "bambooquay/core/random.h"
+#include "bambooquay/runtime/freeze_detector.h"
 #include "bambooquay/runtime/http_client.h"
 #include "bambooquay/runtime/http_server.h"
 #include "bambooquay/runtime/metrics.h"
@@ -16,6 +17,7 @@
 #include "bambooquay/serving/peer_exchange.h"
 #include "bambooquay/serving/serving_settings.h"
 #include "bambooquay/serving/table_mirror.h"
+#include "bambooquay/serving/table_relay.h"
 
 namespace bambooquay {
 
@@ -38,17 +40,22 @@
   [[nodiscard]] bool Start();
   /// Stops taking new work; `done` runs when all calls have ended.
   void Drain(std::function<void()> done);
+  /// Takes over settings that may change while running.
+  void Reload(const ServingSettings& settings);
   /// @returns why the entry should get no new connections, or "".
   [[nodiscard]] std::string NotReadyReason() const;
   [[nodiscard]] std::string StatusJson() const;
 
  private:
   void Serve(std::shared_ptr<HttpExchange> exchange);
+  /// Answers another entry with a copy of a table.
+  void Relay(HttpExchange& exchange) const;
   void HandleOperatorRow(const TableRow& row);
   void HandleUpstreamRow(const TableRow& row);
   void HandleMemberRow(const TableRow& row);
   void ApplyConfiguration(const TableRow& row);
   void RegisterMember();
+  void RegisterGauges();
   void Tick();
   void Plan();
   void PlanService(const ServingService& service,
@@ -85,11 +92,14 @@
   std::map<UpstreamId, PlannedEngine> m_planned;
   std::shared_ptr<const ActiveConfiguration> m_active;
   std::list<std::unique_ptr<ForwardedCall>> m_calls;
+  PeerTable m_peer_table;
   TableMirror m_operator_rows;
   TableMirror m_upstream_rows;
   TableMirror m_member_rows;
   HttpServer m_server;
   HttpServer m_readiness;
+  HttpServer m_relay;
+  FreezeDetector m_freezes;
   std::optional<TimePoint> m_store_regained_at;
   std::optional<TimePoint> m_draining_since;
   std::function<void()> m_drained;
--- a/packages/serving/include/bambooquay/serving/serving_settings.h
+++ b/packages/serving/include/bambooquay/serving/serving_settings.h
@@ -23,10 +23,12 @@
   Endpoint peers;  ///< Datagrams between entries and agents.
   Endpoint admin;  ///< Health, readiness and metrics.
   Endpoint store;
-  LogLevel log_level = LogLevel::kInfo;
+  LogSettings log;
   /// A planned stop ends within this time.
   Duration drain_limit = std::chrono::seconds(8);
 
+  /// Entries only: where other entries may be found before the store answers.
+  std::vector<Endpoint> seeds;
   Endpoint callers;     ///< Entries only.
   Endpoint readiness;   ///< Entries only.
   RetryLimits retries;  ///< Entries only.
--- a/packages/serving/include/bambooquay/serving/table_mirror.h
+++ b/packages/serving/include/bambooquay/serving/table_mirror.h
@@ -30,6 +30,13 @@
               MirrorSettings settings, RowHandler handler);
 
   void Start();
+  /// Sets where to list the table while the store does not answer.
+  void SetFallback(FleetTable& fallback) { m_fallback = &fallback; }
+  /// @returns the copy as one page.
+  [[nodiscard]] TablePage Snapshot() const;
+  [[nodiscard]] const std::string& table() const noexcept {
+    return m_settings.table;
+  }
   /// @returns whether the table was listed in full at least once.
   [[nodiscard]] bool complete() const noexcept { return m_complete; }
   /// @returns when the store last answered, if it ever did.
@@ -53,12 +60,14 @@
   void Watch();
   void HandleWatch(TableResult result);
   void FinishList();
+  void ListFallback();
   void Apply(const TableRow& row);
   void RetryLater(std::function<void()> retry, TableFailure failure);
   void NoteAnswer();
 
   EventLoop& m_loop;
   FleetTable& m_table;
+  FleetTable* m_fallback = nullptr;
   RandomSource& m_random;
   MirrorSettings m_settings;
   RowHandler m_handler;
--- a/packages/serving/include/bambooquay/serving/upstream_set.h
+++ b/packages/serving/include/bambooquay/serving/upstream_set.h
@@ -131,6 +131,8 @@
   [[nodiscard]] bool Usable(const Upstream& upstream) const;
   /// @returns whether its agent has reported lately.
   [[nodiscard]] bool HasFreshReport(const Upstream& upstream) const;
+  /// @returns the time since its last report; the longest one without any.
+  [[nodiscard]] Duration ReportAge(const Upstream& upstream) const;
   /// @returns an estimate of the calls at the upstream from all entries.
   [[nodiscard]] double Load(const Upstream& upstream) const;
 
--- a/packages/serving/src/forwarded_call.cc
+++ b/packages/serving/src/forwarded_call.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "bambooquay/runtime/log.h"
+#include "bambooquay/serving/engine_memory_plan.h"
 
 namespace bambooquay {
 namespace {
@@ -225,6 +226,18 @@
   }
   terms.last_event_id =
       m_events.last_id().empty() ? m_call.last_event_id : m_events.last_id();
+  LogEvent(LogLevel::kInfo, "attempt")
+      .With("request", m_call.id.value())
+      .With("number", m_attempts)
+      .With("upstream", id.value())
+      .With("load", m_context.upstreams.Load(*upstream))
+      .With("report_age_ms",
+            m_context.upstreams.ReportAge(*upstream) / milliseconds(1))
+      .With("failure_share", upstream->failure_share)
+      .With("kept_tokens", upstream->cache.KeptTokens(
+                               m_call.model, m_call.adapter, m_call.prompt))
+      .With("prompt_tokens", m_call.prompt_tokens)
+      .With("time_left_ms", TimeLeft() / milliseconds(1));
   const HttpRequest request = m_context.codec.EncodeAttempt(m_call, terms);
   m_context.upstreams.Began(id, MakeQuery());
   m_attempt = m_context.client.Start(upstream->record.address, request,
@@ -289,6 +302,7 @@
   if (m_event_stream) {
     const std::string events = m_events.Add(bytes);
     if (!events.empty()) {
+      NoteEvent();
       RelayBody(events);
       if (m_route->repeatable()) {
         WatchSilence(std::chrono::duration_cast<Duration>(m_route->max_pause *
@@ -308,6 +322,16 @@
   }
 }
 
+void ForwardedCall::NoteEvent() {
+  const Duration now = Elapsed();
+  if (m_first_event.has_value()) {
+    m_longest_pause = std::max(m_longest_pause, now - m_last_event);
+  } else {
+    m_first_event = now;
+  }
+  m_last_event = now;
+}
+
 void ForwardedCall::RelayBody(std::string_view bytes) {
   m_unsent_bytes += bytes.size();
   m_exchange->SendPart(bytes, [this] {
@@ -391,18 +415,24 @@
 void ForwardedCall::HandleFailedAttempt(AttemptEnd end, bool may_have_run,
                                         std::string_view reason) {
   const std::string upstream = m_upstream->value();
+  m_context.metrics.Increment("attempts_failed_total{reason=\"" +
+                              std::string(reason) + "\"}");
   EndAttempt(end);
   m_may_have_run = m_may_have_run || may_have_run;
   m_body.clear();
   static_cast<void>(m_events.TakeRest());
-  const bool retry =
-      CanRetry(may_have_run) && m_context.budget_of(m_service->name).TryRetry();
+  const bool allowed = CanRetry(may_have_run);
+  const bool retry = allowed && m_context.budget_of(m_service->name).TryRetry();
+  if (allowed) {
+    m_context.metrics.Increment(retry ? "retries_total{granted=\"yes\"}"
+                                      : "retries_total{granted=\"no\"}");
+  }
   LogEvent(LogLevel::kInfo, "attempt_failed")
       .With("request", m_call.id.value())
       .With("upstream", upstream)
       .With("reason", reason)
       .With("may_have_run", may_have_run ? "yes" : "no")
-      .With("retry", retry ? "yes" : "no")
+      .With("retry", retry ? "yes" : (allowed ? "over_budget" : "no"))
       .With("elapsed_ms", Elapsed() / milliseconds(1));
   if (retry) {
     TryUpstream();
@@ -465,27 +495,44 @@
   Finish(std::to_string(status), code);
 }
 
+void ForwardedCall::Record(std::string_view outcome, std::string_view reason) {
+  Metrics& metrics = m_context.metrics;
+  const std::string result(outcome);
+  metrics.Increment("calls_total{outcome=\"" + result + "\",reason=\"" +
+                    std::string(reason) + "\"}");
+  const std::string priority =
+      m_route == nullptr ? "none" : std::to_string(m_route->priority);
+  metrics.Observe(
+      "call_seconds{priority=\"" + priority + "\",outcome=\"" + result + "\"}",
+      Elapsed());
+  if (m_first_event.has_value()) {
+    metrics.Observe("first_event_seconds{priority=\"" + priority + "\"}",
+                    *m_first_event);
+    metrics.Observe("longest_pause_seconds", m_longest_pause);
+  }
+  LogEvent(LogLevel::kInfo, "call_ended")
+      .With("request", m_call.id.value())
+      .With("outcome", outcome)
+      .With("reason", reason)
+      .With("route", m_route == nullptr ? "" : m_route->name)
+      .With("organisation",
+            m_organisation == nullptr ? "" : m_organisation->name.value())
+      .With("model", AdapterKey(m_call.model, m_call.adapter))
+      .With("attempts", m_attempts)
+      .With("configuration",
+            m_active == nullptr ? 0 : m_active->configuration.version)
+      .With("first_event_ms",
+            m_first_event.has_value() ? *m_first_event / milliseconds(1) : -1)
+      .With("longest_pause_ms", m_longest_pause / milliseconds(1))
+      .With("elapsed_ms", Elapsed() / milliseconds(1));
+}
+
 void ForwardedCall::Finish(std::string_view outcome, std::string_view reason) {
   m_done = true;
   m_limit_timer = nullptr;
   m_silence_timer = nullptr;
   m_wait_timer = nullptr;
-  m_context.metrics.Increment("serving_calls_total{outcome=\"" +
-                              std::string(outcome) + "\"}");
-  if (outcome != "served") {
-    LogEvent(LogLevel::kInfo, "call_ended")
-        .With("request", m_call.id.value())
-        .With("route", m_route == nullptr ? "" : m_route->name)
-        .With("organisation",
-              m_organisation == nullptr ? "" : m_organisation->name.value())
-        .With("model", m_call.model.value())
-        .With("outcome", outcome)
-        .With("reason", reason)
-        .With("attempts", m_attempts)
-        .With("config",
-              m_active == nullptr ? 0 : m_active->configuration.version)
-        .With("elapsed_ms", Elapsed() / milliseconds(1));
-  }
+  Record(outcome, reason);
   m_finished(*this);
 }
 
--- a/packages/serving/src/peer_exchange.cc
+++ b/packages/serving/src/peer_exchange.cc
@@ -122,14 +122,31 @@
 }
 
 void PeerExchange::SendStatus() {
-  if (m_peers.empty()) {
-    return;
-  }
   const std::string bytes =
       EncodeStatus({m_self, m_incarnation, m_make_status()});
   for (const auto& [id, peer] : m_peers) {
     m_socket.Send(peer.address, bytes);
   }
+  // Seeds matter only until one peer is found.
+  const bool alone = std::ranges::all_of(
+      m_peers, [this](const auto& item) { return IsSilent(item.second); });
+  if (alone) {
+    std::ranges::for_each(
+        m_seeds, [&](const Endpoint& seed) { m_socket.Send(seed, bytes); });
+  }
+}
+
+std::optional<Endpoint> PeerExchange::AnyLivePeer() {
+  std::vector<Endpoint> live;
+  for (const auto& [id, peer] : m_peers) {
+    if (!IsSilent(peer)) {
+      live.push_back(peer.address);
+    }
+  }
+  if (live.empty()) {
+    return std::nullopt;
+  }
+  return live[m_next_live_peer++ % live.size()];
 }
 
 void PeerExchange::SendTargets(const PlacementTargets& targets) {
--- a/packages/serving/src/serving_agent.cc
+++ b/packages/serving/src/serving_agent.cc
@@ -2,6 +2,7 @@
 #include "bambooquay/serving/serving_agent.h"
 
 #include <algorithm>
+#include <array>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -36,6 +37,17 @@
   return std::stoull(MakeRandomId().substr(0, 15), nullptr, 16);
 }
 
+const char* OperationName(OrderKind kind) noexcept {
+  return kind == OrderKind::kLoad ? "load" : "unload";
+}
+
+const char* ResultName(OrderResult result) noexcept {
+  constexpr std::array kNames = {"accepted", "holds_already", "conflict",
+                                 "fenced",   "rejected",      "not_sent",
+                                 "unknown"};
+  return kNames.at(static_cast<std::size_t>(result));
+}
+
 }  // namespace
 
 ServingAgent::ServingAgent(const ServingSettings& settings,
@@ -56,6 +68,7 @@
   if (!m_socket.Bind(m_settings.peers)) {
     return false;
   }
+  RegisterGauges();
   m_operator_rows.Start();
   AcquireFence();
   m_poll = m_deps.loop.Every(kPollPeriod, [this] { Poll(); });
@@ -63,6 +76,26 @@
   return true;
 }
 
+void ServingAgent::RegisterGauges() {
+  Metrics& metrics = m_deps.metrics;
+  metrics.SetGauge("report_age_seconds", [this] {
+    return m_report.has_value()
+               ? ToSeconds(m_deps.loop.clock().Now() - m_reported_at)
+               : -1.0;
+  });
+  metrics.SetGauge("engine_running", [this] {
+    return m_report.has_value() ? static_cast<double>(m_report->running) : 0.0;
+  });
+  metrics.SetGauge("engine_waiting", [this] {
+    return m_report.has_value() ? static_cast<double>(m_report->waiting) : 0.0;
+  });
+  metrics.SetGauge("adapter_jobs",
+                   [this] { return static_cast<double>(m_jobs.size()); });
+  metrics.SetGauge("entries_known",
+                   [this] { return static_cast<double>(m_entries.size()); });
+  RegisterLogGauges(metrics);
+}
+
 std::string ServingAgent::NotReadyReason() const {
   return m_report.has_value() ? "" : "the engine has not reported";
 }
@@ -332,7 +365,7 @@
   order.holder = m_settings.id;
   order.fencing_token = m_fencing_token;
   LogEvent(LogLevel::kInfo, "order")
-      .With("operation", order.kind == OrderKind::kLoad ? "load" : "unload")
+      .With("operation", OperationName(order.kind))
       .With("model", AdapterKey(order.model, order.adapter))
       .With("from_store", planned.from_store ? "yes" : "no")
       .With("expected", m_orders_accepted);
@@ -346,6 +379,9 @@
 void ServingAgent::HandleOrderResult(const EngineOrder& order,
                                      OrderResult result) {
   m_order_in_flight = false;
+  m_deps.metrics.Increment(std::string("orders_total{operation=\"") +
+                           OperationName(order.kind) + "\",result=\"" +
+                           ResultName(result) + "\"}");
   switch (result) {
     case OrderResult::kAccepted:
       ++m_orders_accepted;
@@ -365,7 +401,7 @@
       LogEvent(LogLevel::kInfo, "order_refused")
           .With("model", AdapterKey(order.model, order.adapter))
           .With("expected", order.expected_orders.value_or(0))
-          .With("result", static_cast<int>(result));
+          .With("result", ResultName(result));
       // The next report tells what holds.
       m_order.reset();
       m_trust_reports_from = {};
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -82,6 +82,7 @@
                 [this](const ServiceName& service) -> RetryBudget& {
                   return BudgetOf(service);
                 }},
+      m_peer_table(deps.loop, [this] { return m_peers.AnyLivePeer(); }),
       m_operator_rows(deps.loop, deps.table, deps.random,
                       {deps.documents.OperatorTable(), kOperatorPause},
                       [this](const TableRow& row) { HandleOperatorRow(row); }),
@@ -103,7 +104,17 @@
                 ToCode(reason.empty() ? HttpStatus::kOk
                                       : HttpStatus::kServiceUnavailable),
                 {}, reason);
-          }) {
+          }),
+      m_relay(deps.loop, HttpServerLimits{},
+              [this](const std::shared_ptr<HttpExchange>& exchange) {
+                Relay(*exchange);
+              }),
+      m_freezes(kTickPeriod) {
+  for (TableMirror* mirror :
+       {&m_operator_rows, &m_upstream_rows, &m_member_rows}) {
+    mirror->SetFallback(m_peer_table);
+  }
+  RegisterGauges();
   m_upstream_rows.OnRegained(
       [this] { m_store_regained_at = m_deps.loop.clock().Now(); });
   m_peers.OnStatus([this] { return MakeStatus(); });
@@ -114,12 +125,50 @@
 
 ServingEntry::~ServingEntry() = default;
 
+void ServingEntry::RegisterGauges() {
+  Metrics& metrics = m_deps.metrics;
+  const auto number = [](auto value) { return static_cast<double>(value); };
+  metrics.SetGauge("configuration_version", [this, number] {
+    return m_active == nullptr ? 0.0 : number(m_active->configuration.version);
+  });
+  for (const TableMirror* mirror :
+       {&m_operator_rows, &m_upstream_rows, &m_member_rows}) {
+    metrics.SetGauge(
+        "store_answer_age_seconds{table=\"" + mirror->table() + "\"}",
+        [this, mirror] {
+          const auto at = mirror->answered_at();
+          return at.has_value() ? ToSeconds(m_deps.loop.clock().Now() - *at)
+                                : -1.0;
+        });
+  }
+  metrics.SetGauge("upstreams_usable", [this, number] {
+    return number(std::ranges::count_if(
+        m_upstreams.all(),
+        [this](const auto& item) { return m_upstreams.Usable(item.second); }));
+  });
+  metrics.SetGauge("entries_known",
+                   [this, number] { return number(m_peers.member_count()); });
+  metrics.SetGauge("calls_in_progress",
+                   [this, number] { return number(m_calls.size()); });
+  metrics.SetGauge("caller_connections", [this, number] {
+    return number(m_server.connection_count());
+  });
+  metrics.SetGauge("upstream_connections_opened",
+                   [this, number] { return number(m_client.opened()); });
+  metrics.SetGauge("upstream_connections_idle",
+                   [this, number] { return number(m_client.idle_count()); });
+  RegisterLogGauges(metrics);
+}
+
 bool ServingEntry::Start() {
   if (!m_server.Listen(m_settings.callers) ||
       !m_readiness.Listen(m_settings.readiness) ||
-      !m_peers.Bind(m_settings.peers)) {
+      !m_relay.Listen(m_settings.peers) || !m_peers.Bind(m_settings.peers)) {
     return false;
   }
+  for (const Endpoint& seed : m_settings.seeds) {
+    m_peers.AddSeed(seed);
+  }
   m_operator_rows.Start();
   m_upstream_rows.Start();
   m_member_rows.Start();
@@ -177,6 +226,29 @@
   m_calls.back()->Start();
 }
 
+void ServingEntry::Relay(HttpExchange& exchange) const {
+  const std::string& target = exchange.request().target;
+  const auto serves = [&](const TableMirror& mirror) {
+    return mirror.complete() && target == "/tables/" + mirror.table();
+  };
+  for (const TableMirror* mirror :
+       {&m_operator_rows, &m_upstream_rows, &m_member_rows}) {
+    if (serves(*mirror)) {
+      exchange.Reply(ToCode(HttpStatus::kOk), {},
+                     EncodePage(mirror->Snapshot()));
+      return;
+    }
+  }
+  exchange.Reply(ToCode(HttpStatus::kNotFound), {}, "");
+}
+
+void ServingEntry::Reload(const ServingSettings& settings) {
+  m_settings.retries = settings.retries;
+  m_settings.drain_limit = settings.drain_limit;
+  std::ranges::for_each(
+      m_budgets, [&](auto& item) { item.second.SetLimits(settings.retries); });
+}
+
 void ServingEntry::HandleOperatorRow(const TableRow& row) {
   const OperatorRow kind = m_deps.documents.ClassifyOperatorRow(row.key);
   if (const auto* evacuation = std::get_if<EvacuationRow>(&kind)) {
@@ -303,6 +375,13 @@
 }
 
 void ServingEntry::Tick() {
+  if (const auto frozen = m_freezes.Check()) {
+    LogEvent(LogLevel::kWarning, "freeze_noticed")
+        .With("frozen_ms", *frozen / milliseconds(1));
+    m_deps.metrics.Increment("freezes_total");
+    // Their peers may have closed them meanwhile.
+    m_client.CloseAllIdle();
+  }
   m_upstreams.Tick();
   const std::size_t entries = m_peers.member_count();
   m_upstreams.SetEntries(m_settings.id, m_peers.Members());
--- a/packages/serving/src/serving_settings.cc
+++ b/packages/serving/src/serving_settings.cc
@@ -46,8 +46,8 @@
       m_settings.data_centre = DataCentreId(reader.Text("datacentre"));
       m_settings.drain_limit =
           FromSeconds(reader.Number("drain_seconds", 0.0, kMaxSeconds, 8.0));
-      m_settings.log_level = ParseLogLevel(
-          reader.Choice("log_level", {"info", "debug", "warning", "error"}));
+    } else if (name == "log") {
+      m_settings.log = ReadLogSettings(reader);
     } else if (name == "listen") {
       ReadListen(reader);
     } else if (name == "store") {
@@ -68,6 +68,19 @@
     if (m_role == ServingRole::kEntry) {
       m_settings.callers = ReadEndpoint(reader, "callers");
       m_settings.readiness = ReadEndpoint(reader, "readiness");
+      ReadSeeds(reader);
+    }
+  }
+
+  // Only the hosts matter: all entries use the same port for peers.
+  void ReadSeeds(IniSectionReader& reader) {
+    for (const std::string& text : reader.List("seeds")) {
+      const auto seed = ParseEndpoint(text);
+      if (!seed.has_value()) {
+        reader.AddError("seeds", "expected IP:PORT, found '" + text + "'");
+      } else if (seed->host != m_settings.peers.host) {
+        m_settings.seeds.push_back({seed->host, m_settings.peers.port});
+      }
     }
   }
 
--- a/packages/serving/src/table_mirror.cc
+++ b/packages/serving/src/table_mirror.cc
@@ -14,6 +14,8 @@
 constexpr Duration kWatchTime = std::chrono::seconds(15);
 // Delays between calls to a store that does not answer.
 constexpr Duration kFirstRetryDelay = std::chrono::milliseconds(60);
+// Failures in a row after which peers are asked: about a third of a second.
+constexpr int kFailuresToFallback = 3;
 constexpr Duration kLongestRetryDelay = std::chrono::milliseconds(500);
 
 }  // namespace
@@ -63,6 +65,7 @@
     return;
   }
   FinishList();
+  Watch();
 }
 
 void TableMirror::FinishList() {
@@ -82,7 +85,38 @@
   }
   m_version = std::max(m_version, *m_list_version);
   m_complete = true;
-  Watch();
+}
+
+TablePage TableMirror::Snapshot() const {
+  TablePage page;
+  page.version = m_version;
+  for (const auto& [key, row] : m_rows) {
+    page.rows.push_back(row);
+  }
+  return page;
+}
+
+void TableMirror::ListFallback() {
+  if (m_fallback == nullptr) {
+    return;
+  }
+  m_fallback->List(m_settings.table, "", [this](TableResult result) {
+    auto* page = std::get_if<TablePage>(&result);
+    // The store may have answered meanwhile, and the peer may know less.
+    if (page == nullptr || m_failures == 0 || page->version <= m_version) {
+      return;
+    }
+    LogEvent(LogLevel::kInfo, "table_relayed")
+        .With("table", m_settings.table)
+        .With("version", page->version)
+        .With("previous", m_version);
+    m_listed.clear();
+    for (TableRow& row : page->rows) {
+      m_listed[row.key] = std::move(row);
+    }
+    m_list_version = page->version;
+    FinishList();
+  });
 }
 
 void TableMirror::Watch() {
@@ -128,7 +162,9 @@
   }
   const Duration delay = std::min(
       kFirstRetryDelay * (1 << std::min(m_failures, 8)), kLongestRetryDelay);
-  ++m_failures;
+  if (++m_failures >= kFailuresToFallback) {
+    ListFallback();
+  }
   // Spreads the calls of many processes.
   const auto spread = std::chrono::microseconds(m_random.Below(
       static_cast<std::uint32_t>(delay / std::chrono::microseconds(2))));
--- a/packages/serving/src/upstream_set.cc
+++ b/packages/serving/src/upstream_set.cc
@@ -208,6 +208,11 @@
          m_clock.Now() - upstream.reported_at < kReportLifetime;
 }
 
+Duration UpstreamSet::ReportAge(const Upstream& upstream) const {
+  return upstream.report.has_value() ? m_clock.Now() - upstream.reported_at
+                                     : Duration::max();
+}
+
 const std::vector<ResidentModel>& UpstreamSet::Models(
     const Upstream& upstream) const {
   return HasFreshReport(upstream) ? upstream.report->models
--- a/programs/bambooquay/run_serve.cc
+++ b/programs/bambooquay/run_serve.cc
@@ -3,6 +3,7 @@
 
 #include <csignal>
 #include <memory>
+#include <utility>
 
 #include "bambooquay/operators/admin_server.h"
 #include "bambooquay/operators/process_start.h"
@@ -15,10 +16,14 @@
 namespace bambooquay {
 namespace {
 
+constexpr const char* kProgram = "bambooquay serve";
+
 class ServeProcess {
  public:
-  explicit ServeProcess(const ServingSettings& settings)
+  ServeProcess(const ServingSettings& settings,
+               std::vector<std::string> arguments)
       : m_settings(settings),
+        m_arguments(std::move(arguments)),
         m_table(m_loop, settings.store),
         m_entry(settings,
                 {m_loop, m_calls, m_documents, m_table, m_metrics, m_random}),
@@ -35,7 +40,7 @@
       m_loop.OnSignal(signal,
                       [this] { m_entry.Drain([this] { m_loop.Stop(); }); });
     }
-    m_loop.OnSignal(SIGHUP, [] { LogEvent(LogLevel::kInfo, "reload"); });
+    m_loop.OnSignal(SIGHUP, [this] { Reload(); });
     LogEvent(LogLevel::kInfo, "entry_started")
         .With("callers", m_settings.callers.ToString());
     m_loop.Run();
@@ -44,7 +49,20 @@
   }
 
  private:
+  // Faults leave the settings in force; they are printed and logged.
+  void Reload() {
+    const auto read = StartProcessWith(
+        kProgram, m_arguments, ServingRole::kEntry, &ParseServingSettings);
+    const auto* settings = std::get_if<ServingSettings>(&read);
+    LogEvent(LogLevel::kInfo, "reload")
+        .With("accepted", settings != nullptr ? "yes" : "no");
+    if (settings != nullptr) {
+      m_entry.Reload(*settings);
+    }
+  }
+
   ServingSettings m_settings;
+  std::vector<std::string> m_arguments;
   EventLoop m_loop;
   Metrics m_metrics;
   SystemRandom m_random;
@@ -58,12 +76,13 @@
 }  // namespace
 
 ExitCode RunServe(const std::vector<std::string>& arguments) {
-  auto started = StartProcessWith("bambooquay serve", arguments,
-                                  ServingRole::kEntry, &ParseServingSettings);
+  auto started = StartProcessWith(kProgram, arguments, ServingRole::kEntry,
+                                  &ParseServingSettings);
   if (const auto* code = std::get_if<ExitCode>(&started)) {
     return *code;
   }
-  return std::make_unique<ServeProcess>(std::get<ServingSettings>(started))
+  return std::make_unique<ServeProcess>(std::get<ServingSettings>(started),
+                                        arguments)
       ->Run();
 }
 
