--- a/packages/runtime/include/bambooquay/runtime/http_server.h
+++ b/packages/runtime/include/bambooquay/runtime/http_server.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <list>
 #include <memory>
@@ -94,6 +95,8 @@
 
   /// @returns whether the address could be bound.
   [[nodiscard]] bool Listen(const Endpoint& endpoint);
+  /// @returns the port that is bound, also where Listen() was given port 0.
+  [[nodiscard]] std::uint16_t port() const;
   /// Stops accepting connections; open ones go on.
   void StopListening();
   /// Ends each connection after the reply that it waits for, and idle ones at
--- a/packages/runtime/src/endpoint.cc
+++ b/packages/runtime/src/endpoint.cc
@@ -31,13 +31,21 @@
 
 std::optional<SocketAddress> ToSocketAddress(const Endpoint& endpoint) {
   SocketAddress address;
-  int length = sizeof(address.storage);
-  if (evutil_parse_sockaddr_port(endpoint.ToString().c_str(), address.get(),
-                                 &length) != 0) {
-    return std::nullopt;
+  auto* ipv4 = reinterpret_cast<sockaddr_in*>(address.get());
+  if (inet_pton(AF_INET, endpoint.host.c_str(), &ipv4->sin_addr) == 1) {
+    ipv4->sin_family = AF_INET;
+    ipv4->sin_port = htons(endpoint.port);
+    address.length = sizeof(sockaddr_in);
+    return address;
+  }
+  auto* ipv6 = reinterpret_cast<sockaddr_in6*>(address.get());
+  if (inet_pton(AF_INET6, endpoint.host.c_str(), &ipv6->sin6_addr) == 1) {
+    ipv6->sin6_family = AF_INET6;
+    ipv6->sin6_port = htons(endpoint.port);
+    address.length = sizeof(sockaddr_in6);
+    return address;
   }
-  address.length = static_cast<socklen_t>(length);
-  return address;
+  return std::nullopt;
 }
 
 Endpoint ToEndpoint(const SocketAddress& address) {
--- a/packages/runtime/src/http_framing.cc
+++ b/packages/runtime/src/http_framing.cc
@@ -53,6 +53,16 @@
 }
 
 bool HasSoundFraming(const HttpHeaders& headers) noexcept {
+  // The parser lets blanks in names pass, which others read differently.
+  const bool names_are_tokens =
+      std::ranges::all_of(headers.items, [](const HttpHeader& item) {
+        return std::ranges::all_of(item.name, [](unsigned char c) {
+          return c > ' ' && c < 0x7f && c != ':';
+        });
+      });
+  if (!names_are_tokens) {
+    return false;
+  }
   const auto count = [&](std::string_view name) {
     return std::ranges::count_if(headers.items, [&](const HttpHeader& item) {
       return EqualsIgnoringCase(item.name, name);
--- a/packages/runtime/src/http_framing.h
+++ b/packages/runtime/src/http_framing.h
@@ -32,8 +32,9 @@
   bool m_in_value = false;
 };
 
-/// @returns whether `headers` frame a body in one unambiguous way: at most one
-/// Content-Length, or Transfer-Encoding `chunked` and nothing else.
+/// @returns whether `headers` are names without blanks that frame a body in one
+/// unambiguous way: at most one Content-Length, or Transfer-Encoding `chunked`
+/// and nothing else.
 [[nodiscard]] bool HasSoundFraming(const HttpHeaders& headers) noexcept;
 
 void AppendHeader(std::string& text, std::string_view name,
--- a/packages/runtime/src/http_server.cc
+++ b/packages/runtime/src/http_server.cc
@@ -93,6 +93,16 @@
   return m_listener != nullptr;
 }
 
+std::uint16_t HttpServer::port() const {
+  SocketAddress address;
+  if (m_listener == nullptr ||
+      getsockname(evconnlistener_get_fd(m_listener), address.get(),
+                  &address.length) != 0) {
+    return 0;
+  }
+  return ToEndpoint(address).port;
+}
+
 void HttpServer::StopListening() {
   if (m_listener != nullptr) {
     evconnlistener_free(std::exchange(m_listener, nullptr));
--- /dev/null
+++ b/packages/serving/tests/upstream_set_test.cc
@@ -0,0 +1,240 @@
+// Which upstreams get calls, and how many.
+#include "bambooquay/serving/upstream_set.h"
+
+#include <boost/test/unit_test.hpp>
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace bambooquay {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+UpstreamRecord Record(const std::string& id, int port,
+                      std::int64_t born_ms = 1) {
+  UpstreamRecord record;
+  record.id = UpstreamId(id);
+  record.service = ServiceName("s");
+  record.address = {"127.0.0.1", static_cast<std::uint16_t>(port)};
+  record.data_centre = DataCentreId("dc");
+  record.slots = 64;
+  record.born_ms = born_ms;
+  record.models = {{ModelName("m"), {}}};
+  return record;
+}
+
+PickQuery Query(const std::string& service, const std::string& model = "") {
+  PickQuery query;
+  query.service = ServiceName(service);
+  query.model = ModelName(model);
+  return query;
+}
+
+struct Set {
+  Set() { upstreams.SetEntries(InstanceId("self"), {InstanceId("self")}); }
+
+  std::optional<UpstreamId> Pick(const PickQuery& query = Query("s")) {
+    const auto picked = upstreams.Pick(query);
+    const auto* id = std::get_if<UpstreamId>(&picked);
+    return id == nullptr ? std::nullopt : std::optional(*id);
+  }
+
+  void Serve(const UpstreamId& id, AttemptEnd end) {
+    const PickQuery query = Query("s");
+    upstreams.Began(id, query);
+    upstreams.Ended(id, query, end);
+  }
+
+  ManualClock clock;
+  SeededRandom random{1};
+  UpstreamSet upstreams{clock, random, DataCentreId("dc")};
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(upstream_set)
+
+BOOST_AUTO_TEST_CASE(draining_evacuated_and_removed_upstreams_get_nothing) {
+  Set set;
+  set.upstreams.Put(Record("a", 1));
+  BOOST_TEST(set.Pick().has_value());
+  UpstreamRecord draining = Record("a", 1);
+  draining.draining = true;
+  set.upstreams.Put(draining);
+  BOOST_TEST(!set.Pick().has_value());
+  set.upstreams.Put(Record("a", 1));
+  set.upstreams.SetEvacuated(DataCentreId("dc"), true);
+  BOOST_TEST(!set.Pick().has_value());
+  set.upstreams.SetEvacuated(DataCentreId("dc"), false);
+  BOOST_TEST(set.Pick().has_value());
+  set.upstreams.Remove(UpstreamId("a"), Duration::zero());
+  BOOST_TEST(!set.Pick().has_value());
+}
+
+// After a loss of power the list still names the dead beside those that were
+// started at their addresses.
+BOOST_AUTO_TEST_CASE(the_upstream_born_last_has_the_address) {
+  Set set;
+  set.upstreams.Put(Record("old", 1, 100));
+  set.upstreams.Put(Record("new", 1, 200));
+  for (int i = 0; i < 20; ++i) {
+    BOOST_TEST(set.Pick()->value() == "new");
+  }
+  // The same when the list names them the other way round.
+  Set reversed;
+  reversed.upstreams.Put(Record("new", 1, 200));
+  reversed.upstreams.Put(Record("old", 1, 100));
+  BOOST_TEST(reversed.Pick()->value() == "new");
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_that_lapsed_with_the_store_away_has_a_grace) {
+  Set set;
+  set.upstreams.Put(Record("a", 1));
+  set.upstreams.Remove(UpstreamId("a"), seconds(2));
+  BOOST_TEST(set.Pick().has_value());
+  set.clock.Advance(milliseconds(2100));
+  set.upstreams.Tick();
+  BOOST_TEST(!set.Pick().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(an_unreachable_upstream_is_avoided_for_a_while) {
+  Set set;
+  set.upstreams.Put(Record("a", 1));
+  set.upstreams.Put(Record("b", 2));
+  for (int i = 0; i < 3; ++i) {
+    set.Serve(UpstreamId("a"), AttemptEnd::kUnreachable);
+  }
+  for (int i = 0; i < 20; ++i) {
+    BOOST_TEST(set.Pick()->value() == "b");
+  }
+  set.clock.Advance(seconds(30));
+  std::map<std::string, int> picks;
+  for (int i = 0; i < 200; ++i) {
+    ++picks[set.Pick()->value()];
+  }
+  BOOST_TEST(picks["a"] > 0);
+}
+
+BOOST_AUTO_TEST_CASE(an_upstream_that_fails_often_gets_less) {
+  Set set;
+  set.upstreams.Put(Record("a", 1));
+  set.upstreams.Put(Record("b", 2));
+  for (int i = 0; i < 40; ++i) {
+    set.Serve(UpstreamId("a"),
+              i % 2 == 0 ? AttemptEnd::kFailed : AttemptEnd::kServed);
+    set.Serve(UpstreamId("b"), AttemptEnd::kServed);
+  }
+  for (int i = 0; i < 20; ++i) {
+    BOOST_TEST(set.Pick()->value() == "b");
+  }
+}
+
+// Entries that each know only their own sending keep a cold upstream's bound
+// together: 8 requests a second, half more, and 5.
+BOOST_AUTO_TEST_CASE(entries_together_keep_the_bound_of_a_cold_upstream) {
+  for (const int entry_count : {1, 4, 5, 21}) {
+    ManualClock clock;
+    SeededRandom random{3};
+    std::vector<InstanceId> ids;
+    for (int i = 0; i < entry_count; ++i) {
+      ids.emplace_back("entry-" + std::to_string(i));
+    }
+    std::vector<std::unique_ptr<UpstreamSet>> entries;
+    for (const InstanceId& id : ids) {
+      entries.push_back(
+          std::make_unique<UpstreamSet>(clock, random, DataCentreId("dc")));
+      entries.back()->SetEntries(id, ids);
+      entries.back()->SetColdRate(ServiceName("s"), 8.0);
+      UpstreamRecord record = Record("a", 1);
+      record.cold_remaining = seconds(20);
+      entries.back()->Put(record);
+    }
+    std::deque<TimePoint> sent;
+    std::size_t all = 0;
+    for (int step = 0; step < 1000; ++step) {
+      clock.Advance(milliseconds(10));
+      for (const auto& entry : entries) {
+        if (std::holds_alternative<UpstreamId>(entry->Pick(Query("s")))) {
+          sent.push_back(clock.Now());
+          ++all;
+        }
+      }
+      while (!sent.empty() && clock.Now() - sent.front() >= seconds(1)) {
+        sent.pop_front();
+      }
+      BOOST_REQUIRE(sent.size() <= 8 * 1.5 + 5);
+    }
+    // And it is used: at least half of what it bears.
+    BOOST_TEST(all >= 40U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_prompt_goes_where_its_shared_parts_are) {
+  Set set;
+  for (int i = 0; i < 6; ++i) {
+    set.upstreams.Put(Record("e" + std::to_string(i), i + 1));
+  }
+  const std::vector<PromptPart> prompt = {{1, 2500}, {2, 3800}, {77, 2900}};
+  PickQuery query = Query("s", "m");
+  query.prompt = &prompt;
+  query.prompt_tokens = 9200;
+  const UpstreamId first = *set.Pick(query);
+  set.upstreams.Began(first, query);
+  set.upstreams.Ended(first, query, AttemptEnd::kServed);
+  for (std::uint64_t own = 100; own < 110; ++own) {
+    const std::vector<PromptPart> next = {{1, 2500}, {2, 3800}, {own, 2900}};
+    query.prompt = &next;
+    BOOST_TEST(set.Pick(query)->value() == first.value());
+  }
+  // A loaded engine passes the prompt on.
+  query.prompt = &prompt;
+  for (int i = 0; i < 80; ++i) {
+    set.upstreams.Began(first, query);
+  }
+  BOOST_TEST(set.Pick(query)->value() != first.value());
+}
+
+BOOST_AUTO_TEST_CASE(entries_agree_on_an_engine_without_talking) {
+  const std::vector<PromptPart> prompt = {{1, 2500}, {2, 3800}, {77, 2900}};
+  std::set<std::string> chosen;
+  for (std::uint64_t seed = 0; seed < 8; ++seed) {
+    ManualClock clock;
+    SeededRandom random{seed};
+    UpstreamSet entry(clock, random, DataCentreId("dc"));
+    for (int i = 0; i < 6; ++i) {
+      entry.Put(Record("e" + std::to_string(i), i + 1));
+    }
+    PickQuery query = Query("s", "m");
+    query.prompt = &prompt;
+    query.prompt_tokens = 9200;
+    chosen.insert(std::get<UpstreamId>(entry.Pick(query)).value());
+  }
+  BOOST_TEST(chosen.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_missing_model_and_a_missing_adapter_are_told_apart) {
+  Set set;
+  set.upstreams.Put(Record("a", 1));
+  PickQuery query = Query("s", "other");
+  BOOST_TEST((std::get<PickFailure>(set.upstreams.Pick(query)) ==
+              PickFailure::kModelMissing));
+  query.model = ModelName("m");
+  query.adapter = AdapterName("a1");
+  BOOST_TEST((std::get<PickFailure>(set.upstreams.Pick(query)) ==
+              PickFailure::kAdapterMissing));
+  set.upstreams.MarkAdapterLoaded(UpstreamId("a"), ModelName("m"),
+                                  AdapterName("a1"));
+  BOOST_TEST(std::holds_alternative<UpstreamId>(set.upstreams.Pick(query)));
+  query.service = ServiceName("none");
+  BOOST_TEST((std::get<PickFailure>(set.upstreams.Pick(query)) ==
+              PickFailure::kNoUpstream));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace bambooquay
--- /dev/null
+++ b/testing/support/scripted_peer.h
@@ -0,0 +1,217 @@
+// Raw TCP peers for tests of HTTP: a server that answers with scripted bytes,
+// and a client that sends them.
+#pragma once
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <cstdlib>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "bambooquay/runtime/endpoint.h"
+#include "bambooquay/runtime/event_loop.h"
+
+namespace bambooquay::testing {
+
+/// What a scripted server does once it has read a request.
+struct ScriptedReply {
+  std::string bytes;
+  enum class Then { kKeep, kClose, kReset } then = Then::kKeep;
+};
+
+/// Answers each request on any connection by calling a script with its bytes.
+class ScriptedServer {
+ public:
+  using Script = std::function<ScriptedReply(const std::string& request)>;
+
+  ScriptedServer(EventLoop& loop, Script script)
+      : m_loop(loop), m_script(std::move(script)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    m_listener = evconnlistener_new_bind(
+        loop.base(), &ScriptedServer::Accept, this,
+        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 16,
+        reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    socklen_t length = sizeof(address);
+    getsockname(evconnlistener_get_fd(m_listener),
+                reinterpret_cast<sockaddr*>(&address), &length);
+    m_endpoint = {"127.0.0.1", ntohs(address.sin_port)};
+  }
+  ScriptedServer(const ScriptedServer&) = delete;
+  ScriptedServer& operator=(const ScriptedServer&) = delete;
+  ~ScriptedServer() {
+    evconnlistener_free(m_listener);
+    for (const auto& connection : m_connections) {
+      if (connection->stream != nullptr) {
+        bufferevent_free(connection->stream);
+      }
+    }
+  }
+
+  [[nodiscard]] const Endpoint& endpoint() const { return m_endpoint; }
+  /// Every request so far, as bytes.
+  [[nodiscard]] const std::vector<std::string>& requests() const {
+    return m_requests;
+  }
+  [[nodiscard]] std::size_t connections() const { return m_connections.size(); }
+  [[nodiscard]] std::size_t closed_by_peer() const { return m_closed; }
+  /// Sends bytes that nobody asked for on the newest connection.
+  void SendStray(std::string_view bytes) {
+    bufferevent_write(m_connections.back()->stream, bytes.data(), bytes.size());
+  }
+
+ private:
+  struct Connection {
+    ScriptedServer* server = nullptr;
+    bufferevent* stream = nullptr;
+    std::string received;
+    ScriptedReply::Then then = ScriptedReply::Then::kKeep;
+  };
+
+  static void Accept(evconnlistener* /*listener*/, int socket,
+                     sockaddr* /*address*/, int /*length*/, void* self) {
+    auto* server = static_cast<ScriptedServer*>(self);
+    auto connection = std::make_unique<Connection>();
+    connection->server = server;
+    connection->stream =
+        bufferevent_socket_new(server->m_loop.base(), socket,
+                               BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+    bufferevent_setcb(connection->stream, &ScriptedServer::Read,
+                      &ScriptedServer::Written, &ScriptedServer::Event,
+                      connection.get());
+    bufferevent_enable(connection->stream, EV_READ | EV_WRITE);
+    server->m_connections.push_back(std::move(connection));
+  }
+
+  static std::size_t RequestSize(const std::string& bytes) {
+    const auto head = bytes.find("\r\n\r\n");
+    if (head == std::string::npos) {
+      return 0;
+    }
+    std::size_t body = 0;
+    const auto field = bytes.find("Content-Length: ");
+    if (field != std::string::npos && field < head) {
+      body = std::strtoul(bytes.c_str() + field + 16, nullptr, 10);
+    }
+    return bytes.size() >= head + 4 + body ? head + 4 + body : 0;
+  }
+
+  static void Read(bufferevent* stream, void* self) {
+    auto* connection = static_cast<Connection*>(self);
+    ScriptedServer& server = *connection->server;
+    evbuffer* input = bufferevent_get_input(stream);
+    const std::size_t length = evbuffer_get_length(input);
+    const std::size_t before = connection->received.size();
+    connection->received.resize(before + length);
+    evbuffer_remove(input, connection->received.data() + before, length);
+    for (auto size = RequestSize(connection->received); size > 0;
+         size = RequestSize(connection->received)) {
+      server.m_requests.push_back(connection->received.substr(0, size));
+      connection->received.erase(0, size);
+      const ScriptedReply reply = server.m_script(server.m_requests.back());
+      connection->then = reply.then;
+      bufferevent_write(stream, reply.bytes.data(), reply.bytes.size());
+      if (reply.bytes.empty()) {
+        Finish(*connection);
+        return;
+      }
+    }
+  }
+
+  static void Written(bufferevent* stream, void* self) {
+    if (evbuffer_get_length(bufferevent_get_output(stream)) == 0) {
+      Finish(*static_cast<Connection*>(self));
+    }
+  }
+
+  static void Finish(Connection& connection) {
+    if (connection.then == ScriptedReply::Then::kKeep ||
+        connection.stream == nullptr) {
+      return;
+    }
+    if (connection.then == ScriptedReply::Then::kReset) {
+      const linger reset{1, 0};
+      setsockopt(bufferevent_getfd(connection.stream), SOL_SOCKET, SO_LINGER,
+                 &reset, sizeof(reset));
+    }
+    bufferevent_free(connection.stream);
+    connection.stream = nullptr;
+  }
+
+  static void Event(bufferevent* stream, short events, void* self) {
+    if ((events & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+      auto* connection = static_cast<Connection*>(self);
+      ++connection->server->m_closed;
+      bufferevent_free(stream);
+      connection->stream = nullptr;
+    }
+  }
+
+  EventLoop& m_loop;
+  Script m_script;
+  evconnlistener* m_listener = nullptr;
+  Endpoint m_endpoint;
+  std::vector<std::unique_ptr<Connection>> m_connections;
+  std::vector<std::string> m_requests;
+  std::size_t m_closed = 0;
+};
+
+/// Sends bytes and keeps what comes back.
+class RawClient {
+ public:
+  RawClient(EventLoop& loop, const Endpoint& endpoint, std::string_view bytes)
+      : m_stream(bufferevent_socket_new(
+            loop.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS)) {
+    bufferevent_setcb(m_stream, &RawClient::Read, nullptr, &RawClient::Event,
+                      this);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(endpoint.port);
+    bufferevent_socket_connect(m_stream, reinterpret_cast<sockaddr*>(&address),
+                               sizeof(address));
+    bufferevent_enable(m_stream, EV_READ | EV_WRITE);
+    Send(bytes);
+  }
+  RawClient(const RawClient&) = delete;
+  RawClient& operator=(const RawClient&) = delete;
+  ~RawClient() { bufferevent_free(m_stream); }
+
+  void Send(std::string_view bytes) {
+    bufferevent_write(m_stream, bytes.data(), bytes.size());
+  }
+  [[nodiscard]] const std::string& received() const { return m_received; }
+  [[nodiscard]] bool closed() const { return m_closed; }
+
+ private:
+  static void Read(bufferevent* stream, void* self) {
+    auto* client = static_cast<RawClient*>(self);
+    evbuffer* input = bufferevent_get_input(stream);
+    const std::size_t length = evbuffer_get_length(input);
+    const std::size_t before = client->m_received.size();
+    client->m_received.resize(before + length);
+    evbuffer_remove(input, client->m_received.data() + before, length);
+  }
+  static void Event(bufferevent* stream, short events, void* self) {
+    if ((events & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+      Read(stream, self);
+      static_cast<RawClient*>(self)->m_closed = true;
+    }
+  }
+
+  bufferevent* m_stream;
+  std::string m_received;
+  bool m_closed = false;
+};
+
+}  // namespace bambooquay::testing
