--- a/packages/serving/include/bambooquay/serving/forwarded_call.h
+++ b/packages/serving/include/bambooquay/serving/forwarded_call.h
@@ -89,6 +89,8 @@
   ~ForwardedCall() override;
 
   void Start();
+  /// Instead of Start(): the entry is about to stop and could not finish it.
+  void RefuseLeaving();
 
  private:
   [[nodiscard]] bool Accepts(const HttpHeaders& headers) override;
--- a/packages/serving/include/bambooquay/serving/serving_entry.h
+++ b/packages/serving/include/bambooquay/serving/serving_entry.h
@@ -40,6 +40,11 @@
   [[nodiscard]] bool Start();
   /// Stops taking new work; `done` runs when all calls have ended.
   void Drain(std::function<void()> done);
+  /// @returns the ports that are bound, also where the settings have 0.
+  [[nodiscard]] std::uint16_t caller_port() const { return m_server.port(); }
+  [[nodiscard]] std::uint16_t readiness_port() const {
+    return m_readiness.port();
+  }
   /// Takes over settings that may change while running.
   void Reload(const ServingSettings& settings);
   /// @returns why the entry should get no new connections, or "".
--- a/packages/serving/src/forwarded_call.cc
+++ b/packages/serving/src/forwarded_call.cc
@@ -38,6 +38,8 @@
 // Delay before a refused caller comes back, spread so that callers do not
 // return together.
 constexpr Duration kRetryAfter = milliseconds(250);
+// Another entry can take the caller at once.
+constexpr Duration kLeavingRetry = milliseconds(20);
 constexpr Duration kRetryAfterSpread = milliseconds(500);
 
 std::string FormatSeconds(Duration duration) {
@@ -67,6 +69,10 @@
 
 Duration ForwardedCall::TimeLeft() const { return m_time_limit - Elapsed(); }
 
+void ForwardedCall::RefuseLeaving() {
+  Refuse(ToCode(HttpStatus::kServiceUnavailable), "leaving", kLeavingRetry);
+}
+
 void ForwardedCall::Start() {
   m_exchange->OnCallerGone([this] { HandleCallerGone(); });
   if (m_active == nullptr) {
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -38,7 +38,8 @@
     .connect_timeout = milliseconds(700),
     .unacknowledged_limit = milliseconds(1500),
     .max_idle = std::chrono::seconds(8)};
-// After a stop is asked for, new connections still come for this long.
+// After a stop is asked for, new connections still come for this long; what
+// comes later might not be finished in time and is refused.
 constexpr Duration kUnreadyTime = milliseconds(2500);
 // Time kept for the last bytes before the process would be killed.
 constexpr Duration kStopMargin = milliseconds(500);
@@ -223,7 +224,14 @@
         m_calls.erase(place);
         m_deps.loop.Post([finished] {});
       }));
-  m_calls.back()->Start();
+  const bool leaving =
+      m_draining_since.has_value() &&
+      m_deps.loop.clock().Now() - *m_draining_since > kUnreadyTime;
+  if (leaving) {
+    m_calls.back()->RefuseLeaving();
+  } else {
+    m_calls.back()->Start();
+  }
 }
 
 void ServingEntry::Relay(HttpExchange& exchange) const {
--- a/packages/serving/tests/table_test.cc
+++ b/packages/serving/tests/table_test.cc
@@ -9,143 +9,16 @@
 #include "bambooquay/serving/load_ledger.h"
 #include "bambooquay/serving/table_mirror.h"
 #include "bambooquay/serving/table_relay.h"
+#include "support/fake_table.h"
 
 namespace bambooquay {
 namespace {
 
 using std::chrono::milliseconds;
+using testing::FakeTable;
 
 constexpr Duration kLimit = std::chrono::seconds(10);
 
-/// A store in memory that answers from the loop.
-class FakeTable final : public FleetTable {
- public:
-  explicit FakeTable(EventLoop& loop) : m_loop(loop) {}
-
-  void List(const std::string& /*table*/, const std::string& /*from*/,
-            std::function<void(TableResult)> done) override {
-    ++lists;
-    m_loop.Post([this, done = std::move(done)] {
-      if (down) {
-        done(TableFailure::kUnavailable);
-        return;
-      }
-      TablePage page = Page();
-      if (stale_lists-- > 0) {
-        page.version = 1;
-        page.rows.clear();
-      }
-      done(std::move(page));
-    });
-  }
-
-  void Watch(const std::string& /*table*/, std::uint64_t after,
-             Duration /*wait*/,
-             std::function<void(TableResult)> done) override {
-    m_watch = {after, std::move(done)};
-    Answer();
-  }
-
-  void Write(const TableWrite& write,
-             std::function<void(TableWriteResult)> done) override {
-    m_loop.Post([this, write, done = std::move(done)] {
-      if (down) {
-        done(TableFailure::kUnavailable);
-        return;
-      }
-      for (const TableRow& row : write.expected) {
-        const auto known = rows.find(row.key);
-        const std::uint64_t is =
-            known == rows.end() ? 0 : known->second.version;
-        if (is != row.version) {
-          done(TableConflict{Page()});
-          return;
-        }
-      }
-      for (const TableRow& row : write.puts) {
-        Put(row.key, row.value);
-      }
-      if (lose_answers) {
-        done(TableFailure::kUnavailable);
-        return;
-      }
-      done(Page());
-    });
-  }
-
-  void Put(const std::string& key, const std::string& value) {
-    rows[key] = {"t", key, value, ++version, false};
-    m_changes.push_back(rows[key]);
-    Answer();
-  }
-  void Drop(const std::string& key) {
-    rows.erase(key);
-    m_changes.push_back({"t", key, "", ++version, true});
-    Answer();
-  }
-  /// Forgets all changes: watches from before are refused.
-  void DropHistory() {
-    m_changes.clear();
-    m_kept_from = version;
-    Answer();
-  }
-
-  bool down = false;
-  bool lose_answers = false;
-  int stale_lists = 0;
-  int lists = 0;
-  std::uint64_t version = 10;
-  std::map<std::string, TableRow> rows;
-  milliseconds now{1000};
-
- private:
-  struct PendingWatch {
-    std::uint64_t after = 0;
-    std::function<void(TableResult)> done;
-  };
-
-  TablePage Page() const {
-    TablePage page;
-    page.version = version;
-    page.store_time = now;
-    for (const auto& [key, row] : rows) {
-      page.rows.push_back(row);
-    }
-    return page;
-  }
-
-  void Answer() {
-    if (!m_watch.done) {
-      return;
-    }
-    TableResult result = TableFailure::kUnavailable;
-    if (!down) {
-      if (m_watch.after < m_kept_from) {
-        result = TableFailure::kHistoryGone;
-      } else {
-        TablePage page;
-        page.version = version;
-        for (const TableRow& row : m_changes) {
-          if (row.version > m_watch.after) {
-            page.rows.push_back(row);
-          }
-        }
-        if (page.rows.empty()) {
-          return;
-        }
-        result = std::move(page);
-      }
-    }
-    m_loop.Post([done = std::exchange(m_watch.done, nullptr),
-                 result = std::move(result)] { done(result); });
-  }
-
-  EventLoop& m_loop;
-  std::vector<TableRow> m_changes;
-  std::uint64_t m_kept_from = 0;
-  PendingWatch m_watch;
-};
-
 /// A mirror and what it was told.
 struct Mirrored {
   Mirrored()
@@ -175,11 +48,11 @@
 
 BOOST_AUTO_TEST_CASE(a_mirror_lists_and_then_follows_changes) {
   Mirrored mirrored;
-  mirrored.table.Put("a", "1");
+  mirrored.table.Put("t", "a", "1");
   mirrored.mirror.Start();
   BOOST_TEST(mirrored.Until([&] { return mirrored.seen.contains("a"); }));
-  mirrored.table.Put("b", "2");
-  mirrored.table.Drop("a");
+  mirrored.table.Put("t", "b", "2");
+  mirrored.table.Drop("t", "a");
   BOOST_TEST(mirrored.Until([&] {
     return mirrored.seen == std::map<std::string, std::string>{{"b", "2"}};
   }));
@@ -187,12 +60,12 @@
 
 BOOST_AUTO_TEST_CASE(a_dropped_history_leads_to_a_new_listing) {
   Mirrored mirrored;
-  mirrored.table.Put("a", "1");
+  mirrored.table.Put("t", "a", "1");
   mirrored.mirror.Start();
   BOOST_TEST(mirrored.Until([&] { return mirrored.mirror.complete(); }));
   mirrored.table.down = true;
-  mirrored.table.Drop("a");
-  mirrored.table.Put("b", "2");
+  mirrored.table.Drop("t", "a");
+  mirrored.table.Put("t", "b", "2");
   mirrored.table.down = false;
   mirrored.table.DropHistory();
   BOOST_TEST(mirrored.Until([&] {
@@ -202,11 +75,11 @@
 
 BOOST_AUTO_TEST_CASE(a_listing_older_than_the_copy_is_not_taken) {
   Mirrored mirrored;
-  mirrored.table.Put("a", "1");
+  mirrored.table.Put("t", "a", "1");
   mirrored.mirror.Start();
   BOOST_TEST(mirrored.Until([&] { return mirrored.mirror.complete(); }));
   mirrored.table.stale_lists = 2;
-  mirrored.table.Put("b", "2");
+  mirrored.table.Put("t", "b", "2");
   mirrored.table.DropHistory();
   BOOST_TEST(mirrored.Until([&] { return mirrored.seen.contains("b"); }));
   BOOST_TEST(mirrored.seen.contains("a"));
@@ -216,17 +89,17 @@
   Mirrored mirrored;
   FakeTable peer(mirrored.loop);
   mirrored.mirror.SetFallback(peer);
-  mirrored.table.Put("key", "old");
+  mirrored.table.Put("t", "key", "old");
   mirrored.mirror.Start();
   BOOST_TEST(mirrored.Until([&] { return mirrored.mirror.complete(); }));
   mirrored.table.down = true;
   peer.version = 50;
-  peer.Put("key", "new");
-  mirrored.table.Put("key", "unseen");
+  peer.Put("t", "key", "new");
+  mirrored.table.Put("t", "key", "unseen");
   BOOST_TEST(mirrored.Until([&] { return mirrored.seen["key"] == "new"; }));
   // A peer that knows less changes nothing.
   peer.version = 20;
-  peer.Put("key", "older");
+  peer.Put("t", "key", "older");
   const int lists = peer.lists;
   BOOST_TEST(mirrored.Until([&] { return peer.lists > lists + 2; }));
   BOOST_TEST(mirrored.seen["key"] == "new");
