Control traffic is brief; entries catch up from peers that know more

Change: lists once a second or when they change, demand only to the planner, totals for 2 s after a change and once to each new peer. A peer's uptime tells whether what it had spent counts (an entry that starts cut off counted its peers' whole totals: fleet_allowance/an_older_peer_that_is_heard_late_...).

--- a/packages/peers/include/bambooquay/peers/status_messages.h
+++ b/packages/peers/include/bambooquay/peers/status_messages.h
@@ -9,6 +9,7 @@
 #include <variant>
 #include <vector>
 
+#include "bambooquay/core/clock.h"
 #include "bambooquay/core/ids.h"
 #include "bambooquay/core/units.h"
 
@@ -24,8 +25,12 @@
 /// From each entry to the other entries.
 struct EntryStatus {
   bool leaving = false;
-  std::uint64_t configuration = 0;         ///< Version in force.
-  std::map<OrganisationId, Tokens> spent;  ///< Since the entry's start.
+  std::uint64_t configuration = 0;  ///< Version in force.
+  Duration uptime{};
+  /// Since the entry's start. Organisations without spending since the last
+  /// statuses may be left out.
+  std::map<OrganisationId, Tokens> spent;
+  /// Sent to the entry that plans placement.
   std::vector<ModelDemand> demand;
 };
 
@@ -53,6 +58,10 @@
   std::vector<HeldModel> models;
   std::vector<ModelName> on_disk;
   std::vector<ModelName> in_host_memory;
+  /// Changes whenever the lists above do.
+  std::uint64_t lists = 0;
+  /// The lists are left out: they are those last sent with this number.
+  bool brief = false;
 };
 
 /// From an entry to an agent, repeated until answered.
--- a/packages/peers/src/status_messages.cc
+++ b/packages/peers/src/status_messages.cc
@@ -40,6 +40,7 @@
 void Write(status::EntryStatus::Builder to, const EntryStatus& from) {
   to.setLeaving(from.leaving);
   to.setConfiguration(from.configuration);
+  to.setUptimeSeconds(ToSeconds(from.uptime));
   auto spending = to.initSpending(static_cast<unsigned>(from.spent.size()));
   unsigned index = 0;
   for (const auto& [organisation, tokens] : from.spent) {
@@ -62,6 +63,7 @@
   EntryStatus to;
   to.leaving = from.getLeaving();
   to.configuration = from.getConfiguration();
+  to.uptime = FromSeconds(from.getUptimeSeconds());
   for (const auto item : from.getSpending()) {
     to.spent[OrganisationId(ToText(item.getOrganisation()))] = {
         item.getTokens()};
@@ -101,6 +103,11 @@
   to.setRunning(static_cast<std::uint32_t>(std::max(0, from.running)));
   to.setWaiting(static_cast<std::uint32_t>(std::max(0, from.waiting)));
   to.setKvUsed(from.kv_used);
+  to.setLists(from.lists);
+  to.setBrief(from.brief);
+  if (from.brief) {
+    return;
+  }
   auto models = to.initModels(static_cast<unsigned>(from.models.size()));
   unsigned index = 0;
   for (const HeldModel& model : from.models) {
@@ -125,6 +132,8 @@
   to.running = static_cast<int>(from.getRunning());
   to.waiting = static_cast<int>(from.getWaiting());
   to.kv_used = from.getKvUsed();
+  to.lists = from.getLists();
+  to.brief = from.getBrief();
   for (const auto model : from.getModels()) {
     to.models.push_back({ModelName(ToText(model.getName())),
                          ReadTexts<AdapterName>(model.getAdapters())});
--- a/packages/peers/status.capnp
+++ b/packages/peers/status.capnp
@@ -23,6 +23,7 @@
   configuration @1 :UInt64;
   spending @2 :List(Spending);
   demand @3 :List(Demand);
+  uptimeSeconds @4 :Float64;
 }
 
 # Sent by each entry to each agent; the models are set only by the entry that
@@ -50,6 +51,9 @@
   models @7 :List(HeldModel);
   onDisk @8 :List(Text);
   inHostMemory @9 :List(Text);
+  # Number of the lists above; a brief message names them without sending them.
+  lists @10 :UInt64;
+  brief @11 :Bool;
 }
 
 struct AdapterRequest {
--- a/packages/runtime/tests/http_client_test.cc
+++ b/packages/runtime/tests/http_client_test.cc
@@ -14,6 +14,7 @@
 namespace {
 
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 using testing::ScriptedReply;
 using testing::ScriptedServer;
 
@@ -164,6 +165,42 @@
   BOOST_TEST((pair.Run(kept) == HttpEnding::kBroken));
 }
 
+BOOST_AUTO_TEST_CASE(a_reset_of_a_reused_connection_is_noticed) {
+  int count = 0;
+  Pair pair([&](const std::string& /*request*/) {
+    return ++count == 1 ? ScriptedReply{Ok("a"), ScriptedReply::Then::kKeep}
+                        : ScriptedReply{"", ScriptedReply::Then::kReset};
+  });
+  Kept first;
+  pair.Run(first);
+  Kept second;
+  BOOST_TEST((pair.Run(second) == HttpEnding::kBroken));
+}
+
+// A call may wait long for its answer; its connection may go meanwhile.
+BOOST_AUTO_TEST_CASE(a_reset_while_a_call_waits_is_noticed) {
+  for (const bool reused : {false, true}) {
+    int count = 0;
+    Pair pair([&](const std::string& /*request*/) {
+      return ScriptedReply{reused && ++count == 1 ? Ok("a") : "",
+                           ScriptedReply::Then::kKeep};
+    });
+    if (reused) {
+      Kept first;
+      pair.Run(first);
+    }
+    Kept waiting;
+    const auto call = pair.client.Start(pair.server.endpoint(), {}, kLimit,
+                                        ConnectionReuse::kAllowed, waiting);
+    const std::size_t expected = reused ? 2 : 1;
+    BOOST_REQUIRE(pair.loop.RunUntil(
+        [&] { return pair.server.requests().size() == expected; }, kLimit));
+    pair.server.ResetNewest();
+    BOOST_TEST(pair.loop.RunUntil([&] { return waiting.ending.has_value(); },
+                                  seconds(2)));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(silence_times_out) {
   Pair pair(Always(""));
   Kept kept;
--- a/packages/serving/include/bambooquay/serving/fleet_allowance.h
+++ b/packages/serving/include/bambooquay/serving/fleet_allowance.h
@@ -34,7 +34,10 @@
   /// Takes note of what a peer has spent in all since its start.
   /// @param peer  one life of a peer process.
   /// @param total  never decreases within one life.
-  void ObservePeer(const std::string& peer, Tokens total) noexcept;
+  /// @param is_older  the peer started before this process: what it had spent
+  ///   when it was first heard of does not count here.
+  void ObservePeer(const std::string& peer, Tokens total,
+                   bool is_older) noexcept;
   void ForgetPeer(const std::string& peer) noexcept;
   /// Sets which of the known peers are silent and how many entries there are.
   void SetSilent(const std::string& peer, bool silent) noexcept;
@@ -59,7 +62,6 @@
   /// At most m_burst; negative while overdrawn.
   Tokens m_level;
   Tokens m_spent;
-  TimePoint m_started_at;
   TimePoint m_refilled_at;
   std::size_t m_members = 1;
   std::map<std::string, Peer> m_peers;
@@ -84,7 +86,7 @@
   [[nodiscard]] Duration TimeUntil(const OrganisationId& organisation,
                                    Tokens amount) noexcept;
   void ObservePeer(const std::string& peer, const OrganisationId& organisation,
-                   Tokens total);
+                   Tokens total, bool is_older);
   void ForgetPeer(const std::string& peer) noexcept;
   void SetSilent(const std::string& peer, bool silent) noexcept;
   /// @param members  entries that may be spending, this one included.
--- a/packages/serving/include/bambooquay/serving/peer_exchange.h
+++ b/packages/serving/include/bambooquay/serving/peer_exchange.h
@@ -45,6 +45,10 @@
   void OnStatus(std::function<EntryStatus()> make_status) {
     m_make_status = std::move(make_status);
   }
+  /// Called when another life of an entry is heard for the first time.
+  void OnPeerFound(std::function<void()> handler) {
+    m_peer_found = std::move(handler);
+  }
   void OnEngineStatus(EngineStatusHandler handler) {
     m_engine_status = std::move(handler);
   }
@@ -91,12 +95,15 @@
   EventLoop& m_loop;
   InstanceId m_self;
   std::uint64_t m_incarnation;
+  TimePoint m_started_at;
   FleetAllowance& m_allowance;
   UpstreamSet& m_upstreams;
   DatagramSocket m_socket;
   std::uint16_t m_port = 0;
   std::function<EntryStatus()> m_make_status;
+  std::function<void()> m_peer_found;
   EngineStatusHandler m_engine_status;
+  /// In the order of ids: the first live one plans placement.
   std::map<InstanceId, PeerEntry> m_peers;
   std::vector<Endpoint> m_seeds;
   std::size_t m_next_live_peer = 0;
--- a/packages/serving/include/bambooquay/serving/serving_agent.h
+++ b/packages/serving/include/bambooquay/serving/serving_agent.h
@@ -63,6 +63,7 @@
   void Poll();
   void HandleReport(const EngineReport& report);
   void Broadcast();
+  [[nodiscard]] EngineStatus MakeStatus();
   /// Starts the next order, if one is due.
   void Reconcile();
   bool ReconcileAdapters();
@@ -91,6 +92,11 @@
   UpstreamId m_upstream;
   std::optional<EngineReport> m_report;
   TimePoint m_reported_at{};
+  /// Of the lists in the status: their number, the text they were encoded as,
+  /// and when they were last sent in full.
+  std::uint64_t m_lists = 0;
+  std::string m_lists_text;
+  TimePoint m_lists_sent_at{};
   /// The last target and who sent it.
   std::optional<std::vector<ModelName>> m_target;
   TimePoint m_target_at{};
--- a/packages/serving/include/bambooquay/serving/serving_entry.h
+++ b/packages/serving/include/bambooquay/serving/serving_entry.h
@@ -61,6 +61,8 @@
   void ApplyConfiguration(const TableRow& row);
   void RegisterMember();
   void RegisterGauges();
+  /// Asks a peer for the tables if it has had a newer version for a while.
+  void CatchUp();
   void Tick();
   void Plan();
   void PlanService(const ServingService& service,
@@ -91,6 +93,12 @@
     TimePoint changed_at{};
   };
 
+  struct SpentTotal {
+    Tokens tokens;
+    TimePoint changed_at{};
+  };
+
+  std::map<OrganisationId, SpentTotal> m_spent;
   std::unordered_map<ServiceName, RetryBudget> m_budgets;
   std::unordered_map<ServiceName, EngineList> m_engine_lists;
   /// The last plan, while this entry is the planner.
@@ -106,6 +114,7 @@
   HttpServer m_relay;
   FreezeDetector m_freezes;
   std::optional<TimePoint> m_store_regained_at;
+  std::optional<TimePoint> m_behind_since;
   std::optional<TimePoint> m_draining_since;
   std::function<void()> m_drained;
   int m_idle_ticks = 0;
--- a/packages/serving/include/bambooquay/serving/table_mirror.h
+++ b/packages/serving/include/bambooquay/serving/table_mirror.h
@@ -33,6 +33,9 @@
               MirrorSettings settings, RowHandler handler);
 
   void Start();
+  /// Lists the table at the fallback, though the store does not seem to be
+  /// away: others know more, so the watch may have gone silent.
+  void AskFallback();
   /// Called by the handler: more changes like this one are expected soon.
   void Hurry() noexcept { m_hurry = true; }
   /// Sets where to list the table while the store does not answer.
@@ -65,7 +68,6 @@
   void Watch();
   void HandleWatch(TableResult result);
   void FinishList();
-  void ListFallback();
   void Apply(const TableRow& row);
   void RetryLater(std::function<void()> retry, TableFailure failure);
   void NoteAnswer();
--- a/packages/serving/include/bambooquay/serving/upstream_set.h
+++ b/packages/serving/include/bambooquay/serving/upstream_set.h
@@ -100,6 +100,8 @@
   ///   lapsed while the store was away.
   void Remove(const UpstreamId& id, Duration grace);
   void SetReport(const UpstreamId& id, const EngineReport& report);
+  /// The same for a report without its lists, which stay as they are.
+  void SetBriefReport(const UpstreamId& id, const EngineReport& report);
   void SetEvacuated(const DataCentreId& data_centre, bool evacuated);
   /// @param self  this entry.
   /// @param entries  all entries that may be serving, this one included.
--- a/packages/serving/src/fleet_allowance.cc
+++ b/packages/serving/src/fleet_allowance.cc
@@ -9,8 +9,6 @@
 // Part of the burst that a new process starts with: its predecessor's
 // spending is not known.
 constexpr double kInitialBurstShare = 0.3;
-// Peers heard of this soon after the start have spent before it.
-constexpr Duration kIntroductionTime = std::chrono::seconds(2);
 
 }  // namespace
 
@@ -20,8 +18,7 @@
       m_rate(rate),
       m_burst(burst),
       m_level{burst.count * kInitialBurstShare},
-      m_started_at(clock.Now()),
-      m_refilled_at(m_started_at) {}
+      m_refilled_at(clock.Now()) {}
 
 void FleetBucket::SetAllowance(TokensPerSecond rate, Tokens burst) noexcept {
   Refill();
@@ -66,13 +63,12 @@
   return FromSeconds(missing / m_rate.value);
 }
 
-void FleetBucket::ObservePeer(const std::string& peer, Tokens total) noexcept {
+void FleetBucket::ObservePeer(const std::string& peer, Tokens total,
+                              bool is_older) noexcept {
   Refill();
   const auto [known, is_new] = m_peers.try_emplace(peer);
   Peer& state = known->second;
-  const bool spent_before =
-      is_new && m_clock.Now() - m_started_at < kIntroductionTime;
-  if (!spent_before) {
+  if (!is_new || !is_older) {
     m_level -= total - state.total - state.assumed;
     m_level = std::min(m_level, m_burst);
   }
@@ -140,10 +136,10 @@
 
 void FleetAllowance::ObservePeer(const std::string& peer,
                                  const OrganisationId& organisation,
-                                 Tokens total) {
+                                 Tokens total, bool is_older) {
   const auto bucket = m_buckets.find(organisation);
   if (bucket != m_buckets.end()) {
-    bucket->second.ObservePeer(peer, total);
+    bucket->second.ObservePeer(peer, total, is_older);
   }
 }
 
--- a/packages/serving/src/peer_exchange.cc
+++ b/packages/serving/src/peer_exchange.cc
@@ -34,6 +34,7 @@
     : m_loop(loop),
       m_self(std::move(self)),
       m_incarnation(MakeIncarnation()),
+      m_started_at(loop.clock().Now()),
       m_allowance(allowance),
       m_upstreams(upstreams),
       m_socket(loop, [this](const Endpoint& from, std::string_view bytes) {
@@ -122,10 +123,21 @@
 }
 
 void PeerExchange::SendStatus() {
-  const std::string bytes =
-      EncodeStatus({m_self, m_incarnation, m_make_status()});
-  for (const auto& [id, peer] : m_peers) {
-    m_socket.Send(peer.address, bytes);
+  EntryStatus status = m_make_status();
+  status.uptime = m_loop.clock().Now() - m_started_at;
+  const auto planner = std::ranges::find_if(m_peers, [this](const auto& item) {
+    return !IsSilent(item.second) && !item.second.status.leaving;
+  });
+  if (planner != m_peers.end()) {
+    m_socket.Send(planner->second.address,
+                  EncodeStatus({m_self, m_incarnation, status}));
+  }
+  status.demand.clear();
+  const std::string bytes = EncodeStatus({m_self, m_incarnation, status});
+  for (auto peer = m_peers.begin(); peer != m_peers.end(); ++peer) {
+    if (peer != planner) {
+      m_socket.Send(peer->second.address, bytes);
+    }
   }
   // Seeds matter only until one peer is found.
   const bool alone = std::ranges::all_of(
@@ -265,12 +277,14 @@
     LogEvent(LogLevel::kInfo, "peer_found")
         .With("peer", message.sender.value())
         .With("incarnation", message.incarnation);
+    m_peer_found();
   }
   peer.heard_at = m_loop.clock().Now();
   peer.status = status;
   const std::string life = LifeOf(message.sender, message.incarnation);
+  const bool is_older = status.uptime > m_loop.clock().Now() - m_started_at;
   for (const auto& [organisation, spent] : status.spent) {
-    m_allowance.ObservePeer(life, organisation, spent);
+    m_allowance.ObservePeer(life, organisation, spent, is_older);
   }
 }
 
--- a/packages/serving/src/serving_agent.cc
+++ b/packages/serving/src/serving_agent.cc
@@ -17,6 +17,9 @@
 // The engine's report is free on its own machine and lags by some hundred
 // milliseconds, so that asking more often tells little.
 constexpr Duration kPollPeriod = milliseconds(200);
+// How often the lists of models and copies are sent in full; a lost message
+// leaves an entry with older lists for this long.
+constexpr Duration kListsPeriod = milliseconds(1000);
 // Entries that were not heard of for this long get no more reports.
 constexpr Duration kEntryLifetime = std::chrono::seconds(3);
 // A target older than this is no longer followed.
@@ -253,7 +256,32 @@
   if (m_entries.empty()) {
     return;
   }
+  const std::string bytes =
+      EncodeStatus({m_settings.id, m_incarnation, MakeStatus()});
+  for (const auto& [id, entry] : m_entries) {
+    m_socket.Send(entry.address, bytes);
+  }
+}
+
+EngineStatus ServingAgent::MakeStatus() {
   EngineStatus status;
+  for (const ResidentModel& model : m_report->models) {
+    status.models.push_back({model.name, model.adapters});
+  }
+  status.on_disk = m_report->on_disk;
+  status.in_host_memory = m_report->in_host_memory;
+  std::string text = EncodeStatus({m_settings.id, m_incarnation, status});
+  const TimePoint now = m_deps.loop.clock().Now();
+  if (text != m_lists_text) {
+    m_lists_text = std::move(text);
+    ++m_lists;
+    m_lists_sent_at = {};
+  }
+  status.brief = now - m_lists_sent_at < kListsPeriod;
+  if (!status.brief) {
+    m_lists_sent_at = now;
+  }
+  status.lists = m_lists;
   status.upstream = m_upstream;
   status.born_ms = m_report->born_ms;
   status.busy = m_report->busy;
@@ -261,16 +289,7 @@
   status.running = m_report->running;
   status.waiting = m_report->waiting;
   status.kv_used = m_report->kv_used;
-  for (const ResidentModel& model : m_report->models) {
-    status.models.push_back({model.name, model.adapters});
-  }
-  status.on_disk = m_report->on_disk;
-  status.in_host_memory = m_report->in_host_memory;
-  const std::string bytes =
-      EncodeStatus({m_settings.id, m_incarnation, std::move(status)});
-  for (const auto& [id, entry] : m_entries) {
-    m_socket.Send(entry.address, bytes);
-  }
+  return status;
 }
 
 void ServingAgent::Reply(const AdapterJob& job, bool loaded) {
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -22,6 +22,12 @@
 constexpr Duration kUpstreamPause = milliseconds(1000);
 constexpr Duration kUpstreamShortPause = milliseconds(200);
 constexpr Duration kMemberPause = milliseconds(1000);
+// A version that a peer has for this long should have come from the store too;
+// its watch may have gone silent.
+constexpr Duration kCatchUpTime = milliseconds(600);
+// How long a total is repeated to the peers after it has changed, so that one
+// that misses messages still hears it.
+constexpr Duration kSpendingRepeatTime = std::chrono::seconds(2);
 constexpr Duration kTickPeriod = milliseconds(100);
 constexpr Duration kPlanPeriod = milliseconds(300);
 // An engine is given this long to come to its target before the plan starts
@@ -125,8 +131,14 @@
   m_upstream_rows.OnRegained(
       [this] { m_store_regained_at = m_deps.loop.clock().Now(); });
   m_peers.OnStatus([this] { return MakeStatus(); });
+  // A new peer needs every total once.
+  m_peers.OnPeerFound([this] { m_spent.clear(); });
   m_peers.OnEngineStatus([this](const EngineStatus& status) {
-    m_upstreams.SetReport(status.upstream, ToReport(status));
+    if (status.brief) {
+      m_upstreams.SetBriefReport(status.upstream, ToReport(status));
+    } else {
+      m_upstreams.SetReport(status.upstream, ToReport(status));
+    }
   });
 }
 
@@ -386,11 +398,41 @@
   status.configuration =
       m_active == nullptr ? 0 : m_active->configuration.version;
   status.spent = m_allowance.Spent();
+  // Totals that every peer has heard by now are left out.
+  std::erase_if(status.spent, [this](const auto& item) {
+    const auto [known, is_new] = m_spent.try_emplace(item.first);
+    if (is_new || known->second.tokens != item.second) {
+      known->second = {item.second, m_deps.loop.clock().Now()};
+    }
+    return m_deps.loop.clock().Now() - known->second.changed_at >
+           kSpendingRepeatTime;
+  });
   status.demand = m_demand.Rates();
   return status;
 }
 
+void ServingEntry::CatchUp() {
+  const TimePoint now = m_deps.loop.clock().Now();
+  const std::uint64_t own =
+      m_active == nullptr ? 0 : m_active->configuration.version;
+  const bool behind =
+      std::ranges::any_of(m_peers.peers(), [&](const auto& item) {
+        return !m_peers.IsSilent(item.second) &&
+               item.second.status.configuration > own;
+      });
+  if (!behind) {
+    m_behind_since.reset();
+  } else if (!m_behind_since.has_value()) {
+    m_behind_since = now;
+  } else if (now - *m_behind_since > kCatchUpTime) {
+    m_behind_since = now;
+    m_operator_rows.AskFallback();
+    m_upstream_rows.AskFallback();
+  }
+}
+
 void ServingEntry::Tick() {
+  CatchUp();
   if (const auto frozen = m_freezes.Check()) {
     LogEvent(LogLevel::kWarning, "freeze_noticed")
         .With("frozen_ms", *frozen / milliseconds(1));
--- a/packages/serving/src/table_mirror.cc
+++ b/packages/serving/src/table_mirror.cc
@@ -96,14 +96,14 @@
   return page;
 }
 
-void TableMirror::ListFallback() {
+void TableMirror::AskFallback() {
   if (m_fallback == nullptr) {
     return;
   }
   m_fallback->List(m_settings.table, "", [this](TableResult result) {
     auto* page = std::get_if<TablePage>(&result);
-    // The store may have answered meanwhile, and the peer may know less.
-    if (page == nullptr || m_failures == 0 || page->version <= m_version) {
+    // The store may have answered meanwhile, or the peer may know less.
+    if (page == nullptr || page->version <= m_version) {
       return;
     }
     LogEvent(LogLevel::kInfo, "table_relayed")
@@ -165,7 +165,7 @@
   const Duration delay = std::min(
       kFirstRetryDelay * (1 << std::min(m_failures, 8)), kLongestRetryDelay);
   if (++m_failures >= kFailuresToFallback) {
-    ListFallback();
+    AskFallback();
   }
   // Spreads the calls of many processes.
   const auto spread = std::chrono::microseconds(m_random.Below(
--- a/packages/serving/src/upstream_set.cc
+++ b/packages/serving/src/upstream_set.cc
@@ -141,6 +141,23 @@
   upstream.fresh_adapters.clear();
 }
 
+void UpstreamSet::SetBriefReport(const UpstreamId& id,
+                                 const EngineReport& report) {
+  const auto known = m_upstreams.find(id);
+  if (known == m_upstreams.end() || !known->second.report.has_value() ||
+      known->second.report->born_ms != report.born_ms) {
+    return;
+  }
+  Upstream& upstream = known->second;
+  EngineReport merged = report;
+  merged.models = std::move(upstream.report->models);
+  merged.on_disk = std::move(upstream.report->on_disk);
+  merged.in_host_memory = std::move(upstream.report->in_host_memory);
+  upstream.report = std::move(merged);
+  upstream.reported_at = m_clock.Now();
+  upstream.sent_since_report = 0;
+}
+
 void UpstreamSet::SetEvacuated(const DataCentreId& data_centre,
                                bool evacuated) {
   if (evacuated) {
--- a/packages/serving/tests/fleet_allowance_test.cc
+++ b/packages/serving/tests/fleet_allowance_test.cc
@@ -39,7 +39,7 @@
       for (std::size_t from = 0; from < m_buckets.size(); ++from) {
         if (from != to && !Cut(from, to)) {
           m_buckets[to]->ObservePeer(std::to_string(from),
-                                     m_buckets[from]->spent());
+                                     m_buckets[from]->spent(), false);
         }
       }
     }
@@ -145,8 +145,8 @@
   ManualClock clock;
   FleetBucket bucket(clock, {100.0}, {1000.0});
   clock.Advance(std::chrono::seconds(20));
-  bucket.ObservePeer("other", {300.0});
-  bucket.ObservePeer("other", {300.0});
+  bucket.ObservePeer("other", {300.0}, false);
+  bucket.ObservePeer("other", {300.0}, false);
   BOOST_TEST(bucket.Level().count == 700.0);
 }
 
@@ -154,10 +154,24 @@
   ManualClock clock;
   FleetBucket bucket(clock, {100.0}, {1000.0});
   const double before = bucket.Level().count;
-  bucket.ObservePeer("other", {1e6});
+  bucket.ObservePeer("other", {1e6}, true);
   BOOST_TEST(bucket.Level().count == before);
 }
 
+// An entry that starts cut off hears its peers' totals of a long life late.
+BOOST_AUTO_TEST_CASE(an_older_peer_that_is_heard_late_starts_from_its_total) {
+  ManualClock clock;
+  FleetBucket bucket(clock, {100.0}, {1000.0});
+  clock.Advance(std::chrono::seconds(20));
+  bucket.ObservePeer("older", {1e6}, true);
+  BOOST_TEST(bucket.Level().count == 1000.0);
+  bucket.ObservePeer("older", {1e6 + 400.0}, true);
+  BOOST_TEST(bucket.Level().count == 600.0);
+  // One that started later has spent all of its total meanwhile.
+  bucket.ObservePeer("newer", {100.0}, false);
+  BOOST_TEST(bucket.Level().count == 500.0);
+}
+
 // All entries are asked for four times the rate, each exchanges totals every
 // 150 ms. The bound is the one that operators state: a tenth of the allowance
 // and 110,000 tokens above it.
--- a/packages/serving/tests/table_test.cc
+++ b/packages/serving/tests/table_test.cc
@@ -105,6 +105,28 @@
   BOOST_TEST(mirrored.seen["key"] == "new");
 }
 
+// A watch whose connection has gone silent answers late, with changes that the
+// copy has from a peer by then.
+BOOST_AUTO_TEST_CASE(a_silent_watch_is_made_good_by_peers_and_then_goes_on) {
+  Mirrored mirrored;
+  FakeTable peer(mirrored.loop);
+  mirrored.mirror.SetFallback(peer);
+  mirrored.table.Put("t", "key", "1");
+  mirrored.mirror.Start();
+  BOOST_TEST(mirrored.Until([&] { return mirrored.mirror.complete(); }));
+  peer.version = 20;
+  peer.Put("t", "key", "3");
+  mirrored.mirror.AskFallback();
+  BOOST_TEST(mirrored.Until([&] { return mirrored.seen["key"] == "3"; }));
+  // The store's late answer is older and changes nothing; the next is newer.
+  mirrored.table.Put("t", "key", "2");
+  mirrored.loop.RunUntil([] { return false; }, milliseconds(100));
+  BOOST_TEST(mirrored.seen["key"] == "3");
+  mirrored.table.version = 30;
+  mirrored.table.Put("t", "key", "4");
+  BOOST_TEST(mirrored.Until([&] { return mirrored.seen["key"] == "4"; }));
+}
+
 BOOST_AUTO_TEST_CASE(a_relayed_page_arrives_as_it_was_sent) {
   TablePage page;
   page.version = 77;
--- a/testing/support/scripted_peer.h
+++ b/testing/support/scripted_peer.h
@@ -65,6 +65,11 @@
   }
   [[nodiscard]] std::size_t connections() const { return m_connections.size(); }
   [[nodiscard]] std::size_t closed_by_peer() const { return m_closed; }
+  void ResetNewest() {
+    Connection& newest = *m_connections.back();
+    newest.then = ScriptedReply::Then::kReset;
+    Finish(newest);
+  }
   /// Sends bytes that nobody asked for on the newest connection.
   void SendStray(std::string_view bytes) {
     bufferevent_write(m_connections.back()->stream, bytes.data(), bytes.size());
