--- a/packages/runtime/src/http_client_connection.cc
+++ b/packages/runtime/src/http_client_connection.cc
@@ -134,7 +134,7 @@
 }
 
 const http_parser_settings& HttpClientConnection::ParserSettings() {
-  static const http_parser_settings settings = [] {
+  static const http_parser_settings kSettings = [] {
     http_parser_settings made{};
     http_parser_settings_init(&made);
     made.on_message_begin = [](http_parser* parser) {
@@ -167,7 +167,7 @@
     };
     return made;
   }();
-  return settings;
+  return kSettings;
 }
 
 int HttpClientConnection::HandleHeadersComplete(http_parser* parser) {
--- a/packages/runtime/src/http_server_connection.cc
+++ b/packages/runtime/src/http_server_connection.cc
@@ -49,7 +49,7 @@
 }
 
 const http_parser_settings& HttpServerConnection::ParserSettings() {
-  static const http_parser_settings settings = [] {
+  static const http_parser_settings kSettings = [] {
     http_parser_settings made{};
     http_parser_settings_init(&made);
     made.on_url = [](http_parser* parser, const char* data, size_t size) {
@@ -71,7 +71,7 @@
     made.on_message_complete = &HttpServerConnection::HandleMessageComplete;
     return made;
   }();
-  return settings;
+  return kSettings;
 }
 
 int HttpServerConnection::HandleHeadersComplete(http_parser* parser) {
--- a/packages/runtime/src/non_blocking_appender.h
+++ b/packages/runtime/src/non_blocking_appender.h
@@ -34,7 +34,7 @@
       : m_writer(std::move(writer)) {}
 
   void close() override {}
-  bool requiresLayout() const override { return true; }
+  [[nodiscard]] bool requiresLayout() const override { return true; }
   [[nodiscard]] const LogWriter& writer() const noexcept { return *m_writer; }
 
  protected:
--- a/packages/runtime/tests/http_server_test.cc
+++ b/packages/runtime/tests/http_server_test.cc
@@ -51,16 +51,13 @@
 BOOST_AUTO_TEST_SUITE(http_server)
 
 BOOST_AUTO_TEST_CASE(ambiguous_framing_is_refused) {
+  const std::string post = "POST / HTTP/1.1\r\nHost: a\r\n";
   const std::vector<std::string> requests = {
-      "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n"
-      "Content-Length: 2\r\n\r\nab",
-      "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n"
-      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
-      "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: xchunked\r\n\r\n"
-      "0\r\n\r\n",
-      "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"
-      "0\r\n\r\n",
-      "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: +1\r\n\r\na",
+      post + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+      post + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+      post + "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+      post + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+      post + "Content-Length: +1\r\n\r\na",
       "GET / HTTP/1.1\r\nBad Header: 1\r\n\r\n",
       "nonsense\r\n\r\n"};
   for (const std::string& request : requests) {
--- a/packages/serving/include/bambooquay/serving/peer_exchange.h
+++ b/packages/serving/include/bambooquay/serving/peer_exchange.h
@@ -87,7 +87,7 @@
   void HandleReply(const AdapterReply& reply);
   void Tick();
   void RepeatLoads();
-  void Send(const Endpoint& to, StatusMessage message);
+  void Send(const Endpoint& to, const StatusMessage& message);
   [[nodiscard]] std::optional<Endpoint> AgentOf(const UpstreamId& id) const;
   [[nodiscard]] static std::string LifeOf(const InstanceId& id,
                                           std::uint64_t incarnation);
--- a/packages/serving/src/peer_exchange.cc
+++ b/packages/serving/src/peer_exchange.cc
@@ -177,7 +177,7 @@
   }
 }
 
-void PeerExchange::Send(const Endpoint& to, StatusMessage message) {
+void PeerExchange::Send(const Endpoint& to, const StatusMessage& message) {
   m_socket.Send(to, EncodeStatus(message));
 }
 
--- a/packages/serving/src/placement_planner.cc
+++ b/packages/serving/src/placement_planner.cc
@@ -139,9 +139,9 @@
   }
 
   void Drop(const EngineView& engine, const ModelName& model) {
-    const ModelName dropped = model;
-    std::erase(m_targets[engine.id], dropped);
-    --m_copies[dropped];
+    // The argument may be the element that is erased.
+    --m_copies[model];
+    std::erase(m_targets[engine.id], ModelName(model));
   }
 
   struct Place {
--- a/packages/serving/src/table_mirror.cc
+++ b/packages/serving/src/table_mirror.cc
@@ -138,7 +138,12 @@
   }
   NoteAnswer();
   const auto& page = std::get<TablePage>(result);
-  std::ranges::for_each(page.rows, [this](const TableRow& row) { Apply(row); });
+  std::ranges::for_each(page.rows, [this](const TableRow& row) {
+    // What came from a peer meanwhile is known already.
+    if (row.version > m_version) {
+      Apply(row);
+    }
+  });
   m_version = std::max(m_version, page.version);
   const bool hurry = std::exchange(m_hurry, false);
   m_next = m_loop.After(hurry ? m_settings.short_pause : m_settings.pause,
--- a/packages/serving/tests/event_stream_test.cc
+++ b/packages/serving/tests/event_stream_test.cc
@@ -35,7 +35,7 @@
 
 // However a stream is cut into reads, the same events come out.
 RC_BOOST_PROP(events_do_not_depend_on_how_bytes_arrive,
-              (std::vector<std::uint8_t> cuts)) {
+              (const std::vector<std::uint8_t>& cuts)) {
   std::string stream;
   for (int i = 1; i <= 20; ++i) {
     stream += "id: " + std::to_string(i) +
--- a/packages/serving/tests/fleet_allowance_test.cc
+++ b/packages/serving/tests/fleet_allowance_test.cc
@@ -241,11 +241,11 @@
 
 // With totals exchanged after every request, the union is one exact bucket.
 RC_BOOST_PROP(exchanged_totals_make_one_bucket,
-              (std::vector<std::uint8_t> choices)) {
+              (const std::vector<std::uint8_t>& choices)) {
   Fleet fleet(3, {1000.0}, {2000.0});
   for (const std::uint8_t choice : choices) {
     fleet.Advance(milliseconds(1 + choice % 50));
-    static_cast<void>(fleet.Spend(choice % 3, 10.0 * (1 + choice / 3)));
+    static_cast<void>(fleet.Spend(choice % 3, 10.0 * (1.0 + choice / 3.0)));
     fleet.Exchange();
   }
   RC_ASSERT(fleet.WorstWindow(std::chrono::seconds(1)) <= 3000.0 + 1e-6);
