--- a/packages/serving/include/bambooquay/serving/placement_planner.h
+++ b/packages/serving/include/bambooquay/serving/placement_planner.h
@@ -40,8 +40,9 @@
 ///
 /// @param engines  those that may hold models; the others hold nothing.
 /// @param demand  summed over all entries.
-/// @returns what each engine is to hold. What an engine holds beyond its
-///   target may be dropped.
+/// @returns what each engine is to hold, the most wanted model first: after a
+///   loss of power every engine is empty and loads one model at a time. What an
+///   engine holds beyond its target may be dropped.
 [[nodiscard]] PlacementTargets PlanPlacement(
     const EngineProfile& profile, const std::vector<EngineView>& engines,
     const std::vector<ModelDemand>& demand, const PlanLimits& limits);
--- a/packages/serving/src/placement_planner.cc
+++ b/packages/serving/src/placement_planner.cc
@@ -72,6 +72,11 @@
         m_targets.erase(engine.id);
       }
     });
+    for (auto& [engine, target] : m_targets) {
+      std::ranges::stable_sort(
+          target, std::greater<>(),
+          [this](const ModelName& model) { return m_load.at(model); });
+    }
     return m_targets;
   }
 
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -496,7 +496,8 @@
   for (auto& [id, models] :
        PlanPlacement(*service.engine, engines, demand, limits)) {
     PlannedEngine& planned = m_planned[id];
-    if (planned.models != models) {
+    // The order follows demand and is no change of the plan.
+    if (!std::ranges::is_permutation(planned.models, models)) {
       LogEvent(LogLevel::kInfo, "placement")
           .With("upstream", id.value())
           .With("models", models.size());
