The log tells what a refusal was decided from

A 429 with the bucket's level, rate and version; a call without a free upstream with how far its upstreams came. Pick() is three functions now.

--- a/packages/serving/include/bambooquay/serving/fleet_allowance.h
+++ b/packages/serving/include/bambooquay/serving/fleet_allowance.h
@@ -83,6 +83,8 @@
                  Tokens burst);
   [[nodiscard]] bool TrySpend(const OrganisationId& organisation,
                               Tokens amount) noexcept;
+  /// @returns the estimate of the organisation's bucket; 0 without a limit.
+  [[nodiscard]] Tokens Level(const OrganisationId& organisation) noexcept;
   [[nodiscard]] Duration TimeUntil(const OrganisationId& organisation,
                                    Tokens amount) noexcept;
   void ObservePeer(const std::string& peer, const OrganisationId& organisation,
--- a/packages/serving/include/bambooquay/serving/upstream_set.h
+++ b/packages/serving/include/bambooquay/serving/upstream_set.h
@@ -51,6 +51,16 @@
   kFull,            ///< All that could serve it are full, cold or failing.
 };
 
+/// How far the upstreams of a service came in one choice.
+struct PickCounts {
+  int usable = 0;        ///< Listed, and not leaving or evacuated.
+  int holding = 0;       ///< Of these, with the model.
+  int with_adapter = 0;  ///< Of these, with the adapter.
+  int avoided = 0;       ///< Of these, tried already or failing.
+  int full = 0;          ///< Of these, with too many calls.
+  int cold = 0;          ///< Of these, cold and without a permit now.
+};
+
 struct Upstream {
   UpstreamRecord record;
   bool listed = true;
@@ -120,6 +130,10 @@
   /// Chooses an upstream; Began() must follow before the next choice.
   [[nodiscard]] std::variant<UpstreamId, PickFailure> Pick(
       const PickQuery& query);
+  /// @returns what the last choice was made from.
+  [[nodiscard]] const PickCounts& last_counts() const noexcept {
+    return m_last_counts;
+  }
   /// Chooses an upstream that holds the model, for loading an adapter.
   [[nodiscard]] std::optional<UpstreamId> PickForAdapter(
       const PickQuery& query);
@@ -149,6 +163,9 @@
     double cost = 0.0;
   };
 
+  [[nodiscard]] std::vector<Candidate> FindCandidates(const PickQuery& query);
+  void PreferByPrompt(std::vector<Candidate>& candidates,
+                      const PickQuery& query) const;
   /// Marks whichever of `newest` and others at its address was born first.
   void Supersede(const Upstream& newest);
   [[nodiscard]] bool Holds(const Upstream& upstream,
@@ -177,6 +194,7 @@
   std::vector<InstanceId> m_entries;
   std::unordered_map<UpstreamId, Upstream> m_upstreams;
   std::set<DataCentreId> m_evacuated;
+  PickCounts m_last_counts;
   std::unordered_map<ServiceName, double> m_cold_rates;
   std::set<ServiceName> m_engine_services;
 };
--- a/packages/serving/src/fleet_allowance.cc
+++ b/packages/serving/src/fleet_allowance.cc
@@ -127,6 +127,11 @@
   return bucket == m_buckets.end() || bucket->second.TrySpend(amount);
 }
 
+Tokens FleetAllowance::Level(const OrganisationId& organisation) noexcept {
+  const auto bucket = m_buckets.find(organisation);
+  return bucket == m_buckets.end() ? Tokens{} : bucket->second.Level();
+}
+
 Duration FleetAllowance::TimeUntil(const OrganisationId& organisation,
                                    Tokens amount) noexcept {
   const auto bucket = m_buckets.find(organisation);
--- a/packages/serving/src/forwarded_call.cc
+++ b/packages/serving/src/forwarded_call.cc
@@ -127,6 +127,14 @@
   }
   const Duration wait =
       m_context.allowance.TimeUntil(m_organisation->name, cost);
+  LogEvent(LogLevel::kInfo, "over_allowance")
+      .With("request", m_call.id.value())
+      .With("organisation", m_organisation->name.value())
+      .With("cost", cost.count)
+      .With("level", m_context.allowance.Level(m_organisation->name).count)
+      .With("rate", m_organisation->rate.value)
+      .With("burst", m_organisation->burst.count)
+      .With("configuration", m_active->configuration.version);
   Refuse(ToCode(HttpStatus::kTooManyRequests), "over_allowance",
          std::max(wait, kRetryAfter));
   return false;
@@ -179,6 +187,17 @@
     m_wait_timer = m_context.loop.After(kWaitStep, [this] { TryUpstream(); });
     return;
   }
+  const PickCounts& counts = m_context.upstreams.last_counts();
+  LogEvent(LogLevel::kInfo, "no_upstream_free")
+      .With("request", m_call.id.value())
+      .With("model", AdapterKey(m_call.model, m_call.adapter))
+      .With("usable", counts.usable)
+      .With("holding", counts.holding)
+      .With("with_adapter", counts.with_adapter)
+      .With("avoided", counts.avoided)
+      .With("full", counts.full)
+      .With("cold", counts.cold)
+      .With("waited_ms", Elapsed() / milliseconds(1));
   constexpr std::array kReasons = {"no_upstream", "model_missing",
                                    "adapter_missing", "upstreams_full"};
   if (m_may_have_run) {
--- a/packages/serving/src/upstream_set.cc
+++ b/packages/serving/src/upstream_set.cc
@@ -309,63 +309,76 @@
   return cost;
 }
 
-std::variant<UpstreamId, PickFailure> UpstreamSet::Pick(
+std::vector<UpstreamSet::Candidate> UpstreamSet::FindCandidates(
     const PickQuery& query) {
   const TimePoint now = m_clock.Now();
-  bool any_usable = false;
-  bool any_model = false;
-  bool any_adapter = false;
+  PickCounts counts;
   std::vector<Candidate> candidates;
   for (auto& [id, upstream] : m_upstreams) {
     if (upstream.record.service != query.service || !Usable(upstream)) {
       continue;
     }
-    any_usable = true;
-    if (!query.model.empty()) {
-      if (!Holds(upstream, query.model)) {
-        continue;
-      }
-      any_model = true;
-      if (!query.adapter.empty() &&
-          !HoldsAdapter(upstream, query.model, query.adapter)) {
-        continue;
-      }
+    ++counts.usable;
+    if (!query.model.empty() && !Holds(upstream, query.model)) {
+      continue;
+    }
+    ++counts.holding;
+    if (!query.adapter.empty() &&
+        !HoldsAdapter(upstream, query.model, query.adapter)) {
+      continue;
     }
-    any_adapter = true;
+    ++counts.with_adapter;
     if (query.excluded.contains(id) || upstream.avoid_until > now) {
+      ++counts.avoided;
       continue;
     }
     const double slots = std::max(1, upstream.record.slots);
     if (Load(upstream) >= slots * kFullLoad) {
+      ++counts.full;
       continue;
     }
     candidates.push_back({&upstream, Cost(upstream, query)});
   }
-  if (!any_usable) {
+  m_last_counts = counts;
+  return candidates;
+}
+
+// Prompts with shared parts have a preferred engine that all entries agree on
+// without talking to each other.
+void UpstreamSet::PreferByPrompt(std::vector<Candidate>& candidates,
+                                 const PickQuery& query) const {
+  if (query.prompt == nullptr || query.prompt->size() < 2) {
+    return;
+  }
+  const std::vector<std::uint64_t> hashes =
+      PrefixHashes(query.model, query.adapter, *query.prompt);
+  const std::uint64_t shared = hashes[hashes.size() - 2];
+  const auto weight = [&](const Candidate& candidate) {
+    std::size_t seed = shared;
+    boost::hash_combine(seed, candidate.upstream->record.id.value());
+    return seed;
+  };
+  const auto preferred = std::ranges::max_element(candidates, {}, weight);
+  if (preferred != candidates.end()) {
+    const double own = query.prompt->back().tokens;
+    preferred->cost -=
+        (query.prompt_tokens - own) / kPromptTokensPerMs * kPreferredShare;
+  }
+}
+
+std::variant<UpstreamId, PickFailure> UpstreamSet::Pick(
+    const PickQuery& query) {
+  std::vector<Candidate> candidates = FindCandidates(query);
+  if (m_last_counts.usable == 0) {
     return PickFailure::kNoUpstream;
   }
-  if (!any_adapter) {
-    return any_model ? PickFailure::kAdapterMissing
-                     : PickFailure::kModelMissing;
-  }
-  // Prompts with shared parts have a preferred engine that all entries agree
-  // on without talking to each other.
-  if (query.prompt != nullptr && query.prompt->size() > 1) {
-    const std::vector<std::uint64_t> hashes =
-        PrefixHashes(query.model, query.adapter, *query.prompt);
-    const std::uint64_t shared = hashes[hashes.size() - 2];
-    const auto weight = [&](const Candidate& candidate) {
-      std::size_t seed = shared;
-      boost::hash_combine(seed, candidate.upstream->record.id.value());
-      return seed;
-    };
-    const auto preferred = std::ranges::max_element(candidates, {}, weight);
-    if (preferred != candidates.end()) {
-      const double own = query.prompt->back().tokens;
-      preferred->cost -=
-          (query.prompt_tokens - own) / kPromptTokensPerMs * kPreferredShare;
-    }
+  if (m_last_counts.holding == 0) {
+    return PickFailure::kModelMissing;
+  }
+  if (m_last_counts.with_adapter == 0) {
+    return PickFailure::kAdapterMissing;
   }
+  PreferByPrompt(candidates, query);
   // Equal costs are common when idle; the order is then random.
   std::ranges::for_each(candidates, [this](Candidate& candidate) {
     candidate.cost += static_cast<double>(m_random.Below(1000)) / 1000.0;
@@ -376,6 +389,7 @@
         return TakeColdPermit(*candidate.upstream);
       });
   if (chosen == candidates.end()) {
+    m_last_counts.cold = static_cast<int>(candidates.size());
     return PickFailure::kFull;
   }
   return chosen->upstream->record.id;
