--- a/testing/tests/deployment.cc
+++ b/testing/tests/deployment.cc
@@ -45,8 +45,15 @@
          kPortsPerDeployment * ((getpid() + deployments++) % kSlots);
 }
 
+// A loopback address of this process's own: another copy of the tests, or a
+// running quick start, has the same ports at another address.
 Endpoint Local(int port) {
-  return {"127.0.0.1", static_cast<std::uint16_t>(port)};
+  constexpr int kOctet = 250;
+  const int id = getpid();
+  static const std::string kHost =
+      "127." + std::to_string(1 + id / kOctet % kOctet) + "." +
+      std::to_string(1 + id % kOctet) + ".1";
+  return {kHost, static_cast<std::uint16_t>(port)};
 }
 
 }  // namespace
