--- a/packages/runtime/include/bambooquay/runtime/log.h
+++ b/packages/runtime/include/bambooquay/runtime/log.h
@@ -48,10 +48,16 @@
   template <typename Number>
   requires std::is_arithmetic_v<Number> LogEvent& With(std::string_view key,
                                                        Number value) {
-    return With(key, std::string_view(std::to_string(value)));
+    if constexpr (std::is_floating_point_v<Number>) {
+      return WithDecimal(key, value);
+    } else {
+      return With(key, std::string_view(std::to_string(value)));
+    }
   }
 
  private:
+  LogEvent& WithDecimal(std::string_view key, double value);
+
   LogLevel m_level;
   std::string m_line;
 };
--- a/packages/runtime/src/log.cc
+++ b/packages/runtime/src/log.cc
@@ -8,6 +8,8 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
+#include <cstdio>
 #include <memory>
 
 #include "bambooquay/core/clock.h"
@@ -110,6 +112,12 @@
   logger->forcedLog(level, m_line);
 }
 
+LogEvent& LogEvent::WithDecimal(std::string_view key, double value) {
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "%.6g", value);
+  return With(key, std::string_view(text.data()));
+}
+
 LogEvent& LogEvent::With(std::string_view key, std::string_view value) {
   m_line += ' ';
   m_line += key;
--- a/packages/serving/include/bambooquay/serving/forwarded_call.h
+++ b/packages/serving/include/bambooquay/serving/forwarded_call.h
@@ -100,6 +100,7 @@
 
   [[nodiscard]] bool Authenticate();
   [[nodiscard]] bool SpendAllowance();
+  /// Leaves the service unset if the configuration does not know it.
   void ChooseService();
   void TryUpstream();
   void LoadAdapter();
--- a/packages/serving/src/forwarded_call.cc
+++ b/packages/serving/src/forwarded_call.cc
@@ -90,10 +90,18 @@
   if (m_route->timeout > Duration::zero()) {
     m_time_limit = std::min(m_time_limit, m_route->timeout);
   }
-  if (!Authenticate() || !SpendAllowance()) {
+  if (!Authenticate()) {
     return;
   }
   ChooseService();
+  if (m_service == nullptr) {
+    Refuse(ToCode(HttpStatus::kServiceUnavailable), "unknown_service",
+           kRetryAfter);
+    return;
+  }
+  if (!SpendAllowance()) {
+    return;
+  }
   m_limit_timer = m_context.loop.After(
       std::max(m_time_limit - kLimitMargin, Duration::zero()),
       [this] { HandleTimeLimit(); });
@@ -142,6 +150,9 @@
 
 void ForwardedCall::ChooseService() {
   const auto& shares = m_route->services;
+  if (shares.empty()) {
+    return;
+  }
   double total = 0.0;
   std::ranges::for_each(
       shares, [&](const ServiceShare& share) { total += share.weight; });
