--- a/testing/tests/deployment.cc
+++ b/testing/tests/deployment.cc
@@ -50,9 +50,9 @@
 Endpoint Local(int port) {
   constexpr int kOctet = 250;
   const int id = getpid();
-  static const std::string kHost =
-      "127." + std::to_string(1 + id / kOctet % kOctet) + "." +
-      std::to_string(1 + id % kOctet) + ".1";
+  static const std::string kHost = "127." +
+                                   std::to_string(1 + id / kOctet % kOctet) +
+                                   "." + std::to_string(1 + id % kOctet) + ".1";
   return {kHost, static_cast<std::uint16_t>(port)};
 }
 
