The log's appender outlives log4cxx: processes no longer crash as they end

Cause: the appender was a static object, destroyed after log4cxx had released its memory pool: SIGSEGV in apr_pool_destroy at the exit of every process that logs. Ruled out: the order of the processes' own members (the trace has none of it).

--- a/packages/runtime/src/log.cc
+++ b/packages/runtime/src/log.cc
@@ -37,8 +37,12 @@
   return log4cxx::Level::getError();
 }
 
-// The one log of the process.
-std::shared_ptr<NonBlockingAppender> g_appender;
+// The one log of the process. It is never destroyed: log4cxx releases what
+// its appenders use before static objects go.
+std::shared_ptr<NonBlockingAppender>& CurrentAppender() {
+  static auto* const kAppender = new std::shared_ptr<NonBlockingAppender>();
+  return *kAppender;
+}
 
 LogBudget& Budget() {
   static LogBudget budget(0.0);
@@ -76,18 +80,20 @@
   const std::string pattern =
       "ts=%d{ISO8601} level=%p process=" + std::string(process) + " %m%n";
   const auto layout = std::make_shared<log4cxx::PatternLayout>(pattern);
-  g_appender = std::make_shared<NonBlockingAppender>(
+  const auto appender = std::make_shared<NonBlockingAppender>(
       std::make_unique<LogWriter>(STDOUT_FILENO));
-  g_appender->setLayout(layout);
+  appender->setLayout(layout);
+  CurrentAppender() = appender;
   log4cxx::LogManager::resetConfiguration();
-  log4cxx::BasicConfigurator::configure(g_appender);
+  log4cxx::BasicConfigurator::configure(appender);
   RootLogger()->setLevel(ToLevel(settings.level));
   Budget() = LogBudget(settings.lines_per_second);
 }
 
 LogLosses GetLogLosses() noexcept {
-  return {Budget().left_out(),
-          g_appender == nullptr ? 0 : g_appender->writer().lost()};
+  return {Budget().left_out(), CurrentAppender() == nullptr
+                                   ? 0
+                                   : CurrentAppender()->writer().lost()};
 }
 
 LogEvent::LogEvent(LogLevel level, std::string_view event)
