--- a/packages/core/include/bambooquay/core/ini_section_reader.h
+++ b/packages/core/include/bambooquay/core/ini_section_reader.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -58,6 +59,18 @@
   std::vector<std::string> m_known;
 };
 
+/// Reads a settings text of named sections, each given once at most.
+///
+/// @param required  sections that must be there.
+/// @param read  reads one section; returns whether it knows the section.
+/// @returns every fault, in the order of the text; none means that the text
+///   is valid.
+[[nodiscard]] std::vector<IniError> ReadSections(
+    std::string_view text, std::string file,
+    const std::vector<std::string>& required,
+    const std::function<bool(const std::string& name,
+                             IniSectionReader& reader)>& read);
+
 /// @returns `text` split at commas, with blanks trimmed and empties dropped.
 [[nodiscard]] std::vector<std::string> SplitList(std::string_view text);
 
--- a/packages/core/include/bambooquay/core/random.h
+++ b/packages/core/include/bambooquay/core/random.h
@@ -41,6 +41,9 @@
 /// @returns a fresh 128-bit identifier as 32 hexadecimal digits.
 [[nodiscard]] std::string MakeRandomId();
 
+/// @returns a fresh number that tells one life of a process from others.
+[[nodiscard]] std::uint64_t MakeRandomNumber();
+
 /// @returns the SHA-256 digest of `text` as 64 hexadecimal digits.
 [[nodiscard]] std::string Sha256Hex(std::string_view text);
 
--- a/packages/core/src/ini_section_reader.cc
+++ b/packages/core/src/ini_section_reader.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <set>
 #include <utility>
 
 namespace bambooquay {
@@ -159,6 +160,33 @@
   return value;
 }
 
+std::vector<IniError> ReadSections(
+    std::string_view text, std::string file,
+    const std::vector<std::string>& required,
+    const std::function<bool(const std::string& name,
+                             IniSectionReader& reader)>& read) {
+  std::vector<IniError> errors;
+  const IniDocument document = ParseIni(text, std::move(file), errors);
+  std::set<std::string> seen;
+  for (const IniSection& section : document.sections) {
+    IniSectionReader reader(document.file, section, errors);
+    if (!seen.insert(section.name).second) {
+      reader.AddError("", "the section is given twice");
+    } else if (read(section.name, reader)) {
+      reader.RejectUnknownKeys();
+    } else {
+      reader.AddError("", "unknown section");
+    }
+  }
+  for (const std::string& name : required) {
+    if (!seen.contains(name)) {
+      errors.push_back({document.file, 0, name, "", "the section is missing"});
+    }
+  }
+  std::ranges::stable_sort(errors, {}, &IniError::line);
+  return errors;
+}
+
 std::vector<std::string> SplitList(std::string_view text) {
   std::vector<std::string> items;
   while (!text.empty()) {
--- a/packages/core/src/random.cc
+++ b/packages/core/src/random.cc
@@ -39,6 +39,13 @@
   return ToHex(bytes);
 }
 
+std::uint64_t MakeRandomNumber() {
+  RequireSodium();
+  std::uint64_t number = 0;
+  randombytes_buf(&number, sizeof(number));
+  return number;
+}
+
 std::string Sha256Hex(std::string_view text) {
   std::array<unsigned char, crypto_hash_sha256_BYTES> digest{};
   crypto_hash_sha256(digest.data(),
--- a/packages/operators/src/process_settings.cc
+++ b/packages/operators/src/process_settings.cc
@@ -1,8 +1,6 @@
 // Settings of one process.
 #include "bambooquay/operators/process_settings.h"
 
-#include <algorithm>
-#include <set>
 #include <utility>
 
 #include "bambooquay/core/ini_section_reader.h"
@@ -15,33 +13,21 @@
 constexpr std::int64_t kMaxBytes = 1LL << 30;
 constexpr std::int64_t kMaxConnections = 1 << 20;
 
-/// Reads known sections and collects errors.
-class SettingsParser {
+/// Fills in settings from known sections.
+class SettingsReader {
  public:
-  SettingsParser(ProcessRole role, std::vector<IniError>& errors)
-      : m_role(role), m_errors(errors) {}
+  SettingsReader(ProcessRole role, ProcessSettings& settings)
+      : m_role(role), m_settings(settings) {}
 
-  ProcessSettings Parse(const IniDocument& document) {
-    for (const IniSection& section : document.sections) {
-      IniSectionReader reader(document.file, section, m_errors);
-      if (!m_seen.insert(section.name).second) {
-        reader.AddError("", "the section is given twice");
-      } else if (ReadSection(section.name, reader)) {
-        reader.RejectUnknownKeys();
-      } else {
-        reader.AddError("", "unknown section");
-      }
-    }
-    for (const char* name : {"process", "listen", "platform"}) {
-      RequireSection(document.file, name);
-    }
+  [[nodiscard]] std::vector<std::string> RequiredSections() const {
+    std::vector<std::string> required = {"process", "listen", "platform"};
     if (m_role == ProcessRole::kAgent) {
-      RequireSection(document.file, "upstream");
+      required.emplace_back("upstream");
     }
-    return std::move(m_settings);
+    return required;
   }
 
- private:
+  /// @returns whether the section is known.
   bool ReadSection(const std::string& name, IniSectionReader& reader) {
     if (name == "process") {
       m_settings.id = InstanceId(reader.Text("id"));
@@ -69,6 +55,7 @@
     return true;
   }
 
+ private:
   void ReadListen(IniSectionReader& reader) {
     m_settings.peers = ReadEndpoint(reader, "peers");
     m_settings.admin = ReadEndpoint(reader, "admin");
@@ -92,27 +79,22 @@
         FromSeconds(reader.Number("idle_seconds", 1.0, kMaxSeconds, 60.0));
   }
 
-  void RequireSection(const std::string& file, const std::string& name) {
-    if (!m_seen.contains(name)) {
-      m_errors.push_back({file, 0, name, "", "the section is missing"});
-    }
-  }
-
   ProcessRole m_role;
-  std::vector<IniError>& m_errors;
-  ProcessSettings m_settings;
-  std::set<std::string> m_seen;
+  ProcessSettings& m_settings;
 };
 
 }  // namespace
 
 std::variant<ProcessSettings, std::vector<IniError>> ParseProcessSettings(
     std::string_view text, std::string file, ProcessRole role) {
-  std::vector<IniError> errors;
-  const IniDocument document = ParseIni(text, std::move(file), errors);
-  ProcessSettings settings = SettingsParser(role, errors).Parse(document);
+  ProcessSettings settings;
+  SettingsReader sections(role, settings);
+  std::vector<IniError> errors =
+      ReadSections(text, std::move(file), sections.RequiredSections(),
+                   [&](const std::string& name, IniSectionReader& reader) {
+                     return sections.ReadSection(name, reader);
+                   });
   if (!errors.empty()) {
-    std::ranges::stable_sort(errors, {}, &IniError::line);
     return errors;
   }
   return settings;
--- a/packages/platform/src/instance_list_client.cc
+++ b/packages/platform/src/instance_list_client.cc
@@ -4,7 +4,7 @@
 #include <utility>
 
 #include "bambooquay/platform/platform_client.h"
-#include "call_set.h"
+#include "bambooquay/runtime/call_set.h"
 
 namespace bambooquay {
 namespace {
@@ -47,7 +47,7 @@
 class HttpInstanceList final : public InstanceList {
  public:
   HttpInstanceList(EventLoop& loop, const Endpoint& endpoint)
-      : m_calls(loop, endpoint) {}
+      : m_loop(loop), m_endpoint(endpoint) {}
 
   void Fetch(std::function<void(InstanceListResult)> done) override {
     HttpRequest request;
@@ -55,7 +55,7 @@
     if (!m_etag.empty()) {
       request.headers.Add("If-None-Match", m_etag);
     }
-    m_calls.Fetch(request, kTimeout,
+    m_calls.Fetch(m_loop, m_endpoint, request, kTimeout,
                   [this, done = std::move(done)](const HttpResult& result) {
                     done(Interpret(result));
                   });
@@ -84,6 +84,8 @@
     return instances;
   }
 
+  EventLoop& m_loop;
+  Endpoint m_endpoint;
   CallSet m_calls;
   /// Tag of the last list that was handed on.
   std::string m_etag;
--- a/packages/platform/src/object_client.cc
+++ b/packages/platform/src/object_client.cc
@@ -2,7 +2,7 @@
 #include <utility>
 
 #include "bambooquay/platform/platform_client.h"
-#include "call_set.h"
+#include "bambooquay/runtime/call_set.h"
 
 namespace bambooquay {
 namespace {
@@ -19,7 +19,7 @@
 class HttpObjectStore final : public ObjectStore {
  public:
   HttpObjectStore(EventLoop& loop, const Endpoint& endpoint)
-      : m_calls(loop, endpoint) {}
+      : m_loop(loop), m_endpoint(endpoint) {}
 
   void Store(const std::string& name, const std::string& bytes,
              std::function<void(ObjectWriteResult)> done) override {
@@ -27,7 +27,7 @@
     request.method = "PUT";
     request.target = kBucket + name;
     request.body = bytes;
-    m_calls.Fetch(request, kTimeout,
+    m_calls.Fetch(m_loop, m_endpoint, request, kTimeout,
                   [done = std::move(done)](const HttpResult& result) {
                     const auto* response = std::get_if<HttpResponse>(&result);
                     if (response != nullptr &&
@@ -43,7 +43,7 @@
              std::function<void(ObjectReadResult)> done) override {
     HttpRequest request;
     request.target = kBucket + name;
-    m_calls.Fetch(request, kTimeout,
+    m_calls.Fetch(m_loop, m_endpoint, request, kTimeout,
                   [done = std::move(done)](const HttpResult& result) {
                     done(Interpret(result));
                   });
@@ -62,6 +62,8 @@
     return Unavailable(result);
   }
 
+  EventLoop& m_loop;
+  Endpoint m_endpoint;
   CallSet m_calls;
 };
 
--- a/packages/platform/src/table_client.cc
+++ b/packages/platform/src/table_client.cc
@@ -3,7 +3,7 @@
 #include <utility>
 
 #include "bambooquay/platform/platform_client.h"
-#include "call_set.h"
+#include "bambooquay/runtime/call_set.h"
 
 namespace bambooquay {
 namespace {
@@ -62,7 +62,7 @@
 class DynamoTable final : public TableService {
  public:
   DynamoTable(EventLoop& loop, const Endpoint& endpoint)
-      : m_calls(loop, endpoint) {}
+      : m_loop(loop), m_endpoint(endpoint) {}
 
   void Read(const RowKey& key, std::function<void(ReadResult)> done) override {
     const Json body = {{"TableName", kTableName},
@@ -136,9 +136,11 @@
     request.headers.Add("Content-Type", "application/x-amz-json-1.0");
     request.headers.Add("X-Amz-Target", "DynamoDB_20120810." + operation);
     request.body = body.dump();
-    m_calls.Fetch(request, kTimeout, std::move(done));
+    m_calls.Fetch(m_loop, m_endpoint, request, kTimeout, std::move(done));
   }
 
+  EventLoop& m_loop;
+  Endpoint m_endpoint;
   CallSet m_calls;
 };
 
--- a/packages/runtime/src/event_loop.cc
+++ b/packages/runtime/src/event_loop.cc
@@ -8,17 +8,11 @@
 #include <new>
 #include <utility>
 
+#include "timeval.h"
+
 namespace bambooquay {
 namespace {
 
-timeval ToTimeval(Duration duration) {
-  const auto microseconds =
-      std::chrono::duration_cast<std::chrono::microseconds>(duration).count();
-  constexpr std::int64_t kMicrosecondsPerSecond = 1'000'000;
-  return {microseconds / kMicrosecondsPerSecond,
-          microseconds % kMicrosecondsPerSecond};
-}
-
 void RunPosted(evutil_socket_t /*fd*/, short /*events*/, void* argument) {
   const std::unique_ptr<std::function<void()>> callback(
       static_cast<std::function<void()>*>(argument));
--- a/packages/runtime/src/http_client_connection.cc
+++ b/packages/runtime/src/http_client_connection.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "socket_address.h"
+#include "timeval.h"
 
 namespace bambooquay {
 namespace {
@@ -22,12 +23,6 @@
 // Part of that time in which a connection counts as used recently.
 constexpr double kRecentShare = 0.3;
 
-timeval ToTimeval(Duration duration) {
-  const auto micros =
-      std::chrono::duration_cast<std::chrono::microseconds>(duration).count();
-  return {micros / 1000000, micros % 1000000};
-}
-
 HttpClientConnection& Self(http_parser* parser) {
   return *static_cast<HttpClientConnection*>(parser->data);
 }
--- a/packages/serving/include/bambooquay/serving/table_relay.h
+++ b/packages/serving/include/bambooquay/serving/table_relay.h
@@ -2,15 +2,12 @@
 // store does not answer.
 #pragma once
 
-#include <cstdint>
 #include <functional>
-#include <map>
-#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 
-#include "bambooquay/runtime/http_client.h"
+#include "bambooquay/runtime/call_set.h"
 #include "bambooquay/serving/fleet_table.h"
 
 namespace bambooquay {
@@ -37,8 +34,7 @@
  private:
   EventLoop& m_loop;
   std::function<std::optional<Endpoint>()> m_choose_peer;
-  std::uint64_t m_next_call = 0;
-  std::map<std::uint64_t, std::unique_ptr<HttpCall>> m_calls;
+  CallSet m_calls;
 };
 
 }  // namespace bambooquay
--- a/packages/serving/src/peer_exchange.cc
+++ b/packages/serving/src/peer_exchange.cc
@@ -23,17 +23,13 @@
 constexpr Duration kLoadRepeat = milliseconds(60);
 constexpr int kLoadAttempts = 8;
 
-std::uint64_t MakeIncarnation() {
-  return std::stoull(MakeRandomId().substr(0, 15), nullptr, 16);
-}
-
 }  // namespace
 
 PeerExchange::PeerExchange(EventLoop& loop, InstanceId self,
                            FleetAllowance& allowance, UpstreamSet& upstreams)
     : m_loop(loop),
       m_self(std::move(self)),
-      m_incarnation(MakeIncarnation()),
+      m_incarnation(MakeRandomNumber()),
       m_started_at(loop.clock().Now()),
       m_allowance(allowance),
       m_upstreams(upstreams),
--- a/packages/serving/src/serving_agent.cc
+++ b/packages/serving/src/serving_agent.cc
@@ -36,10 +36,6 @@
 // Reports missed in a row after which the engine counts as lost.
 constexpr int kMissedReports = 3;
 
-std::uint64_t MakeIncarnation() {
-  return std::stoull(MakeRandomId().substr(0, 15), nullptr, 16);
-}
-
 const char* OperationName(OrderKind kind) noexcept {
   return kind == OrderKind::kLoad ? "load" : "unload";
 }
@@ -57,7 +53,7 @@
                            const ServingAgentDeps& deps)
     : m_settings(settings),
       m_deps(deps),
-      m_incarnation(MakeIncarnation()),
+      m_incarnation(MakeRandomNumber()),
       m_socket(deps.loop,
                [this](const Endpoint& from, std::string_view bytes) {
                  Receive(from, bytes);
--- a/packages/serving/src/serving_settings.cc
+++ b/packages/serving/src/serving_settings.cc
@@ -1,8 +1,6 @@
 // Settings of the serving processes.
 #include "bambooquay/serving/serving_settings.h"
 
-#include <algorithm>
-#include <set>
 #include <utility>
 
 #include "bambooquay/core/ini_section_reader.h"
@@ -14,32 +12,21 @@
 constexpr double kMaxSeconds = 86400.0;
 constexpr double kMaxRetries = 1e6;
 
-class ServingSettingsParser {
+/// Fills in settings from known sections.
+class ServingSettingsReader {
  public:
-  ServingSettingsParser(ServingRole role, std::vector<IniError>& errors)
-      : m_role(role), m_errors(errors) {}
+  ServingSettingsReader(ServingRole role, ServingSettings& settings)
+      : m_role(role), m_settings(settings) {}
 
-  ServingSettings Parse(const IniDocument& document) {
-    for (const IniSection& section : document.sections) {
-      IniSectionReader reader(document.file, section, m_errors);
-      if (!m_seen.insert(section.name).second) {
-        reader.AddError("", "the section is given twice");
-      } else if (ReadSection(section.name, reader)) {
-        reader.RejectUnknownKeys();
-      } else {
-        reader.AddError("", "unknown section");
-      }
-    }
-    for (const char* name : {"process", "listen", "store"}) {
-      RequireSection(document.file, name);
-    }
+  [[nodiscard]] std::vector<std::string> RequiredSections() const {
+    std::vector<std::string> required = {"process", "listen", "store"};
     if (m_role == ServingRole::kAgent) {
-      RequireSection(document.file, "engine");
+      required.emplace_back("engine");
     }
-    return std::move(m_settings);
+    return required;
   }
 
- private:
+  /// @returns whether the section is known.
   bool ReadSection(const std::string& name, IniSectionReader& reader) {
     if (name == "process") {
       m_settings.id = InstanceId(reader.Text("id"));
@@ -62,6 +49,7 @@
     return true;
   }
 
+ private:
   void ReadListen(IniSectionReader& reader) {
     m_settings.peers = ReadEndpoint(reader, "peers");
     m_settings.admin = ReadEndpoint(reader, "admin");
@@ -102,28 +90,22 @@
                                   ToSeconds(m_settings.load_window)));
   }
 
-  void RequireSection(const std::string& file, const std::string& name) {
-    if (!m_seen.contains(name)) {
-      m_errors.push_back({file, 0, name, "", "the section is missing"});
-    }
-  }
-
   ServingRole m_role;
-  std::vector<IniError>& m_errors;
-  ServingSettings m_settings;
-  std::set<std::string> m_seen;
+  ServingSettings& m_settings;
 };
 
 }  // namespace
 
 std::variant<ServingSettings, std::vector<IniError>> ParseServingSettings(
     std::string_view text, std::string file, ServingRole role) {
-  std::vector<IniError> errors;
-  const IniDocument document = ParseIni(text, std::move(file), errors);
-  ServingSettings settings =
-      ServingSettingsParser(role, errors).Parse(document);
+  ServingSettings settings;
+  ServingSettingsReader sections(role, settings);
+  std::vector<IniError> errors =
+      ReadSections(text, std::move(file), sections.RequiredSections(),
+                   [&](const std::string& name, IniSectionReader& reader) {
+                     return sections.ReadSection(name, reader);
+                   });
   if (!errors.empty()) {
-    std::ranges::stable_sort(errors, {}, &IniError::line);
     return errors;
   }
   return settings;
--- a/packages/serving/src/table_relay.cc
+++ b/packages/serving/src/table_relay.cc
@@ -58,11 +58,8 @@
   }
   HttpRequest request;
   request.target = "/tables/" + table;
-  const std::uint64_t number = m_next_call++;
-  m_calls[number] =
-      FetchHttp(m_loop, *peer, request, kPeerTimeout,
-                [this, number, done = std::move(done)](HttpResult result) {
-                  const auto finished = m_calls.extract(number);
+  m_calls.Fetch(m_loop, *peer, request, kPeerTimeout,
+                [done = std::move(done)](const HttpResult& result) {
                   const auto* response = std::get_if<HttpResponse>(&result);
                   std::optional<TablePage> page;
                   if (response != nullptr &&
