One engine report; a call's prompt is hashed once and its body not copied

EngineStatus repeated EngineReport field by field, with a conversion on each side; it carries the report now, in core. A choice hashed the prompt anew for each engine and built its query four times for each attempt; a call keeps both. The caller's message was copied whole for decoding. Dead: tokens in flight (never written), a draining sign that no dialect gives, CloseIdle, a key that nobody read. Tests: only how a prompt is written changed.

--- a/packages/peers/include/bambooquay/peers/status_messages.h
+++ b/packages/peers/include/bambooquay/peers/status_messages.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "bambooquay/core/clock.h"
+#include "bambooquay/core/engine_report.h"
 #include "bambooquay/core/ids.h"
 #include "bambooquay/core/units.h"
 
@@ -41,24 +42,13 @@
   std::optional<std::vector<ModelName>> models;
 };
 
-struct HeldModel {
-  ModelName name;
-  std::vector<AdapterName> adapters;
-};
-
 /// From each agent to the entries that it hears from.
 struct EngineStatus {
   UpstreamId upstream;
-  std::int64_t born_ms = 0;
-  bool busy = false;
-  bool draining = false;
-  int running = 0;
-  int waiting = 0;
-  double kv_used = 0.0;
-  std::vector<HeldModel> models;
-  std::vector<ModelName> on_disk;
-  std::vector<ModelName> in_host_memory;
-  /// Changes whenever the lists above do.
+  /// Without the number of orders and the adapters on their way, which only
+  /// the agent needs.
+  EngineReport report;
+  /// Changes whenever the report's lists do.
   std::uint64_t lists = 0;
   /// The lists are left out: they are those last sent with this number.
   bool brief = false;
--- a/packages/peers/src/status_messages.cc
+++ b/packages/peers/src/status_messages.cc
@@ -96,50 +96,52 @@
 }
 
 void Write(status::EngineStatus::Builder to, const EngineStatus& from) {
+  const EngineReport& report = from.report;
   to.setUpstream(from.upstream.value().c_str());
-  to.setBornMs(from.born_ms);
-  to.setBusy(from.busy);
-  to.setDraining(from.draining);
-  to.setRunning(static_cast<std::uint32_t>(std::max(0, from.running)));
-  to.setWaiting(static_cast<std::uint32_t>(std::max(0, from.waiting)));
-  to.setKvUsed(from.kv_used);
+  to.setBornMs(report.born_ms);
+  to.setBusy(report.busy);
+  to.setDraining(report.draining);
+  to.setRunning(static_cast<std::uint32_t>(std::max(0, report.running)));
+  to.setWaiting(static_cast<std::uint32_t>(std::max(0, report.waiting)));
+  to.setKvUsed(report.kv_used);
   to.setLists(from.lists);
   to.setBrief(from.brief);
   if (from.brief) {
     return;
   }
-  auto models = to.initModels(static_cast<unsigned>(from.models.size()));
+  auto models = to.initModels(static_cast<unsigned>(report.models.size()));
   unsigned index = 0;
-  for (const HeldModel& model : from.models) {
+  for (const ResidentModel& model : report.models) {
     auto out = models[index++];
     out.setName(model.name.value().c_str());
     WriteTexts(out.initAdapters(static_cast<unsigned>(model.adapters.size())),
                model.adapters);
   }
-  WriteTexts(to.initOnDisk(static_cast<unsigned>(from.on_disk.size())),
-             from.on_disk);
+  WriteTexts(to.initOnDisk(static_cast<unsigned>(report.on_disk.size())),
+             report.on_disk);
   WriteTexts(
-      to.initInHostMemory(static_cast<unsigned>(from.in_host_memory.size())),
-      from.in_host_memory);
+      to.initInHostMemory(static_cast<unsigned>(report.in_host_memory.size())),
+      report.in_host_memory);
 }
 
 EngineStatus Read(status::EngineStatus::Reader from) {
   EngineStatus to;
   to.upstream = UpstreamId(ToText(from.getUpstream()));
-  to.born_ms = from.getBornMs();
-  to.busy = from.getBusy();
-  to.draining = from.getDraining();
-  to.running = static_cast<int>(from.getRunning());
-  to.waiting = static_cast<int>(from.getWaiting());
-  to.kv_used = from.getKvUsed();
   to.lists = from.getLists();
   to.brief = from.getBrief();
+  EngineReport& report = to.report;
+  report.born_ms = from.getBornMs();
+  report.busy = from.getBusy();
+  report.draining = from.getDraining();
+  report.running = static_cast<int>(from.getRunning());
+  report.waiting = static_cast<int>(from.getWaiting());
+  report.kv_used = from.getKvUsed();
   for (const auto model : from.getModels()) {
-    to.models.push_back({ModelName(ToText(model.getName())),
-                         ReadTexts<AdapterName>(model.getAdapters())});
+    report.models.push_back({ModelName(ToText(model.getName())),
+                             ReadTexts<AdapterName>(model.getAdapters())});
   }
-  to.on_disk = ReadTexts<ModelName>(from.getOnDisk());
-  to.in_host_memory = ReadTexts<ModelName>(from.getInHostMemory());
+  report.on_disk = ReadTexts<ModelName>(from.getOnDisk());
+  report.in_host_memory = ReadTexts<ModelName>(from.getInHostMemory());
   return to;
 }
 
--- a/packages/runtime/include/bambooquay/runtime/http_client.h
+++ b/packages/runtime/include/bambooquay/runtime/http_client.h
@@ -106,8 +106,6 @@
                                                 Duration idle_timeout,
                                                 ConnectionReuse reuse,
                                                 HttpObserver& observer);
-  /// Closes the idle connections to `endpoint`.
-  void CloseIdle(const Endpoint& endpoint);
   void CloseAllIdle() noexcept;
   /// @returns the number of connections opened so far.
   [[nodiscard]] std::size_t opened() const noexcept { return m_opened; }
--- a/packages/runtime/src/http_client.cc
+++ b/packages/runtime/src/http_client.cc
@@ -122,8 +122,6 @@
   return call;
 }
 
-void HttpClient::CloseIdle(const Endpoint& endpoint) { m_idle.erase(endpoint); }
-
 bool HttpClient::HasIdle(const Endpoint& endpoint) const {
   const auto found = m_idle.find(endpoint);
   return found != m_idle.end() && !found->second.empty() &&
--- a/packages/serving/include/bambooquay/serving/call_codec.h
+++ b/packages/serving/include/bambooquay/serving/call_codec.h
@@ -24,7 +24,8 @@
 struct ServingCall {
   RequestId id;
   std::string host;
-  HttpRequest message;  ///< As the caller sent it.
+  /// As the caller sent it; outlives the call.
+  const HttpRequest* message = nullptr;
   std::optional<Duration> time_limit;
   std::string api_key;
   ModelName model;               ///< Empty for plain services.
@@ -54,7 +55,6 @@
   bool misdirected = false;
   /// Set with `misdirected`, where another instance answered.
   UpstreamId answered_by;
-  bool draining = false;
 };
 
 /// Translates between a wire dialect and the project's types. Decides nothing.
--- a/packages/serving/include/bambooquay/serving/engine_memory_plan.h
+++ b/packages/serving/include/bambooquay/serving/engine_memory_plan.h
@@ -37,8 +37,4 @@
     const ModelName& model, const AdapterName& adapter,
     const std::deque<std::string>& order_of_use);
 
-/// @returns `model/adapter`.
-[[nodiscard]] std::string AdapterKey(const ModelName& model,
-                                     const AdapterName& adapter);
-
 }  // namespace bambooquay
--- a/packages/serving/include/bambooquay/serving/forwarded_call.h
+++ b/packages/serving/include/bambooquay/serving/forwarded_call.h
@@ -129,7 +129,8 @@
   [[nodiscard]] Duration Elapsed() const;
   [[nodiscard]] Duration TimeLeft() const;
   [[nodiscard]] bool CanRetry(bool may_have_run);
-  [[nodiscard]] PickQuery MakeQuery() const;
+  /// Sets what the call needs of an upstream.
+  void MakeQuery();
 
   ServingContext& m_context;
   std::shared_ptr<const ActiveConfiguration> m_active;
@@ -140,10 +141,9 @@
   const ServingRoute* m_route = nullptr;
   const ServingOrganisation* m_organisation = nullptr;
   const ServingService* m_service = nullptr;
-  KeyDigest m_key;
   Duration m_time_limit{};
 
-  std::set<UpstreamId> m_tried;
+  PickQuery m_query;
   int m_attempts = 0;
   /// Some attempt may have run the request.
   bool m_may_have_run = false;
--- a/packages/serving/include/bambooquay/serving/prompt_cache_view.h
+++ b/packages/serving/include/bambooquay/serving/prompt_cache_view.h
@@ -13,19 +13,28 @@
 
 namespace bambooquay {
 
+/// The head of a prompt, up to and with one of its parts.
+struct PromptPrefix {
+  /// Of model, adapter and all parts so far: engines keep parts for each model
+  /// and adapter on its own.
+  std::uint64_t hash = 0;
+  double tokens = 0.0;  ///< Of its last part.
+};
+
+/// One prefix for each part, in order.
+using PromptPrefixes = std::vector<PromptPrefix>;
+
+[[nodiscard]] PromptPrefixes MakePrefixes(
+    const ModelName& model, const AdapterName& adapter,
+    const std::vector<PromptPart>& prompt);
+
 /// The most recently used parts of one engine's prompts. A part counts as
 /// kept only after all parts before it.
 class PromptCacheView {
  public:
-  /// @param model  part of the key: engines keep parts for each model and
-  ///   adapter on its own.
-  void Note(const ModelName& model, const AdapterName& adapter,
-            const std::vector<PromptPart>& prompt);
+  void Note(const PromptPrefixes& prompt);
   /// @returns the tokens at the head of `prompt` that are probably kept.
-  [[nodiscard]] double KeptTokens(const ModelName& model,
-                                  const AdapterName& adapter,
-                                  const std::vector<PromptPart>& prompt) const;
-  void Clear() noexcept;
+  [[nodiscard]] double KeptTokens(const PromptPrefixes& prompt) const;
 
  private:
   using Key = std::uint64_t;
@@ -34,9 +43,4 @@
   std::unordered_map<Key, std::list<Key>::iterator> m_parts;
 };
 
-/// @returns hashes of each prefix of `prompt`: item i covers parts 0 to i.
-[[nodiscard]] std::vector<std::uint64_t> PrefixHashes(
-    const ModelName& model, const AdapterName& adapter,
-    const std::vector<PromptPart>& prompt);
-
 }  // namespace bambooquay
--- a/packages/serving/include/bambooquay/serving/upstream_record.h
+++ b/packages/serving/include/bambooquay/serving/upstream_record.h
@@ -1,25 +1,16 @@
-// What is known of one upstream: its entry in the fleet's list, and what its
-// engine reports of itself.
+// One upstream's entry in the fleet's list.
 #pragma once
 
 #include <cstdint>
-#include <optional>
-#include <string>
 #include <vector>
 
 #include "bambooquay/core/clock.h"
+#include "bambooquay/core/engine_report.h"
 #include "bambooquay/core/ids.h"
 #include "bambooquay/runtime/endpoint.h"
 
 namespace bambooquay {
 
-struct ResidentModel {
-  ModelName name;
-  std::vector<AdapterName> adapters;
-
-  friend bool operator==(const ResidentModel&, const ResidentModel&) = default;
-};
-
 /// One upstream in the fleet's list.
 struct UpstreamRecord {
   UpstreamId id;
@@ -35,20 +26,4 @@
   std::vector<ResidentModel> models;
 };
 
-/// What an engine says of itself.
-struct EngineReport {
-  std::int64_t born_ms = 0;
-  std::uint64_t orders_accepted = 0;
-  bool busy = false;  ///< An order is under way.
-  bool draining = false;
-  int running = 0;
-  int waiting = 0;
-  double kv_used = 0.0;
-  std::vector<ResidentModel> models;
-  /// Adapters on their way to the engine, as `model/adapter`.
-  std::vector<std::string> incoming;
-  std::vector<ModelName> in_host_memory;
-  std::vector<ModelName> on_disk;
-};
-
 }  // namespace bambooquay
--- a/packages/serving/include/bambooquay/serving/upstream_set.h
+++ b/packages/serving/include/bambooquay/serving/upstream_set.h
@@ -37,10 +37,10 @@
   ServiceName service;
   ModelName model;
   AdapterName adapter;
-  const std::vector<PromptPart>* prompt = nullptr;
+  PromptPrefixes prompt;  ///< Empty where nothing is kept.
   double prompt_tokens = 0.0;
   std::size_t body_bytes = 0;
-  std::set<UpstreamId> excluded;
+  std::set<UpstreamId> excluded;  ///< Tried already.
 };
 
 /// Why no upstream was chosen.
@@ -83,7 +83,6 @@
   int in_flight = 0;
   /// Calls sent from here since the last report.
   int sent_since_report = 0;
-  double prompt_tokens_in_flight = 0.0;
   /// Exponentially weighted share of failed attempts.
   double failure_share = 0.0;
   int failures_in_row = 0;
--- a/packages/serving/src/engine_memory_plan.cc
+++ b/packages/serving/src/engine_memory_plan.cc
@@ -39,11 +39,6 @@
 
 }  // namespace
 
-std::string AdapterKey(const ModelName& model, const AdapterName& adapter) {
-  return adapter.empty() ? model.value()
-                         : model.value() + "/" + adapter.value();
-}
-
 std::optional<PlannedOrder> NextModelOrder(
     const EngineProfile& profile, const EngineReport& report,
     const std::vector<ModelName>& target) {
--- a/packages/serving/src/forwarded_call.cc
+++ b/packages/serving/src/forwarded_call.cc
@@ -7,7 +7,6 @@
 #include <utility>
 
 #include "bambooquay/runtime/log.h"
-#include "bambooquay/serving/engine_memory_plan.h"
 
 namespace bambooquay {
 namespace {
@@ -81,7 +80,7 @@
     return;
   }
   m_route =
-      m_active->routes.FindRoute(m_call.host, PathOf(m_call.message.target));
+      m_active->routes.FindRoute(m_call.host, PathOf(m_call.message->target));
   if (m_route == nullptr) {
     Refuse(ToCode(HttpStatus::kNotFound), "no_route", Duration::zero());
     return;
@@ -102,6 +101,7 @@
   if (!SpendAllowance()) {
     return;
   }
+  MakeQuery();
   m_limit_timer = m_context.loop.After(
       std::max(m_time_limit - kLimitMargin, Duration::zero()),
       [this] { HandleTimeLimit(); });
@@ -115,8 +115,8 @@
     return true;
   }
   if (!m_call.api_key.empty()) {
-    m_key = KeyDigest(Sha256Hex(m_call.api_key));
-    m_organisation = m_active->routes.FindOrganisation(m_key);
+    m_organisation =
+        m_active->routes.FindOrganisation(KeyDigest(Sha256Hex(m_call.api_key)));
   }
   if (m_organisation == nullptr) {
     Refuse(ToCode(HttpStatus::kUnauthorized), "bad_key", Duration::zero());
@@ -167,19 +167,19 @@
       chosen == shares.end() ? shares.back().service : chosen->service);
 }
 
-PickQuery ForwardedCall::MakeQuery() const {
-  const bool engine = m_service->engine.has_value();
-  return {m_service->name,
-          engine ? m_call.model : ModelName(),
-          engine ? m_call.adapter : AdapterName(),
-          engine ? &m_call.prompt : nullptr,
-          m_call.prompt_tokens,
-          m_call.message.body.size(),
-          m_tried};
+void ForwardedCall::MakeQuery() {
+  m_query.service = m_service->name;
+  m_query.prompt_tokens = m_call.prompt_tokens;
+  m_query.body_bytes = m_call.message->body.size();
+  if (m_service->engine.has_value()) {
+    m_query.model = m_call.model;
+    m_query.adapter = m_call.adapter;
+    m_query.prompt = MakePrefixes(m_call.model, m_call.adapter, m_call.prompt);
+  }
 }
 
 void ForwardedCall::TryUpstream() {
-  const auto picked = m_context.upstreams.Pick(MakeQuery());
+  const auto picked = m_context.upstreams.Pick(m_query);
   if (const auto* upstream = std::get_if<UpstreamId>(&picked)) {
     Attempt(*upstream);
     return;
@@ -222,7 +222,7 @@
 
 void ForwardedCall::LoadAdapter() {
   m_adapter_asked = true;
-  const auto upstream = m_context.upstreams.PickForAdapter(MakeQuery());
+  const auto upstream = m_context.upstreams.PickForAdapter(m_query);
   if (!upstream.has_value()) {
     HandleNoUpstream(PickFailure::kFull);
     return;
@@ -249,7 +249,7 @@
 void ForwardedCall::Attempt(const UpstreamId& id) {
   const Upstream* upstream = m_context.upstreams.Find(id);
   ++m_attempts;
-  m_tried.insert(id);
+  m_query.excluded.insert(id);
   m_upstream = id;
   m_status = 0;
   AttemptTerms terms;
@@ -271,12 +271,11 @@
       .With("report_age_ms",
             m_context.upstreams.ReportAge(*upstream) / milliseconds(1))
       .With("failure_share", upstream->failure_share)
-      .With("kept_tokens", upstream->cache.KeptTokens(
-                               m_call.model, m_call.adapter, m_call.prompt))
+      .With("kept_tokens", upstream->cache.KeptTokens(m_query.prompt))
       .With("prompt_tokens", m_call.prompt_tokens)
       .With("time_left_ms", TimeLeft() / milliseconds(1));
   const HttpRequest request = m_context.codec.EncodeAttempt(m_call, terms);
-  m_context.upstreams.Began(id, MakeQuery());
+  m_context.upstreams.Began(id, m_query);
   m_attempt = m_context.client.Start(
       upstream->record.address, request, m_time_limit + kLimitMargin,
       m_route->repeatable() ? ConnectionReuse::kAllowed
@@ -303,9 +302,6 @@
 void ForwardedCall::OnHead(int status, const HttpHeaders& headers) {
   m_status = status;
   const ResponseFacts facts = m_context.codec.InspectResponse(status, headers);
-  if (facts.draining) {
-    m_context.upstreams.MarkLeaving(*m_upstream);
-  }
   if (facts.not_run || facts.misdirected) {
     if (!facts.answered_by.empty() && facts.answered_by != *m_upstream) {
       m_context.upstreams.MarkLeaving(*m_upstream);
@@ -425,7 +421,7 @@
     return false;
   }
   // The failure at hand is the answer unless another upstream is free now.
-  const auto picked = m_context.upstreams.Pick(MakeQuery());
+  const auto picked = m_context.upstreams.Pick(m_query);
   const auto* upstream = std::get_if<UpstreamId>(&picked);
   if (upstream == nullptr || !m_context.budget_of(m_service->name).TryRetry()) {
     return false;
@@ -439,7 +435,7 @@
   m_silence_timer = nullptr;
   m_attempt = nullptr;
   if (m_upstream.has_value()) {
-    m_context.upstreams.Ended(*m_upstream, MakeQuery(), end);
+    m_context.upstreams.Ended(*m_upstream, m_query, end);
     m_upstream.reset();
   }
 }
--- a/packages/serving/src/prompt_cache_view.cc
+++ b/packages/serving/src/prompt_cache_view.cc
@@ -1,7 +1,9 @@
 // Which parts of prompts an engine probably keeps.
 #include "bambooquay/serving/prompt_cache_view.h"
 
+#include <algorithm>
 #include <boost/container_hash/hash.hpp>
+#include <numeric>
 
 namespace bambooquay {
 namespace {
@@ -12,30 +14,28 @@
 
 }  // namespace
 
-std::vector<std::uint64_t> PrefixHashes(const ModelName& model,
-                                        const AdapterName& adapter,
-                                        const std::vector<PromptPart>& prompt) {
+PromptPrefixes MakePrefixes(const ModelName& model, const AdapterName& adapter,
+                            const std::vector<PromptPart>& prompt) {
   std::size_t seed = 0;
   boost::hash_combine(seed, model.value());
   boost::hash_combine(seed, adapter.value());
-  std::vector<std::uint64_t> hashes;
-  hashes.reserve(prompt.size());
+  PromptPrefixes prefixes;
+  prefixes.reserve(prompt.size());
   for (const PromptPart& part : prompt) {
     boost::hash_combine(seed, part.id);
-    hashes.push_back(seed);
+    prefixes.push_back({seed, part.tokens});
   }
-  return hashes;
+  return prefixes;
 }
 
-void PromptCacheView::Note(const ModelName& model, const AdapterName& adapter,
-                           const std::vector<PromptPart>& prompt) {
-  for (const Key key : PrefixHashes(model, adapter, prompt)) {
-    const auto known = m_parts.find(key);
+void PromptCacheView::Note(const PromptPrefixes& prompt) {
+  for (const PromptPrefix& prefix : prompt) {
+    const auto known = m_parts.find(prefix.hash);
     if (known != m_parts.end()) {
       m_order.splice(m_order.begin(), m_order, known->second);
     } else {
-      m_order.push_front(key);
-      m_parts[key] = m_order.begin();
+      m_order.push_front(prefix.hash);
+      m_parts[prefix.hash] = m_order.begin();
     }
   }
   while (m_order.size() > kMaxParts) {
@@ -44,22 +44,15 @@
   }
 }
 
-double PromptCacheView::KeptTokens(
-    const ModelName& model, const AdapterName& adapter,
-    const std::vector<PromptPart>& prompt) const {
-  const std::vector<std::uint64_t> hashes =
-      PrefixHashes(model, adapter, prompt);
-  double kept = 0.0;
-  for (std::size_t i = 0; i < hashes.size() && m_parts.contains(hashes[i]);
-       ++i) {
-    kept += prompt[i].tokens;
-  }
-  return kept;
-}
-
-void PromptCacheView::Clear() noexcept {
-  m_order.clear();
-  m_parts.clear();
+double PromptCacheView::KeptTokens(const PromptPrefixes& prompt) const {
+  const auto first_missing =
+      std::ranges::find_if(prompt, [this](const PromptPrefix& prefix) {
+        return !m_parts.contains(prefix.hash);
+      });
+  return std::accumulate(prompt.begin(), first_missing, 0.0,
+                         [](double sum, const PromptPrefix& prefix) {
+                           return sum + prefix.tokens;
+                         });
 }
 
 }  // namespace bambooquay
--- a/packages/serving/src/serving_agent.cc
+++ b/packages/serving/src/serving_agent.cc
@@ -260,32 +260,22 @@
 }
 
 EngineStatus ServingAgent::MakeStatus() {
-  EngineStatus status;
-  for (const ResidentModel& model : m_report->models) {
-    status.models.push_back({model.name, model.adapters});
-  }
-  status.on_disk = m_report->on_disk;
-  status.in_host_memory = m_report->in_host_memory;
-  std::string text = EncodeStatus({m_settings.id, m_incarnation, status});
+  EngineStatus lists;
+  lists.report.models = m_report->models;
+  lists.report.on_disk = m_report->on_disk;
+  lists.report.in_host_memory = m_report->in_host_memory;
+  std::string text = EncodeStatus({m_settings.id, m_incarnation, lists});
   const TimePoint now = m_deps.loop.clock().Now();
   if (text != m_lists_text) {
     m_lists_text = std::move(text);
     ++m_lists;
     m_lists_sent_at = {};
   }
-  status.brief = now - m_lists_sent_at < kListsPeriod;
-  if (!status.brief) {
+  const bool brief = now - m_lists_sent_at < kListsPeriod;
+  if (!brief) {
     m_lists_sent_at = now;
   }
-  status.lists = m_lists;
-  status.upstream = m_upstream;
-  status.born_ms = m_report->born_ms;
-  status.busy = m_report->busy;
-  status.draining = m_report->draining;
-  status.running = m_report->running;
-  status.waiting = m_report->waiting;
-  status.kv_used = m_report->kv_used;
-  return status;
+  return {m_upstream, *m_report, m_lists, brief};
 }
 
 void ServingAgent::Reply(const AdapterJob& job, bool loaded) {
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -51,22 +51,6 @@
 // Time kept for the last bytes before the process would be killed.
 constexpr Duration kStopMargin = milliseconds(500);
 
-EngineReport ToReport(const EngineStatus& status) {
-  EngineReport report;
-  report.born_ms = status.born_ms;
-  report.busy = status.busy;
-  report.draining = status.draining;
-  report.running = status.running;
-  report.waiting = status.waiting;
-  report.kv_used = status.kv_used;
-  for (const HeldModel& model : status.models) {
-    report.models.push_back({model.name, model.adapters});
-  }
-  report.on_disk = status.on_disk;
-  report.in_host_memory = status.in_host_memory;
-  return report;
-}
-
 }  // namespace
 
 ServingEntry::ServingEntry(const ServingSettings& settings,
@@ -135,9 +119,9 @@
   m_peers.OnPeerFound([this] { m_spent.clear(); });
   m_peers.OnEngineStatus([this](const EngineStatus& status) {
     if (status.brief) {
-      m_upstreams.SetBriefReport(status.upstream, ToReport(status));
+      m_upstreams.SetBriefReport(status.upstream, status.report);
     } else {
-      m_upstreams.SetReport(status.upstream, ToReport(status));
+      m_upstreams.SetReport(status.upstream, status.report);
     }
   });
 }
--- a/packages/serving/src/upstream_set.cc
+++ b/packages/serving/src/upstream_set.cc
@@ -6,8 +6,6 @@
 #include <cmath>
 #include <limits>
 
-#include "bambooquay/serving/engine_memory_plan.h"
-
 namespace bambooquay {
 namespace {
 
@@ -54,6 +52,12 @@
 // A record's remaining time is rounded and travels to get here.
 constexpr Duration kColdMargin = std::chrono::milliseconds(300);
 
+/// @returns a rank for rendezvous hashing: the same in every process.
+std::size_t CombineHash(std::size_t seed, const std::string& text) {
+  boost::hash_combine(seed, text);
+  return seed;
+}
+
 }  // namespace
 
 UpstreamSet::UpstreamSet(const Clock& clock, RandomSource& random,
@@ -299,12 +303,10 @@
     const double slots = std::max(1, upstream.record.slots);
     return cost + load / slots * 100.0;
   }
-  cost += load * kMsPerRunning +
-          upstream.prompt_tokens_in_flight / kPromptTokensPerMs;
-  if (query.prompt != nullptr && !query.prompt->empty()) {
-    const double kept =
-        upstream.cache.KeptTokens(query.model, query.adapter, *query.prompt);
-    cost += (query.prompt_tokens - kept) / kPromptTokensPerMs;
+  cost += load * kMsPerRunning;
+  if (!query.prompt.empty()) {
+    cost += (query.prompt_tokens - upstream.cache.KeptTokens(query.prompt)) /
+            kPromptTokensPerMs;
   }
   return cost;
 }
@@ -347,20 +349,16 @@
 // without talking to each other.
 void UpstreamSet::PreferByPrompt(std::vector<Candidate>& candidates,
                                  const PickQuery& query) const {
-  if (query.prompt == nullptr || query.prompt->size() < 2) {
+  if (query.prompt.size() < 2) {
     return;
   }
-  const std::vector<std::uint64_t> hashes =
-      PrefixHashes(query.model, query.adapter, *query.prompt);
-  const std::uint64_t shared = hashes[hashes.size() - 2];
+  const std::uint64_t shared = query.prompt[query.prompt.size() - 2].hash;
   const auto weight = [&](const Candidate& candidate) {
-    std::size_t seed = shared;
-    boost::hash_combine(seed, candidate.upstream->record.id.value());
-    return seed;
+    return CombineHash(shared, candidate.upstream->record.id.value());
   };
   const auto preferred = std::ranges::max_element(candidates, {}, weight);
   if (preferred != candidates.end()) {
-    const double own = query.prompt->back().tokens;
+    const double own = query.prompt.back().tokens;
     preferred->cost -=
         (query.prompt_tokens - own) / kPromptTokensPerMs * kPreferredShare;
   }
@@ -406,12 +404,10 @@
       continue;
     }
     // Rendezvous order keeps an adapter on few engines.
-    std::size_t seed = 0;
-    boost::hash_combine(seed, key);
-    boost::hash_combine(seed, id.value());
+    const std::size_t rank = CombineHash(CombineHash(0, key), id.value());
     const bool busy = HasFreshReport(upstream) && upstream.report->busy;
     const double cost = Cost(upstream, query) +
-                        static_cast<double>(seed % 1000) / 10.0 +
+                        static_cast<double>(rank % 1000) / 10.0 +
                         (busy ? kBusyMs : 0.0);
     if (cost < best_cost) {
       best = &upstream;
@@ -454,10 +450,7 @@
     return std::max<std::size_t>(1, m_entries.size());
   }
   const auto rank_of = [&](const InstanceId& entry) {
-    std::size_t seed = 0;
-    boost::hash_combine(seed, id.value());
-    boost::hash_combine(seed, entry.value());
-    return seed;
+    return CombineHash(CombineHash(0, id.value()), entry.value());
   };
   const std::size_t own = rank_of(m_self);
   const auto ahead = std::ranges::count_if(
@@ -475,9 +468,7 @@
   Upstream& upstream = known->second;
   ++upstream.in_flight;
   ++upstream.sent_since_report;
-  if (query.prompt != nullptr) {
-    upstream.cache.Note(query.model, query.adapter, *query.prompt);
-  }
+  upstream.cache.Note(query.prompt);
 }
 
 void UpstreamSet::Ended(const UpstreamId& id, const PickQuery& query,
--- a/packages/serving/tests/upstream_set_test.cc
+++ b/packages/serving/tests/upstream_set_test.cc
@@ -35,6 +35,12 @@
   return query;
 }
 
+// Two parts that requests share, and one of its own.
+PromptPrefixes PromptOf(std::uint64_t own) {
+  return MakePrefixes(ModelName("m"), AdapterName(),
+                      {{1, 2500}, {2, 3800}, {own, 2900}});
+}
+
 struct Set {
   Set() { upstreams.SetEntries(InstanceId("self"), {InstanceId("self")}); }
 
@@ -181,20 +187,19 @@
   for (int i = 0; i < 6; ++i) {
     set.upstreams.Put(Record("e" + std::to_string(i), i + 1));
   }
-  const std::vector<PromptPart> prompt = {{1, 2500}, {2, 3800}, {77, 2900}};
+  const PromptPrefixes prompt = PromptOf(77);
   PickQuery query = Query("s", "m");
-  query.prompt = &prompt;
+  query.prompt = prompt;
   query.prompt_tokens = 9200;
   const UpstreamId first = *set.Pick(query);
   set.upstreams.Began(first, query);
   set.upstreams.Ended(first, query, AttemptEnd::kServed);
   for (std::uint64_t own = 100; own < 110; ++own) {
-    const std::vector<PromptPart> next = {{1, 2500}, {2, 3800}, {own, 2900}};
-    query.prompt = &next;
+    query.prompt = PromptOf(own);
     BOOST_TEST(set.Pick(query)->value() == first.value());
   }
   // A loaded engine passes the prompt on.
-  query.prompt = &prompt;
+  query.prompt = prompt;
   for (int i = 0; i < 80; ++i) {
     set.upstreams.Began(first, query);
   }
@@ -202,7 +207,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(entries_agree_on_an_engine_without_talking) {
-  const std::vector<PromptPart> prompt = {{1, 2500}, {2, 3800}, {77, 2900}};
+  const PromptPrefixes prompt = PromptOf(77);
   std::set<std::string> chosen;
   for (std::uint64_t seed = 0; seed < 8; ++seed) {
     ManualClock clock;
@@ -213,7 +218,7 @@
       entry.Put(Record("e" + std::to_string(i), i + 1));
     }
     PickQuery query = Query("s", "m");
-    query.prompt = &prompt;
+    query.prompt = prompt;
     query.prompt_tokens = 9200;
     chosen.insert(std::get<UpstreamId>(entry.Pick(query)).value());
   }
