--- a/packages/serving/include/bambooquay/serving/fleet_configuration.h
+++ b/packages/serving/include/bambooquay/serving/fleet_configuration.h
@@ -11,6 +11,7 @@
 #include "bambooquay/core/clock.h"
 #include "bambooquay/core/ids.h"
 #include "bambooquay/core/units.h"
+#include "bambooquay/runtime/http_server.h"
 
 namespace bambooquay {
 
@@ -85,19 +86,12 @@
   Tokens burst;
 };
 
-struct CallerLimits {
-  std::size_t max_header_bytes = 16 * 1024;
-  std::size_t max_body_bytes = 4 * 1024 * 1024;
-  Duration header_timeout = std::chrono::seconds(3);
-  Duration idle_timeout = std::chrono::seconds(15);
-};
-
 struct FleetConfiguration {
   std::uint64_t version = 0;
   std::vector<ServingRoute> routes;
   std::vector<ServingService> services;
   std::vector<ServingOrganisation> organisations;
-  CallerLimits limits;
+  HttpServerLimits caller_limits;
 };
 
 }  // namespace bambooquay
--- a/packages/serving/include/bambooquay/serving/serving_entry.h
+++ b/packages/serving/include/bambooquay/serving/serving_entry.h
@@ -1,6 +1,7 @@
 // The entry on a hosted platform: takes callers' requests and forwards them.
 #pragma once
 
+#include <array>
 #include <functional>
 #include <list>
 #include <memory>
@@ -13,6 +14,7 @@
 #include "bambooquay/runtime/metrics.h"
 #include "bambooquay/serving/demand_meter.h"
 #include "bambooquay/serving/document_codec.h"
+#include "bambooquay/serving/fleet_planner.h"
 #include "bambooquay/serving/forwarded_call.h"
 #include "bambooquay/serving/peer_exchange.h"
 #include "bambooquay/serving/serving_settings.h"
@@ -65,11 +67,6 @@
   void CatchUp();
   void Tick();
   void Plan();
-  void PlanService(const ServingService& service,
-                   const std::vector<ModelDemand>& demand,
-                   PlacementTargets& targets);
-  [[nodiscard]] EngineView ViewOf(const UpstreamId& id,
-                                  const Upstream& upstream) const;
   void CheckDrained();
   [[nodiscard]] RetryBudget& BudgetOf(const ServiceName& service);
   [[nodiscard]] EntryStatus MakeStatus();
@@ -80,19 +77,10 @@
   UpstreamSet m_upstreams;
   FleetAllowance m_allowance;
   DemandMeter m_demand;
+  FleetPlanner m_planner;
   HttpClient m_client;
   PeerExchange m_peers;
   ServingContext m_context;
-  struct PlannedEngine {
-    std::vector<ModelName> models;
-    TimePoint changed_at{};
-  };
-
-  struct EngineList {
-    std::vector<UpstreamId> ids;
-    TimePoint changed_at{};
-  };
-
   struct SpentTotal {
     Tokens tokens;
     TimePoint changed_at{};
@@ -100,15 +88,15 @@
 
   std::map<OrganisationId, SpentTotal> m_spent;
   std::unordered_map<ServiceName, RetryBudget> m_budgets;
-  std::unordered_map<ServiceName, EngineList> m_engine_lists;
-  /// The last plan, while this entry is the planner.
-  std::map<UpstreamId, PlannedEngine> m_planned;
   std::shared_ptr<const ActiveConfiguration> m_active;
   std::list<std::unique_ptr<ForwardedCall>> m_calls;
   PeerTable m_peer_table;
   TableMirror m_operator_rows;
   TableMirror m_upstream_rows;
   TableMirror m_member_rows;
+  /// All three.
+  std::array<TableMirror*, 3> m_mirrors = {&m_operator_rows, &m_upstream_rows,
+                                           &m_member_rows};
   HttpServer m_server;
   HttpServer m_readiness;
   HttpServer m_relay;
--- a/packages/serving/include/bambooquay/serving/upstream_set.h
+++ b/packages/serving/include/bambooquay/serving/upstream_set.h
@@ -153,6 +153,9 @@
   [[nodiscard]] bool HasFreshReport(const Upstream& upstream) const;
   /// @returns the time since its last report; the longest one without any.
   [[nodiscard]] Duration ReportAge(const Upstream& upstream) const;
+  /// @returns what it holds: as reported lately, or as listed.
+  [[nodiscard]] const std::vector<ResidentModel>& Models(
+      const Upstream& upstream) const;
   /// @returns an estimate of the calls at the upstream from all entries.
   [[nodiscard]] double Load(const Upstream& upstream) const;
 
@@ -174,21 +177,18 @@
                                   const AdapterName& adapter) const;
   [[nodiscard]] bool KnownMissing(const Upstream& upstream,
                                   const std::string& what) const;
-  [[nodiscard]] const std::vector<ResidentModel>& Models(
-      const Upstream& upstream) const;
   [[nodiscard]] double Cost(const Upstream& upstream,
                             const PickQuery& query) const;
   [[nodiscard]] bool TakeColdPermit(Upstream& upstream);
-
-  const Clock& m_clock;
-  RandomSource& m_random;
-  DataCentreId m_own;
-  std::function<bool(const Endpoint&)> m_is_connected;
   /// @returns how many entries may send to this cold upstream, or nothing if
   /// this entry is not one of them.
   [[nodiscard]] std::optional<std::size_t> ColdSenders(
       const UpstreamId& id) const;
 
+  const Clock& m_clock;
+  RandomSource& m_random;
+  DataCentreId m_own;
+  std::function<bool(const Endpoint&)> m_is_connected;
   InstanceId m_self;
   std::vector<InstanceId> m_entries;
   std::unordered_map<UpstreamId, Upstream> m_upstreams;
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -30,14 +30,6 @@
 constexpr Duration kSpendingRepeatTime = std::chrono::seconds(2);
 constexpr Duration kTickPeriod = milliseconds(100);
 constexpr Duration kPlanPeriod = milliseconds(300);
-// An engine is given this long to come to its target before the plan starts
-// again from what it holds: two loads from the weight store and an unload.
-constexpr Duration kPlanTime = std::chrono::seconds(5);
-// The list of engines counts as settled when it has not changed for this
-// long; at a start it fills over some seconds.
-constexpr Duration kSettledTime = std::chrono::seconds(2);
-// Seconds of the weight store's rate that are planned ahead.
-constexpr double kLoadsAhead = 1.5;
 constexpr Duration kRegisterRetry = milliseconds(400);
 // Upstream connections are made in some milliseconds; the fleet's links are
 // short.
@@ -63,6 +55,7 @@
                   }),
       m_allowance(deps.loop.clock()),
       m_demand(deps.loop.clock()),
+      m_planner(deps.loop.clock(), m_upstreams),
       m_client(deps.loop, kUpstreamClient),
       m_peers(deps.loop, settings.id, m_allowance, m_upstreams),
       m_context{deps.loop,
@@ -107,8 +100,7 @@
                 Relay(*exchange);
               }),
       m_freezes(kTickPeriod) {
-  for (TableMirror* mirror :
-       {&m_operator_rows, &m_upstream_rows, &m_member_rows}) {
+  for (TableMirror* mirror : m_mirrors) {
     mirror->SetFallback(m_peer_table);
   }
   RegisterGauges();
@@ -134,8 +126,7 @@
   metrics.SetGauge("configuration_version", [this, number] {
     return m_active == nullptr ? 0.0 : number(m_active->configuration.version);
   });
-  for (const TableMirror* mirror :
-       {&m_operator_rows, &m_upstream_rows, &m_member_rows}) {
+  for (const TableMirror* mirror : m_mirrors) {
     metrics.SetGauge(
         "store_answer_age_seconds{table=\"" + mirror->table() + "\"}",
         [this, mirror] {
@@ -172,9 +163,9 @@
   for (const Endpoint& seed : m_settings.seeds) {
     m_peers.AddSeed(seed);
   }
-  m_operator_rows.Start();
-  m_upstream_rows.Start();
-  m_member_rows.Start();
+  for (TableMirror* mirror : m_mirrors) {
+    mirror->Start();
+  }
   RegisterMember();
   m_tick = m_deps.loop.Every(kTickPeriod, [this] { Tick(); });
   m_plan_timer = m_deps.loop.Every(kPlanPeriod, [this] { Plan(); });
@@ -238,18 +229,17 @@
 
 void ServingEntry::Relay(HttpExchange& exchange) const {
   const std::string& target = exchange.request().target;
-  const auto serves = [&](const TableMirror& mirror) {
-    return mirror.complete() && target == "/tables/" + mirror.table();
-  };
-  for (const TableMirror* mirror :
-       {&m_operator_rows, &m_upstream_rows, &m_member_rows}) {
-    if (serves(*mirror)) {
-      exchange.Reply(ToCode(HttpStatus::kOk), {},
-                     EncodePage(mirror->Snapshot()));
-      return;
-    }
+  const auto mirror =
+      std::ranges::find_if(m_mirrors, [&](const TableMirror* candidate) {
+        return candidate->complete() &&
+               target == "/tables/" + candidate->table();
+      });
+  if (mirror == m_mirrors.end()) {
+    exchange.Reply(ToCode(HttpStatus::kNotFound), {}, "");
+  } else {
+    exchange.Reply(ToCode(HttpStatus::kOk), {},
+                   EncodePage((*mirror)->Snapshot()));
   }
-  exchange.Reply(ToCode(HttpStatus::kNotFound), {}, "");
 }
 
 void ServingEntry::Reload(const ServingSettings& settings) {
@@ -302,12 +292,7 @@
     }
   }
   m_upstreams.SetEngineServices(std::move(engine_services));
-  HttpServerLimits limits;
-  limits.max_header_bytes = active.limits.max_header_bytes;
-  limits.max_body_bytes = active.limits.max_body_bytes;
-  limits.header_timeout = active.limits.header_timeout;
-  limits.idle_timeout = active.limits.idle_timeout;
-  m_server.SetLimits(limits);
+  m_server.SetLimits(active.caller_limits);
   LogEvent(LogLevel::kInfo, "configuration_in_force")
       .With("version", active.version)
       .With("routes", active.routes.size())
@@ -425,10 +410,11 @@
     m_client.CloseAllIdle();
   }
   m_upstreams.Tick();
-  const std::size_t entries = m_peers.member_count();
-  m_upstreams.SetEntries(m_settings.id, m_peers.Members());
-  std::ranges::for_each(
-      m_budgets, [&](auto& item) { item.second.SetEntryCount(entries); });
+  const std::vector<InstanceId> members = m_peers.Members();
+  std::ranges::for_each(m_budgets, [&](auto& item) {
+    item.second.SetEntryCount(members.size());
+  });
+  m_upstreams.SetEntries(m_settings.id, members);
   CheckDrained();
 }
 
@@ -442,80 +428,13 @@
         std::ranges::copy(peer.status.demand, std::back_inserter(demand));
       }
     }
-    for (const ServingService& service : m_active->configuration.services) {
-      if (service.engine.has_value()) {
-        PlanService(service, demand, targets);
-      }
-    }
+    targets = m_planner.Plan(m_active->configuration, demand);
   } else {
-    m_planned.clear();
+    m_planner.Forget();
   }
   m_peers.SendTargets(targets);
 }
 
-void ServingEntry::PlanService(const ServingService& service,
-                               const std::vector<ModelDemand>& demand,
-                               PlacementTargets& targets) {
-  const TimePoint now = m_deps.loop.clock().Now();
-  std::vector<EngineView> engines;
-  for (const auto& [id, upstream] : m_upstreams.all()) {
-    if (upstream.record.service != service.name ||
-        !m_upstreams.Usable(upstream)) {
-      m_planned.erase(id);
-      continue;
-    }
-    engines.push_back(ViewOf(id, upstream));
-  }
-  std::ranges::sort(engines, {}, &EngineView::id);
-  std::vector<UpstreamId> ids;
-  std::ranges::transform(engines, std::back_inserter(ids), &EngineView::id);
-  EngineList& listed = m_engine_lists[service.name];
-  if (listed.ids != ids) {
-    listed = {std::move(ids), now};
-  }
-  PlanLimits limits;
-  limits.may_evict = now - listed.changed_at > kSettledTime;
-  limits.store_loads = std::max(
-      2, static_cast<int>(service.engine->loads_per_second * kLoadsAhead));
-  for (auto& [id, models] :
-       PlanPlacement(*service.engine, engines, demand, limits)) {
-    PlannedEngine& planned = m_planned[id];
-    // The order follows demand and is no change of the plan.
-    if (!std::ranges::is_permutation(planned.models, models)) {
-      LogEvent(LogLevel::kInfo, "placement")
-          .With("upstream", id.value())
-          .With("models", models.size());
-      planned = {models, now};
-    }
-    targets[id] = models;
-  }
-}
-
-EngineView ServingEntry::ViewOf(const UpstreamId& id,
-                                const Upstream& upstream) const {
-  EngineView view;
-  view.id = id;
-  view.data_centre = upstream.record.data_centre;
-  view.plannable = m_upstreams.HasFreshReport(upstream);
-  const auto& held =
-      view.plannable ? upstream.report->models : upstream.record.models;
-  std::ranges::transform(held, std::back_inserter(view.held),
-                         &ResidentModel::name);
-  view.models = view.held;
-  if (!view.plannable) {
-    return view;
-  }
-  const auto planned = m_planned.find(id);
-  if (planned != m_planned.end() &&
-      m_deps.loop.clock().Now() - planned->second.changed_at < kPlanTime) {
-    view.models = planned->second.models;
-  }
-  view.local_copies = upstream.report->in_host_memory;
-  std::ranges::copy(upstream.report->on_disk,
-                    std::back_inserter(view.local_copies));
-  return view;
-}
-
 void ServingEntry::Drain(std::function<void()> done) {
   if (m_draining_since.has_value()) {
     return;
--- a/packages/serving/src/upstream_set.cc
+++ b/packages/serving/src/upstream_set.cc
@@ -1,39 +1,16 @@
-// The upstreams that an entry knows and the choice of one for a call.
+// What an entry believes of the upstreams that it knows.
 #include "bambooquay/serving/upstream_set.h"
 
 #include <algorithm>
-#include <boost/container_hash/hash.hpp>
-#include <cmath>
-#include <limits>
+#include <utility>
 
 namespace bambooquay {
 namespace {
 
-// Prompt tokens that an engine reads in a millisecond, for weighing what is
-// kept against load; only its order of magnitude matters.
-constexpr double kPromptTokensPerMs = 40.0;
-// Delay that one more running request adds to the first event of another.
-constexpr double kMsPerRunning = 4.0;
-// Cost of a failing upstream, in milliseconds at a failure share of 1.
-constexpr double kFailureMs = 2000.0;
-// Cost of leaving the own data centre: the way there, and the bytes between.
-constexpr double kOtherDataCentreMs = 1.0;
-constexpr double kOtherDataCentreMsPerKb = 0.5;
-// Cost of a new connection: its round trips, and the upstream's work.
-constexpr double kNewConnectionMs = 4.0;
-// Delay of an adapter's load while the engine carries out another order.
-constexpr double kBusyMs = 1000.0;
-// Bonus of the engine that rendezvous hashing prefers for a prompt, in part of
-// the time to read the shared parts.
-constexpr double kPreferredShare = 0.5;
-// Queue length, in requests for each slot, over which an upstream is full.
-constexpr double kFullLoad = 1.5;
 // A report older than this tells nothing of the load.
 constexpr Duration kReportLifetime = std::chrono::milliseconds(1500);
 // Weight of the last attempt in the failure share.
 constexpr double kFailureWeight = 0.15;
-// Failures fade with this time constant where nothing is tried.
-constexpr Duration kFailureFade = std::chrono::seconds(3);
 // How long an upstream is avoided after it could not be reached, doubled with
 // each further failure.
 constexpr Duration kFirstAvoidTime = std::chrono::milliseconds(200);
@@ -43,21 +20,9 @@
 constexpr int kFailuresToAvoid = 3;
 // How long "the model is not here" is believed over an older report.
 constexpr Duration kMissingTime = std::chrono::milliseconds(700);
-// Cold upstreams get this part of what they bear, so that entries that
-// disagree on their number keep the bound together.
-constexpr double kColdShare = 0.9;
-// Entries that may send to one cold upstream. Each may have one request ready
-// at any moment, so that more of them could exceed the bound together.
-constexpr std::size_t kMaxColdSenders = 5;
 // A record's remaining time is rounded and travels to get here.
 constexpr Duration kColdMargin = std::chrono::milliseconds(300);
 
-/// @returns a rank for rendezvous hashing: the same in every process.
-std::size_t CombineHash(std::size_t seed, const std::string& text) {
-  boost::hash_combine(seed, text);
-  return seed;
-}
-
 }  // namespace
 
 UpstreamSet::UpstreamSet(const Clock& clock, RandomSource& random,
@@ -247,219 +212,6 @@
                                   : upstream.record.models;
 }
 
-bool UpstreamSet::KnownMissing(const Upstream& upstream,
-                               const std::string& what) const {
-  const auto found = upstream.missing.find(what);
-  return found != upstream.missing.end() && found->second > m_clock.Now();
-}
-
-bool UpstreamSet::Holds(const Upstream& upstream,
-                        const ModelName& model) const {
-  const auto& models = Models(upstream);
-  return std::ranges::find(models, model, &ResidentModel::name) !=
-             models.end() &&
-         !KnownMissing(upstream, model.value());
-}
-
-bool UpstreamSet::HoldsAdapter(const Upstream& upstream, const ModelName& model,
-                               const AdapterName& adapter) const {
-  const std::string key = AdapterKey(model, adapter);
-  if (upstream.fresh_adapters.contains(key)) {
-    return true;
-  }
-  const auto& models = Models(upstream);
-  const auto held = std::ranges::find(models, model, &ResidentModel::name);
-  return held != models.end() &&
-         std::ranges::find(held->adapters, adapter) != held->adapters.end() &&
-         !KnownMissing(upstream, key);
-}
-
-double UpstreamSet::Load(const Upstream& upstream) const {
-  const auto own = static_cast<double>(upstream.in_flight);
-  if (!HasFreshReport(upstream)) {
-    return own *
-           static_cast<double>(std::max<std::size_t>(1, m_entries.size()));
-  }
-  return std::max(own, static_cast<double>(upstream.report->running +
-                                           upstream.report->waiting +
-                                           upstream.sent_since_report));
-}
-
-double UpstreamSet::Cost(const Upstream& upstream,
-                         const PickQuery& query) const {
-  const Duration since_failure = m_clock.Now() - upstream.last_failure_at;
-  const double fade =
-      std::exp(-ToSeconds(since_failure) / ToSeconds(kFailureFade));
-  double cost = upstream.failure_share * fade * kFailureMs;
-  if (upstream.record.data_centre != m_own) {
-    cost += kOtherDataCentreMs + static_cast<double>(query.body_bytes) /
-                                     1024.0 * kOtherDataCentreMsPerKb;
-  }
-  if (!m_is_connected(upstream.record.address)) {
-    cost += kNewConnectionMs;
-  }
-  const double load = Load(upstream);
-  if (query.model.empty()) {
-    const double slots = std::max(1, upstream.record.slots);
-    return cost + load / slots * 100.0;
-  }
-  cost += load * kMsPerRunning;
-  if (!query.prompt.empty()) {
-    cost += (query.prompt_tokens - upstream.cache.KeptTokens(query.prompt)) /
-            kPromptTokensPerMs;
-  }
-  return cost;
-}
-
-std::vector<UpstreamSet::Candidate> UpstreamSet::FindCandidates(
-    const PickQuery& query) {
-  const TimePoint now = m_clock.Now();
-  PickCounts counts;
-  std::vector<Candidate> candidates;
-  for (auto& [id, upstream] : m_upstreams) {
-    if (upstream.record.service != query.service || !Usable(upstream)) {
-      continue;
-    }
-    ++counts.usable;
-    if (!query.model.empty() && !Holds(upstream, query.model)) {
-      continue;
-    }
-    ++counts.holding;
-    if (!query.adapter.empty() &&
-        !HoldsAdapter(upstream, query.model, query.adapter)) {
-      continue;
-    }
-    ++counts.with_adapter;
-    if (query.excluded.contains(id) || upstream.avoid_until > now) {
-      ++counts.avoided;
-      continue;
-    }
-    const double slots = std::max(1, upstream.record.slots);
-    if (Load(upstream) >= slots * kFullLoad) {
-      ++counts.full;
-      continue;
-    }
-    candidates.push_back({&upstream, Cost(upstream, query)});
-  }
-  m_last_counts = counts;
-  return candidates;
-}
-
-// Prompts with shared parts have a preferred engine that all entries agree on
-// without talking to each other.
-void UpstreamSet::PreferByPrompt(std::vector<Candidate>& candidates,
-                                 const PickQuery& query) const {
-  if (query.prompt.size() < 2) {
-    return;
-  }
-  const std::uint64_t shared = query.prompt[query.prompt.size() - 2].hash;
-  const auto weight = [&](const Candidate& candidate) {
-    return CombineHash(shared, candidate.upstream->record.id.value());
-  };
-  const auto preferred = std::ranges::max_element(candidates, {}, weight);
-  if (preferred != candidates.end()) {
-    const double own = query.prompt.back().tokens;
-    preferred->cost -=
-        (query.prompt_tokens - own) / kPromptTokensPerMs * kPreferredShare;
-  }
-}
-
-std::variant<UpstreamId, PickFailure> UpstreamSet::Pick(
-    const PickQuery& query) {
-  std::vector<Candidate> candidates = FindCandidates(query);
-  if (m_last_counts.usable == 0) {
-    return PickFailure::kNoUpstream;
-  }
-  if (m_last_counts.holding == 0) {
-    return PickFailure::kModelMissing;
-  }
-  if (m_last_counts.with_adapter == 0) {
-    return PickFailure::kAdapterMissing;
-  }
-  PreferByPrompt(candidates, query);
-  // Equal costs are common when idle; the order is then random.
-  std::ranges::for_each(candidates, [this](Candidate& candidate) {
-    candidate.cost += static_cast<double>(m_random.Below(1000)) / 1000.0;
-  });
-  std::ranges::sort(candidates, {}, &Candidate::cost);
-  const auto chosen =
-      std::ranges::find_if(candidates, [this](const Candidate& candidate) {
-        return TakeColdPermit(*candidate.upstream);
-      });
-  if (chosen == candidates.end()) {
-    m_last_counts.cold = static_cast<int>(candidates.size());
-    return PickFailure::kFull;
-  }
-  return chosen->upstream->record.id;
-}
-
-std::optional<UpstreamId> UpstreamSet::PickForAdapter(const PickQuery& query) {
-  const Upstream* best = nullptr;
-  double best_cost = std::numeric_limits<double>::max();
-  const std::string key = AdapterKey(query.model, query.adapter);
-  for (const auto& [id, upstream] : m_upstreams) {
-    if (upstream.record.service != query.service || !Usable(upstream) ||
-        query.excluded.contains(id) || upstream.avoid_until > m_clock.Now() ||
-        !Holds(upstream, query.model)) {
-      continue;
-    }
-    // Rendezvous order keeps an adapter on few engines.
-    const std::size_t rank = CombineHash(CombineHash(0, key), id.value());
-    const bool busy = HasFreshReport(upstream) && upstream.report->busy;
-    const double cost = Cost(upstream, query) +
-                        static_cast<double>(rank % 1000) / 10.0 +
-                        (busy ? kBusyMs : 0.0);
-    if (cost < best_cost) {
-      best = &upstream;
-      best_cost = cost;
-    }
-  }
-  return best == nullptr ? std::nullopt
-                         : std::optional<UpstreamId>(best->record.id);
-}
-
-bool UpstreamSet::TakeColdPermit(Upstream& upstream) {
-  const TimePoint now = m_clock.Now();
-  if (upstream.cold_until <= now) {
-    return true;
-  }
-  const auto rate = m_cold_rates.find(upstream.record.service);
-  if (rate == m_cold_rates.end() || rate->second <= 0.0) {
-    return true;
-  }
-  const auto senders = ColdSenders(upstream.record.id);
-  if (!senders.has_value()) {
-    return false;
-  }
-  const double own_rate =
-      rate->second * kColdShare / static_cast<double>(*senders);
-  const double seconds = ToSeconds(now - upstream.cold_refilled_at);
-  upstream.cold_refilled_at = now;
-  upstream.cold_level =
-      std::min(1.0, upstream.cold_level + own_rate * std::min(seconds, 10.0));
-  if (upstream.cold_level < 1.0) {
-    return false;
-  }
-  upstream.cold_level -= 1.0;
-  return true;
-}
-
-std::optional<std::size_t> UpstreamSet::ColdSenders(
-    const UpstreamId& id) const {
-  if (m_entries.size() <= kMaxColdSenders) {
-    return std::max<std::size_t>(1, m_entries.size());
-  }
-  const auto rank_of = [&](const InstanceId& entry) {
-    return CombineHash(CombineHash(0, id.value()), entry.value());
-  };
-  const std::size_t own = rank_of(m_self);
-  const auto ahead = std::ranges::count_if(
-      m_entries, [&](const InstanceId& entry) { return rank_of(entry) < own; });
-  return static_cast<std::size_t>(ahead) < kMaxColdSenders
-             ? std::optional<std::size_t>(kMaxColdSenders)
-             : std::nullopt;
-}
-
 void UpstreamSet::Began(const UpstreamId& id, const PickQuery& query) {
   const auto known = m_upstreams.find(id);
   if (known == m_upstreams.end()) {
