Plans of one engine service no longer erase another's; the product's words

Found on rereading; the users' sites have one engine service. An evacuation is a data centre that is out; load_overage was read and not used.

--- a/packages/serving/include/bambooquay/serving/document_codec.h
+++ b/packages/serving/include/bambooquay/serving/document_codec.h
@@ -21,11 +21,11 @@
 
 /// What a row of the operators' table is about.
 struct ConfigurationRow {};
-struct EvacuationRow {
+struct DataCentreOutRow {
   DataCentreId data_centre;
 };
 struct OtherRow {};
-using OperatorRow = std::variant<ConfigurationRow, EvacuationRow, OtherRow>;
+using OperatorRow = std::variant<ConfigurationRow, DataCentreOutRow, OtherRow>;
 
 /// Decodes stored documents. Decides nothing.
 class DocumentCodec {
--- a/packages/serving/include/bambooquay/serving/serving_settings.h
+++ b/packages/serving/include/bambooquay/serving/serving_settings.h
@@ -35,8 +35,6 @@
 
   Endpoint engine;      ///< Agents only.
   ServiceName service;  ///< Agents only.
-  /// Part of the weight store's rate by which its limit may be exceeded.
-  double load_overage = 1.1;
   /// Window over which the weight store's limit holds.
   Duration load_window = std::chrono::seconds(5);
 };
--- a/packages/serving/include/bambooquay/serving/upstream_set.h
+++ b/packages/serving/include/bambooquay/serving/upstream_set.h
@@ -53,7 +53,7 @@
 
 /// How far the upstreams of a service came in one choice.
 struct PickCounts {
-  int usable = 0;        ///< Listed, and not leaving or evacuated.
+  int usable = 0;  ///< Listed, and not leaving or in a data centre that is out.
   int holding = 0;       ///< Of these, with the model.
   int with_adapter = 0;  ///< Of these, with the adapter.
   int avoided = 0;       ///< Of these, tried already or failing.
@@ -111,7 +111,7 @@
   void SetReport(const UpstreamId& id, const EngineReport& report);
   /// The same for a report without its lists, which stay as they are.
   void SetBriefReport(const UpstreamId& id, const EngineReport& report);
-  void SetEvacuated(const DataCentreId& data_centre, bool evacuated);
+  void SetDataCentreOut(const DataCentreId& data_centre, bool out);
   /// @param self  this entry.
   /// @param entries  all entries that may be serving, this one included.
   void SetEntries(const InstanceId& self, std::vector<InstanceId> entries);
@@ -144,8 +144,8 @@
       const noexcept {
     return m_upstreams;
   }
-  [[nodiscard]] bool IsEvacuated(const DataCentreId& data_centre) const {
-    return m_evacuated.contains(data_centre);
+  [[nodiscard]] bool IsDataCentreOut(const DataCentreId& data_centre) const {
+    return m_centres_out.contains(data_centre);
   }
   /// @returns whether new calls may be sent to `upstream` at all.
   [[nodiscard]] bool Usable(const Upstream& upstream) const;
@@ -192,7 +192,7 @@
   InstanceId m_self;
   std::vector<InstanceId> m_entries;
   std::unordered_map<UpstreamId, Upstream> m_upstreams;
-  std::set<DataCentreId> m_evacuated;
+  std::set<DataCentreId> m_centres_out;
   PickCounts m_last_counts;
   std::unordered_map<ServiceName, double> m_cold_rates;
   std::set<ServiceName> m_engine_services;
--- a/packages/serving/src/fleet_planner.cc
+++ b/packages/serving/src/fleet_planner.cc
@@ -53,11 +53,14 @@
 std::vector<EngineView> FleetPlanner::ViewEngines(const ServiceName& service) {
   std::vector<EngineView> engines;
   for (const auto& [id, upstream] : m_upstreams.all()) {
-    if (upstream.record.service != service || !m_upstreams.Usable(upstream)) {
-      m_planned.erase(id);
+    if (upstream.record.service != service) {
       continue;
     }
-    engines.push_back(ViewOf(id, upstream));
+    if (m_upstreams.Usable(upstream)) {
+      engines.push_back(ViewOf(id, upstream));
+    } else {
+      m_planned.erase(id);
+    }
   }
   std::ranges::sort(engines, {}, &EngineView::id);
   return engines;
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -251,12 +251,12 @@
 
 void ServingEntry::HandleOperatorRow(const TableRow& row) {
   const OperatorRow kind = m_deps.documents.ClassifyOperatorRow(row.key);
-  if (const auto* evacuation = std::get_if<EvacuationRow>(&kind)) {
-    LogEvent(LogLevel::kInfo, "evacuation")
-        .With("datacentre", evacuation->data_centre.value())
+  if (const auto* out = std::get_if<DataCentreOutRow>(&kind)) {
+    LogEvent(LogLevel::kInfo, "data_centre")
+        .With("datacentre", out->data_centre.value())
         .With("out", row.deleted ? "no" : "yes")
         .With("version", row.version);
-    m_upstreams.SetEvacuated(evacuation->data_centre, !row.deleted);
+    m_upstreams.SetDataCentreOut(out->data_centre, !row.deleted);
   } else if (std::holds_alternative<ConfigurationRow>(kind) && !row.deleted) {
     ApplyConfiguration(row);
   }
--- a/packages/serving/src/serving_settings.cc
+++ b/packages/serving/src/serving_settings.cc
@@ -83,8 +83,6 @@
   void ReadEngine(IniSectionReader& reader) {
     m_settings.engine = ReadEndpoint(reader, "address");
     m_settings.service = ServiceName(reader.Text("service"));
-    m_settings.load_overage =
-        reader.Number("load_overage", 0.1, 100.0, m_settings.load_overage);
     m_settings.load_window =
         FromSeconds(reader.Number("load_window_seconds", 0.1, kMaxSeconds,
                                   ToSeconds(m_settings.load_window)));
--- a/packages/serving/src/upstream_set.cc
+++ b/packages/serving/src/upstream_set.cc
@@ -127,12 +127,11 @@
   upstream.sent_since_report = 0;
 }
 
-void UpstreamSet::SetEvacuated(const DataCentreId& data_centre,
-                               bool evacuated) {
-  if (evacuated) {
-    m_evacuated.insert(data_centre);
+void UpstreamSet::SetDataCentreOut(const DataCentreId& data_centre, bool out) {
+  if (out) {
+    m_centres_out.insert(data_centre);
   } else {
-    m_evacuated.erase(data_centre);
+    m_centres_out.erase(data_centre);
   }
 }
 
@@ -193,7 +192,7 @@
       upstream.report.has_value() && upstream.report->draining;
   return upstream.listed && !upstream.superseded && !upstream.leaving &&
          !upstream.record.draining && !report_drains &&
-         !IsEvacuated(upstream.record.data_centre);
+         !IsDataCentreOut(upstream.record.data_centre);
 }
 
 bool UpstreamSet::HasFreshReport(const Upstream& upstream) const {
--- a/packages/serving/tests/upstream_set_test.cc
+++ b/packages/serving/tests/upstream_set_test.cc
@@ -66,7 +66,7 @@
 
 BOOST_AUTO_TEST_SUITE(upstream_set)
 
-BOOST_AUTO_TEST_CASE(draining_evacuated_and_removed_upstreams_get_nothing) {
+BOOST_AUTO_TEST_CASE(upstreams_that_leave_or_are_out_get_nothing) {
   Set set;
   set.upstreams.Put(Record("a", 1));
   BOOST_TEST(set.Pick().has_value());
@@ -75,9 +75,9 @@
   set.upstreams.Put(draining);
   BOOST_TEST(!set.Pick().has_value());
   set.upstreams.Put(Record("a", 1));
-  set.upstreams.SetEvacuated(DataCentreId("dc"), true);
+  set.upstreams.SetDataCentreOut(DataCentreId("dc"), true);
   BOOST_TEST(!set.Pick().has_value());
-  set.upstreams.SetEvacuated(DataCentreId("dc"), false);
+  set.upstreams.SetDataCentreOut(DataCentreId("dc"), false);
   BOOST_TEST(set.Pick().has_value());
   set.upstreams.Remove(UpstreamId("a"), Duration::zero());
   BOOST_TEST(!set.Pick().has_value());
