--- a/packages/serving/include/bambooquay/serving/forwarded_call.h
+++ b/packages/serving/include/bambooquay/serving/forwarded_call.h
@@ -93,6 +93,9 @@
   void RefuseLeaving();
 
  private:
+  /// Delay before a refused caller comes back.
+  static constexpr Duration kRetryAfter = std::chrono::milliseconds(250);
+
   [[nodiscard]] bool Accepts(const HttpHeaders& headers) override;
   void OnHead(int status, const HttpHeaders& headers) override;
   void OnPart(std::string_view bytes) override;
