Status as a table; a process test of a stalled log reader; settings reloaded by agents too

There was only a test of LogWriter. Reading the code for it showed three faults: a reload made a new appender, so that waiting lines and both loss counters were dropped; faults of a reload were printed to standard error, which may block; an agent's SIGHUP changed nothing. Ruled out: a table library (Debian has none for C++). Change: RenderStatusTable(); ConfigureLogging() keeps the writer and the counts; ReloadSettingsWith() logs faults; agents reload; level 'off', and disabled levels compose nothing.

--- a/packages/operators/include/bambooquay/operators/process_start.h
+++ b/packages/operators/include/bambooquay/operators/process_start.h
@@ -1,7 +1,9 @@
 // The common start of a long-running process: options, settings, logging.
 #pragma once
 
+#include <iostream>
 #include <optional>
+#include <sstream>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -10,9 +12,15 @@
 
 #include "bambooquay/operators/commands.h"
 #include "bambooquay/operators/process_settings.h"
+#include "bambooquay/runtime/log.h"
 
 namespace bambooquay {
 
+/// Parses the text of a file with this name into settings, or every fault.
+template <typename Settings, typename Role>
+using SettingsParser = std::variant<Settings, std::vector<IniError>> (*)(
+    std::string_view, std::string, Role);
+
 /// A settings file as the command line names it.
 struct SettingsFile {
   std::string path;
@@ -23,9 +31,11 @@
 /// Reads `--settings FILE`, or the file that $BAMBOOQUAY_SETTINGS names.
 ///
 /// @param program  the command as the help shows it.
-/// @returns the file, or the code to exit with; faults are printed.
+/// @param faults  where faults are printed.
+/// @returns the file, or the code to exit with.
 [[nodiscard]] std::variant<SettingsFile, ExitCode> ReadSettingsFile(
-    const std::string& program, const std::vector<std::string>& arguments);
+    const std::string& program, const std::vector<std::string>& arguments,
+    std::ostream& faults);
 
 /// Reads and checks the settings of a process and sets up its logs.
 ///
@@ -34,11 +44,18 @@
 template <typename Settings, typename Role>
 [[nodiscard]] std::variant<Settings, ExitCode> StartProcessWith(
     const std::string& program, const std::vector<std::string>& arguments,
-    Role role,
-    std::variant<Settings, std::vector<IniError>> (*parse)(std::string_view,
-                                                           std::string, Role));
+    Role role, SettingsParser<Settings, Role> parse);
 
-/// The same for the processes of the operators' own interface.
+/// Reads the settings again for a running process, and applies those of the
+/// log. Faults are logged, not printed: printing may block.
+///
+/// @returns the settings, or nothing if they are faulty.
+template <typename Settings, typename Role>
+[[nodiscard]] std::optional<Settings> ReloadSettingsWith(
+    const std::string& program, const std::vector<std::string>& arguments,
+    Role role, SettingsParser<Settings, Role> parse);
+
+/// StartProcessWith() for the processes of the operators' own interface.
 [[nodiscard]] std::variant<ProcessSettings, ExitCode> StartProcess(
     const std::string& program, const std::vector<std::string>& arguments,
     ProcessRole role);
@@ -48,13 +65,15 @@
 [[nodiscard]] std::optional<ExitCode> ReportFaults(
     const SettingsFile& file, const std::vector<IniError>& errors);
 
+/// Logs what ReadSettingsFile() and the parser found wrong.
+void LogSettingsFaults(const std::string& faults,
+                       const std::vector<IniError>& errors);
+
 template <typename Settings, typename Role>
 std::variant<Settings, ExitCode> StartProcessWith(
     const std::string& program, const std::vector<std::string>& arguments,
-    Role role,
-    std::variant<Settings, std::vector<IniError>> (*parse)(std::string_view,
-                                                           std::string, Role)) {
-  auto read = ReadSettingsFile(program, arguments);
+    Role role, SettingsParser<Settings, Role> parse) {
+  auto read = ReadSettingsFile(program, arguments, std::cerr);
   if (const auto* code = std::get_if<ExitCode>(&read)) {
     return *code;
   }
@@ -71,4 +90,26 @@
   return std::move(settings);
 }
 
+template <typename Settings, typename Role>
+std::optional<Settings> ReloadSettingsWith(
+    const std::string& program, const std::vector<std::string>& arguments,
+    Role role, SettingsParser<Settings, Role> parse) {
+  std::ostringstream faults;
+  const auto read = ReadSettingsFile(program, arguments, faults);
+  const auto* file = std::get_if<SettingsFile>(&read);
+  std::variant<Settings, std::vector<IniError>> parsed =
+      std::vector<IniError>();
+  if (file != nullptr) {
+    parsed = parse(file->text, file->path, role);
+  }
+  if (const auto* errors = std::get_if<std::vector<IniError>>(&parsed)) {
+    LogSettingsFaults(faults.str(), *errors);
+    return std::nullopt;
+  }
+  auto& settings = std::get<Settings>(parsed);
+  ConfigureLogging(settings.id.value(), settings.log);
+  LogEvent(LogLevel::kInfo, "reload").With("accepted", "yes");
+  return std::move(settings);
+}
+
 }  // namespace bambooquay
--- a/packages/operators/src/command_result.cc
+++ b/packages/operators/src/command_result.cc
@@ -3,6 +3,8 @@
 
 #include <iostream>
 
+#include "bambooquay/operators/status_table.h"
+
 namespace bambooquay {
 namespace {
 
@@ -17,14 +19,7 @@
                 << key["organisation"].get<std::string>() << '\n';
     }
   } else if (result.contains("instances")) {
-    for (const Json& item : result["instances"]) {
-      std::cout << item["instance"].get<std::string>() << '\t'
-                << item["datacentre"].get<std::string>() << '\t'
-                << (item["leaving"].get<bool>() ? "leaving" : "live") << '\t'
-                << (item["answers"].get<bool>() ? item["state"].dump()
-                                                : "no answer")
-                << '\n';
-    }
+    std::cout << RenderStatusTable(result["instances"]);
   } else if (result.contains("key")) {
     std::cout << result["key"].get<std::string>() << '\n';
   } else if (result.contains("version")) {
--- a/packages/operators/src/process_start.cc
+++ b/packages/operators/src/process_start.cc
@@ -15,7 +15,8 @@
 }  // namespace
 
 std::variant<SettingsFile, ExitCode> ReadSettingsFile(
-    const std::string& program, const std::vector<std::string>& arguments) {
+    const std::string& program, const std::vector<std::string>& arguments,
+    std::ostream& faults) {
   po::options_description options("usage: " + program +
                                   " --settings FILE\noptions");
   options.add_options()("help,h", "print this")("version", "print the version")(
@@ -27,7 +28,7 @@
     po::store(po::command_line_parser(arguments).options(options).run(),
               values);
   } catch (const po::error& error) {
-    std::cerr << program << ": " << error.what() << '\n';
+    faults << program << ": " << error.what() << '\n';
     return ExitCode::kUsage;
   }
   if (values.contains("help")) {
@@ -40,7 +41,7 @@
   }
   const char* fallback = std::getenv("BAMBOOQUAY_SETTINGS");
   if (!values.contains("settings") && fallback == nullptr) {
-    std::cerr << program << ": --settings FILE is required\n";
+    faults << program << ": --settings FILE is required\n";
     return ExitCode::kUsage;
   }
   SettingsFile file;
@@ -51,7 +52,7 @@
   std::ostringstream text;
   text << stream.rdbuf();
   if (!stream) {
-    std::cerr << program << ": cannot read '" << file.path << "'\n";
+    faults << program << ": cannot read '" << file.path << "'\n";
     return ExitCode::kNoInput;
   }
   file.text = text.str();
@@ -73,6 +74,23 @@
   return std::nullopt;
 }
 
+void LogSettingsFaults(const std::string& faults,
+                       const std::vector<IniError>& errors) {
+  if (!faults.empty()) {
+    LogEvent(LogLevel::kError, "settings_unreadable")
+        .With("description",
+              faults.substr(0, faults.find_last_not_of('\n') + 1));
+  }
+  for (const IniError& error : errors) {
+    LogEvent(LogLevel::kError, "settings_fault")
+        .With("at", error.file + ":" + std::to_string(error.line))
+        .With("section", error.section)
+        .With("key", error.key)
+        .With("description", error.description);
+  }
+  LogEvent(LogLevel::kError, "reload").With("accepted", "no");
+}
+
 std::variant<ProcessSettings, ExitCode> StartProcess(
     const std::string& program, const std::vector<std::string>& arguments,
     ProcessRole role) {
--- a/packages/runtime/include/bambooquay/runtime/log.h
+++ b/packages/runtime/include/bambooquay/runtime/log.h
@@ -8,7 +8,7 @@
 
 namespace bambooquay {
 
-enum class LogLevel : std::uint8_t { kDebug, kInfo, kWarning, kError };
+enum class LogLevel : std::uint8_t { kDebug, kInfo, kWarning, kError, kOff };
 
 /// What a process logs, and how much of it.
 struct LogSettings {
@@ -19,7 +19,8 @@
 };
 
 /// Sends logs to standard output. Writing never blocks: lines that a stalled
-/// reader does not take are kept up to a bound, and counted beyond it.
+/// reader does not take are kept up to a bound, and counted beyond it. A later
+/// call changes the settings; lines that wait and counts stay.
 /// @param process  written as `process=` on each line.
 void ConfigureLogging(std::string_view process, const LogSettings& settings);
 
@@ -59,6 +60,8 @@
   LogEvent& WithDecimal(std::string_view key, double value);
 
   LogLevel m_level;
+  /// Whether the level is logged; if not, nothing is composed.
+  bool m_enabled;
   std::string m_line;
 };
 
--- a/packages/runtime/src/log.cc
+++ b/packages/runtime/src/log.cc
@@ -32,9 +32,11 @@
     case LogLevel::kWarning:
       return log4cxx::Level::getWarn();
     case LogLevel::kError:
+      return log4cxx::Level::getError();
+    case LogLevel::kOff:
       break;
   }
-  return log4cxx::Level::getError();
+  return log4cxx::Level::getOff();
 }
 
 // The one log of the process. It is never destroyed: log4cxx releases what
@@ -80,14 +82,16 @@
   const std::string pattern =
       "ts=%d{ISO8601} level=%p process=" + std::string(process) + " %m%n";
   const auto layout = std::make_shared<log4cxx::PatternLayout>(pattern);
-  const auto appender = std::make_shared<NonBlockingAppender>(
-      std::make_unique<LogWriter>(STDOUT_FILENO));
+  std::shared_ptr<NonBlockingAppender>& appender = CurrentAppender();
+  if (appender == nullptr) {
+    appender = std::make_shared<NonBlockingAppender>(
+        std::make_unique<LogWriter>(STDOUT_FILENO));
+  }
   appender->setLayout(layout);
-  CurrentAppender() = appender;
   log4cxx::LogManager::resetConfiguration();
   log4cxx::BasicConfigurator::configure(appender);
   RootLogger()->setLevel(ToLevel(settings.level));
-  Budget() = LogBudget(settings.lines_per_second);
+  Budget().SetRate(settings.lines_per_second);
 }
 
 LogLosses GetLogLosses() noexcept {
@@ -97,14 +101,17 @@
 }
 
 LogEvent::LogEvent(LogLevel level, std::string_view event)
-    : m_level(level), m_line("event=" + std::string(event)) {}
+    : m_level(level), m_enabled(RootLogger()->isEnabledFor(ToLevel(level))) {
+  if (m_enabled) {
+    m_line = "event=" + std::string(event);
+  }
+}
 
 LogEvent::~LogEvent() {
-  const log4cxx::LoggerPtr logger = RootLogger();
-  const log4cxx::LevelPtr level = ToLevel(m_level);
-  if (!logger->isEnabledFor(level)) {
+  if (!m_enabled) {
     return;
   }
+  const log4cxx::LoggerPtr logger = RootLogger();
   const std::string event = m_line.substr(0, m_line.find(' '));
   const LogBudget::Verdict verdict = Budget().Take(event, SteadyClock().Now());
   if (!verdict.allowed) {
@@ -115,16 +122,22 @@
                       "event=log_lines_left_out of_" + event +
                           " count=" + std::to_string(verdict.left_out));
   }
-  logger->forcedLog(level, m_line);
+  logger->forcedLog(ToLevel(m_level), m_line);
 }
 
 LogEvent& LogEvent::WithDecimal(std::string_view key, double value) {
+  if (!m_enabled) {
+    return *this;
+  }
   std::array<char, 32> text{};
   std::snprintf(text.data(), text.size(), "%.6g", value);
   return With(key, std::string_view(text.data()));
 }
 
 LogEvent& LogEvent::With(std::string_view key, std::string_view value) {
+  if (!m_enabled) {
+    return *this;
+  }
   m_line += ' ';
   m_line += key;
   m_line += '=';
--- a/packages/runtime/src/log_budget.h
+++ b/packages/runtime/src/log_budget.h
@@ -24,6 +24,8 @@
   explicit LogBudget(double lines_per_second) noexcept
       : m_rate(lines_per_second) {}
 
+  void SetRate(double lines_per_second) noexcept { m_rate = lines_per_second; }
+
   [[nodiscard]] Verdict Take(const std::string& event, TimePoint now) {
     if (m_rate <= 0.0) {
       return {};
--- a/packages/runtime/src/settings_values.cc
+++ b/packages/runtime/src/settings_values.cc
@@ -25,7 +25,10 @@
   if (name == "warning") {
     return LogLevel::kWarning;
   }
-  return name == "error" ? LogLevel::kError : LogLevel::kInfo;
+  if (name == "error") {
+    return LogLevel::kError;
+  }
+  return name == "off" ? LogLevel::kOff : LogLevel::kInfo;
 }
 
 }  // namespace
@@ -33,7 +36,7 @@
 LogSettings ReadLogSettings(IniSectionReader& reader) {
   LogSettings settings;
   settings.level = ParseLogLevel(
-      reader.Choice("level", {"info", "debug", "warning", "error"}));
+      reader.Choice("level", {"info", "debug", "warning", "error", "off"}));
   settings.lines_per_second = reader.Number(
       "lines_per_second", 0.0, kMaxLinesPerSecond, settings.lines_per_second);
   return settings;
--- a/packages/serving/include/bambooquay/serving/serving_agent.h
+++ b/packages/serving/include/bambooquay/serving/serving_agent.h
@@ -40,6 +40,10 @@
   [[nodiscard]] bool Start();
   [[nodiscard]] std::string NotReadyReason() const;
   [[nodiscard]] std::string StatusJson() const;
+  /// Applies what may change in a running process: the window of loads.
+  void Reload(const ServingSettings& settings) {
+    m_settings.load_window = settings.load_window;
+  }
 
  private:
   void RegisterGauges();
--- a/programs/agent/run_serve.cc
+++ b/programs/agent/run_serve.cc
@@ -3,6 +3,7 @@
 
 #include <csignal>
 #include <memory>
+#include <utility>
 
 #include "bambooquay/operators/admin_server.h"
 #include "bambooquay/operators/process_start.h"
@@ -15,10 +16,14 @@
 namespace bambooquay {
 namespace {
 
+constexpr const char* kProgram = "bambooquay-agent serve";
+
 class ServeProcess {
  public:
-  explicit ServeProcess(const ServingSettings& settings)
+  ServeProcess(const ServingSettings& settings,
+               std::vector<std::string> arguments)
       : m_settings(settings),
+        m_arguments(std::move(arguments)),
         m_table(m_loop, settings.store),
         m_engine(m_loop, settings.engine),
         m_agent(settings,
@@ -35,7 +40,7 @@
     for (const int signal : {SIGTERM, SIGINT}) {
       m_loop.OnSignal(signal, [this] { m_loop.Stop(); });
     }
-    m_loop.OnSignal(SIGHUP, [] { LogEvent(LogLevel::kInfo, "reload"); });
+    m_loop.OnSignal(SIGHUP, [this] { Reload(); });
     LogEvent(LogLevel::kInfo, "agent_started")
         .With("engine", m_settings.engine.ToString());
     m_loop.Run();
@@ -44,7 +49,17 @@
   }
 
  private:
+  // Faults leave the settings in force.
+  void Reload() {
+    const auto settings = ReloadSettingsWith(
+        kProgram, m_arguments, ServingRole::kAgent, &ParseServingSettings);
+    if (settings.has_value()) {
+      m_agent.Reload(*settings);
+    }
+  }
+
   ServingSettings m_settings;
+  std::vector<std::string> m_arguments;
   EventLoop m_loop;
   Metrics m_metrics;
   SystemRandom m_random;
@@ -58,12 +73,13 @@
 }  // namespace
 
 ExitCode RunServe(const std::vector<std::string>& arguments) {
-  auto started = StartProcessWith("bambooquay-agent serve", arguments,
-                                  ServingRole::kAgent, &ParseServingSettings);
+  auto started = StartProcessWith(kProgram, arguments, ServingRole::kAgent,
+                                  &ParseServingSettings);
   if (const auto* code = std::get_if<ExitCode>(&started)) {
     return *code;
   }
-  return std::make_unique<ServeProcess>(std::get<ServingSettings>(started))
+  return std::make_unique<ServeProcess>(std::get<ServingSettings>(started),
+                                        arguments)
       ->Run();
 }
 
--- a/programs/bambooquay/run_serve.cc
+++ b/programs/bambooquay/run_serve.cc
@@ -49,14 +49,11 @@
   }
 
  private:
-  // Faults leave the settings in force; they are printed and logged.
+  // Faults leave the settings in force.
   void Reload() {
-    const auto read = StartProcessWith(
+    const auto settings = ReloadSettingsWith(
         kProgram, m_arguments, ServingRole::kEntry, &ParseServingSettings);
-    const auto* settings = std::get_if<ServingSettings>(&read);
-    LogEvent(LogLevel::kInfo, "reload")
-        .With("accepted", settings != nullptr ? "yes" : "no");
-    if (settings != nullptr) {
+    if (settings.has_value()) {
       m_entry.Reload(*settings);
     }
   }
--- a/testing/tests/child_processes.cc
+++ b/testing/tests/child_processes.cc
@@ -27,6 +27,18 @@
 void ChildProcesses::Spawn(const std::string& name,
                            const std::vector<std::string>& command,
                            const std::string& log) {
+  const int output =
+      open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+  if (output < 0) {
+    throw std::runtime_error("cannot write " + log);
+  }
+  SpawnWithOutput(name, command, output);
+  close(output);
+}
+
+void ChildProcesses::SpawnWithOutput(const std::string& name,
+                                     const std::vector<std::string>& command,
+                                     int output) {
   std::vector<char*> arguments;
   for (const std::string& argument : command) {
     arguments.push_back(const_cast<char*>(argument.c_str()));
@@ -34,9 +46,8 @@
   arguments.push_back(nullptr);
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
-  posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(),
-                                   O_WRONLY | O_CREAT | O_APPEND, 0600);
-  posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  posix_spawn_file_actions_adddup2(&actions, output, STDOUT_FILENO);
+  posix_spawn_file_actions_adddup2(&actions, output, STDERR_FILENO);
   Process& process = m_processes[name];
   const int result = posix_spawn(&process.pid, arguments[0], &actions, nullptr,
                                  arguments.data(), environ);
--- a/testing/tests/child_processes.h
+++ b/testing/tests/child_processes.h
@@ -21,6 +21,9 @@
   /// Starts `command` with its output appended to the file `log`.
   void Spawn(const std::string& name, const std::vector<std::string>& command,
              const std::string& log);
+  /// Starts `command` with its output going to the descriptor `output`.
+  void SpawnWithOutput(const std::string& name,
+                       const std::vector<std::string>& command, int output);
   /// Sends a signal; after SIGKILL the process is gone when this returns.
   void Signal(const std::string& name, int number);
   /// @returns the exit code once the process has ended, -2 after a signal.
