After a loss of power wanted models come first, and plans begin at first reports

Eight of 71 models get most calls, and a cold engine bears 8 requests a second. The wait had three parts: an agent's first report came with its next poll, a newly heard entry got reports without lists for up to a second, and the planner ran every 300 ms only. Ruled out: evicting in the first two seconds (the list of engines still fills). Change: FillRoom() gives room to whatever is wanted most while enough is left to cover every model, counting engines that are listed but not yet heard; PlacementState keeps it by index, with the best room of each model remembered (the old search compared names millions of times). ReportSubscribers sends an entry its lists at once; entries greet new engines; the planner runs 40 ms after a first report.

--- a/packages/serving/include/bambooquay/serving/peer_exchange.h
+++ b/packages/serving/include/bambooquay/serving/peer_exchange.h
@@ -54,6 +54,8 @@
   }
   /// Sends the own status now, besides the regular times.
   void SendStatus();
+  /// Tells the agent of one engine of this entry, so that it reports.
+  void Greet(const UpstreamId& upstream);
   /// Tells each engine's agent of this entry, and of its target if given.
   void SendTargets(const PlacementTargets& targets);
 
--- a/packages/serving/include/bambooquay/serving/serving_agent.h
+++ b/packages/serving/include/bambooquay/serving/serving_agent.h
@@ -17,6 +17,7 @@
 #include "bambooquay/serving/document_codec.h"
 #include "bambooquay/serving/engine_memory_plan.h"
 #include "bambooquay/serving/load_ledger.h"
+#include "bambooquay/serving/report_subscribers.h"
 #include "bambooquay/serving/serving_settings.h"
 #include "bambooquay/serving/table_mirror.h"
 
@@ -49,10 +50,6 @@
  private:
   void RegisterGauges();
 
-  struct KnownEntry {
-    Endpoint address;
-    TimePoint heard_at{};
-  };
   struct AdapterJob {
     AdapterRequest request;
     Endpoint from;
@@ -68,8 +65,11 @@
   void HandleOperatorRow(const TableRow& row);
   void Poll();
   void HandleReport(const EngineReport& report);
+  /// Sends the report to all entries that want it.
   void Broadcast();
-  [[nodiscard]] EngineStatus MakeStatus();
+  void SendReport(ReportSubscribers::Subscriber& subscriber);
+  /// Numbers the report's lists anew if they have changed.
+  void NumberLists();
   /// Starts the next order, if one is due.
   void Reconcile();
   bool ReconcileAdapters();
@@ -93,15 +93,14 @@
   LoadLedger m_ledger;
   ColdPermits m_cold_permits;
   std::optional<FleetConfiguration> m_configuration;
-  std::map<InstanceId, KnownEntry> m_entries;
+  ReportSubscribers m_subscribers;
   UpstreamId m_upstream;
   std::optional<EngineReport> m_report;
   TimePoint m_reported_at{};
-  /// Of the lists in the status: their number, the text they were encoded as,
-  /// and when they were last sent in full.
+  /// Of the lists in the report: their number, and the text they were encoded
+  /// as.
   std::uint64_t m_lists = 0;
   std::string m_lists_text;
-  TimePoint m_lists_sent_at{};
   /// The last target and who sent it.
   std::optional<std::vector<ModelName>> m_target;
   TimePoint m_target_at{};
--- a/packages/serving/include/bambooquay/serving/serving_entry.h
+++ b/packages/serving/include/bambooquay/serving/serving_entry.h
@@ -108,6 +108,8 @@
   int m_idle_ticks = 0;
   std::unique_ptr<Timer> m_tick;
   std::unique_ptr<Timer> m_plan_timer;
+  /// Runs when an engine's first report is to be planned for.
+  std::unique_ptr<Timer> m_plan_soon;
   std::unique_ptr<Timer> m_register_timer;
 };
 
--- a/packages/serving/src/peer_exchange.cc
+++ b/packages/serving/src/peer_exchange.cc
@@ -167,6 +167,13 @@
   return live[m_next_live_peer++ % live.size()];
 }
 
+void PeerExchange::Greet(const UpstreamId& upstream) {
+  const auto agent = AgentOf(upstream);
+  if (agent.has_value()) {
+    Send(*agent, {m_self, m_incarnation, EngineTarget{upstream, std::nullopt}});
+  }
+}
+
 void PeerExchange::SendTargets(const PlacementTargets& targets) {
   for (const auto& [id, upstream] : m_upstreams.all()) {
     if (!upstream.has_engine || upstream.superseded) {
--- a/packages/serving/src/placement_planner.cc
+++ b/packages/serving/src/placement_planner.cc
@@ -4,7 +4,11 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
-#include <set>
+#include <numeric>
+#include <optional>
+#include <utility>
+
+#include "placement_state.h"
 
 namespace bambooquay {
 namespace {
@@ -28,257 +32,279 @@
 // Engines that change their models at the same time, in part of all.
 constexpr double kMovesShare = 0.25;
 
-/// The state of planning: who is to hold what.
+/// Plans one placement.
 class Plan {
  public:
+  using Engine = PlacementState::Engine;
+  using Model = PlacementState::Model;
+
   Plan(const EngineProfile& profile, const std::vector<EngineView>& engines,
        const std::vector<ModelDemand>& demand, const PlanLimits& limits)
-      : m_profile(profile), m_engines(engines), m_limits(limits) {
-    for (const ServingModel& model : profile.models) {
-      m_load[model.name] = kBaseLoad;
-      m_copies[model.name] = 0;
-    }
+      : m_profile(profile),
+        m_engines(engines),
+        m_limits(limits),
+        m_state(profile, engines),
+        m_load(profile.models.size(), kBaseLoad) {
     for (const ModelDemand& item : demand) {
-      const auto known = m_load.find(item.model);
-      if (known != m_load.end()) {
-        known->second += item.prompt_tokens_per_second +
+      const Model model = m_state.Find(item.model);
+      if (model < m_load.size()) {
+        m_load[model] += item.prompt_tokens_per_second +
                          item.requests_per_second * kDecodeTokens;
       }
     }
-    for (const EngineView& engine : engines) {
-      auto& target = m_targets[engine.id];
-      for (const ModelName& model : engine.models) {
-        if (m_copies.contains(model)) {
-          target.push_back(model);
-          ++m_copies[model];
-          const bool is_held =
-              std::ranges::find(engine.held, model) != engine.held.end();
-          if (!is_held && !HasLocalCopy(engine, model)) {
-            ++m_store_loads;
-          }
-        }
-      }
-    }
   }
 
   PlacementTargets Make() {
-    CoverMissing();
     FillRoom();
+    CoverMissing();
     if (m_limits.may_evict) {
       MoveCopies();
     }
-    std::ranges::for_each(m_engines, [this](const EngineView& engine) {
-      if (!engine.plannable) {
-        m_targets.erase(engine.id);
+    PlacementTargets targets;
+    for (Engine engine = 0; engine < m_engines.size(); ++engine) {
+      if (m_state.plannable(engine)) {
+        targets[m_engines[engine].id] = InOrder(m_state.targets(engine));
       }
-    });
-    for (auto& [engine, target] : m_targets) {
-      std::ranges::stable_sort(
-          target, std::greater<>(),
-          [this](const ModelName& model) { return m_load.at(model); });
     }
-    return m_targets;
+    return targets;
   }
 
  private:
-  [[nodiscard]] double LoadPerCopy(const ModelName& model, int copies) const {
-    return m_load.at(model) / std::max(1, copies);
-  }
-
-  [[nodiscard]] double FreeMb(const UpstreamId& engine) const {
-    double free = m_profile.weights_mb;
-    for (const ModelName& model : m_targets.at(engine)) {
-      free -= m_profile.Find(model)->weights_mb;
-    }
-    // Adapters share the memory.
-    double adapter_mb = 0.0;
-    for (const ServingModel& model : m_profile.models) {
-      adapter_mb = std::max(adapter_mb, model.adapter_mb);
-    }
-    return free - adapter_mb * m_profile.adapter_places;
-  }
-
-  [[nodiscard]] bool Targets(const UpstreamId& engine,
-                             const ModelName& model) const {
-    const auto& target = m_targets.at(engine);
-    return std::ranges::find(target, model) != target.end();
-  }
+  struct Place {
+    Engine engine = 0;
+    std::optional<Model> evicted;
+    double cost = std::numeric_limits<double>::max();
+  };
 
-  [[nodiscard]] bool HasLocalCopy(const EngineView& engine,
-                                  const ModelName& model) const {
-    return std::ranges::find(engine.local_copies, model) !=
-           engine.local_copies.end();
+  [[nodiscard]] std::vector<ModelName> InOrder(
+      std::vector<Model> models) const {
+    std::ranges::stable_sort(models, std::greater<>(),
+                             [this](Model model) { return m_load[model]; });
+    std::vector<ModelName> names;
+    std::ranges::transform(
+        models, std::back_inserter(names),
+        [this](Model model) { return m_profile.models[model].name; });
+    return names;
   }
 
-  [[nodiscard]] int CopiesIn(const DataCentreId& data_centre,
-                             const ModelName& model) const {
-    return static_cast<int>(
-        std::ranges::count_if(m_engines, [&](const EngineView& engine) {
-          return engine.data_centre == data_centre && Targets(engine.id, model);
-        }));
+  [[nodiscard]] double LoadPerCopy(Model model, int copies) const {
+    return m_load[model] / std::max(1, copies);
   }
 
-  /// @returns the model on `engine` that is missed least, other than
-  /// `wanted` and models that would lose their last copy.
-  [[nodiscard]] const ModelName* LeastNeeded(const EngineView& engine,
-                                             const ModelName& wanted) const {
-    const ModelName* least = nullptr;
+  /// @returns the model on `engine` that is missed least, other than those
+  /// that would lose their last copy.
+  [[nodiscard]] std::optional<Model> LeastNeeded(Engine engine) const {
+    std::optional<Model> least;
     double least_load = std::numeric_limits<double>::max();
-    for (const ModelName& model : m_targets.at(engine.id)) {
-      const int copies = m_copies.at(model);
-      if (model == wanted || copies < 2) {
+    for (const Model model : m_state.targets(engine)) {
+      if (m_state.copies(model) < 2) {
         continue;
       }
-      const double load = LoadPerCopy(model, copies - 1);
+      const double load = LoadPerCopy(model, m_state.copies(model) - 1);
       if (load < least_load) {
-        least = &model;
+        least = model;
         least_load = load;
       }
     }
     return least;
   }
 
-  void Add(const EngineView& engine, const ModelName& model) {
-    m_targets[engine.id].push_back(model);
-    ++m_copies[model];
+  [[nodiscard]] bool MayLoad(Engine engine, Model model) const {
+    return m_state.plannable(engine) && !m_state.Targets(engine, model) &&
+           (m_state.IsLocal(engine, model) ||
+            m_state.store_loads() < m_limits.store_loads);
   }
 
-  void Drop(const EngineView& engine, const ModelName& model) {
-    // The argument may be the element that is erased.
-    --m_copies[model];
-    std::erase(m_targets[engine.id], ModelName(model));
+  [[nodiscard]] double CostOf(Engine engine, Model model) const {
+    return (m_state.IsLocal(engine, model) ? 0.0 : kStoreLoadCost) +
+           kSameDataCentreCost * m_state.copies_near(engine, model);
   }
 
-  struct Place {
-    const EngineView* engine = nullptr;
-    const ModelName* evicted = nullptr;
-    double cost = std::numeric_limits<double>::max();
-  };
-
-  /// @returns the best engine for one more copy of `model`.
-  [[nodiscard]] Place FindPlace(const ModelName& model, bool may_evict) const {
+  /// @returns the best engine with room for one more copy of `model`.
+  [[nodiscard]] std::optional<Place> FindRoom(Model model) const {
     Place best;
-    for (const EngineView& engine : m_engines) {
-      const bool local = HasLocalCopy(engine, model);
-      if (!engine.plannable || Targets(engine.id, model) ||
-          (!local && m_store_loads >= m_limits.store_loads)) {
+    for (Engine engine = 0; engine < m_engines.size(); ++engine) {
+      if (!m_state.Fits(engine, model) || !MayLoad(engine, model)) {
         continue;
       }
-      Place place{&engine, nullptr, 0.0};
-      if (FreeMb(engine.id) < m_profile.Find(model)->weights_mb) {
-        place.evicted = may_evict ? LeastNeeded(engine, model) : nullptr;
-        if (place.evicted == nullptr) {
-          continue;
-        }
-        place.cost +=
-            LoadPerCopy(*place.evicted, m_copies.at(*place.evicted) - 1);
+      const double cost = CostOf(engine, model);
+      if (cost < best.cost) {
+        best = {engine, std::nullopt, cost};
       }
-      if (!local) {
-        place.cost += kStoreLoadCost;
+    }
+    return best.cost < std::numeric_limits<double>::max() ? std::optional(best)
+                                                          : std::nullopt;
+  }
+
+  /// @returns the best engine for one more copy of `model` that drops another
+  /// model for it.
+  [[nodiscard]] std::optional<Place> FindExchange(Model model) const {
+    Place best;
+    for (Engine engine = 0; engine < m_engines.size(); ++engine) {
+      if (m_state.Fits(engine, model) || !MayLoad(engine, model)) {
+        continue;
       }
-      place.cost += kSameDataCentreCost * CopiesIn(engine.data_centre, model);
-      if (place.cost < best.cost) {
-        best = place;
+      const std::optional<Model> evicted = LeastNeeded(engine);
+      if (!evicted.has_value()) {
+        continue;
+      }
+      const double cost = CostOf(engine, model) +
+                          LoadPerCopy(*evicted, m_state.copies(*evicted) - 1);
+      if (cost < best.cost) {
+        best = {engine, evicted, cost};
       }
     }
-    return best;
+    return best.evicted.has_value() ? std::optional(best) : std::nullopt;
   }
 
-  void Put(const Place& place, const ModelName& model) {
-    if (place.evicted != nullptr) {
-      Drop(*place.engine, *place.evicted);
+  void Put(const Place& place, Model model) {
+    if (place.evicted.has_value()) {
+      m_state.Drop(place.engine, *place.evicted);
     }
-    if (!HasLocalCopy(*place.engine, model)) {
-      ++m_store_loads;
-    }
-    Add(*place.engine, model);
+    m_state.Add(place.engine, model);
   }
 
-  [[nodiscard]] std::vector<ModelName> ByLoadPerCopy() const {
-    std::vector<ModelName> models;
-    for (const auto& [model, copies] : m_copies) {
-      models.push_back(model);
-    }
-    std::ranges::sort(models, std::greater<>(), [this](const ModelName& model) {
-      return LoadPerCopy(model, m_copies.at(model));
+  [[nodiscard]] std::vector<Model> ByLoadPerCopy() const {
+    std::vector<Model> models(m_state.model_count());
+    std::iota(models.begin(), models.end(), Model{0});
+    std::ranges::stable_sort(models, std::greater<>(), [this](Model model) {
+      return LoadPerCopy(model, m_state.copies(model));
     });
     return models;
   }
 
-  // Models that no engine holds come first, the most wanted first.
+  // Models that no engine holds and that found no room, the most wanted first.
   void CoverMissing() {
-    for (const ModelName& model : ByLoadPerCopy()) {
-      if (m_copies.at(model) > 0) {
+    for (const Model model : ByLoadPerCopy()) {
+      if (m_state.copies(model) > 0) {
         continue;
       }
-      const Place place = FindPlace(model, m_limits.may_evict);
-      if (place.engine != nullptr) {
-        Put(place, model);
+      std::optional<Place> place = FindRoom(model);
+      if (!place.has_value() && m_limits.may_evict) {
+        place = FindExchange(model);
+      }
+      if (place.has_value()) {
+        Put(*place, model);
       }
     }
   }
 
-  // Room is filled with what loads without the weight store, and from there
-  // only with models whose demand is worth it.
-  void FillRoom() {
-    for (bool placed = true; placed;) {
-      placed = false;
-      Place best;
-      const ModelName* best_model = nullptr;
-      for (const auto& [model, copies] : m_copies) {
-        Place place = FindPlace(model, false);
-        if (place.engine == nullptr) {
-          continue;
-        }
-        place.cost -= LoadPerCopy(model, copies + 1);
-        const bool worth = HasLocalCopy(*place.engine, model) ||
-                           LoadPerCopy(model, copies + 1) > kStoreLoadCost;
-        if (worth && place.cost < best.cost) {
-          best = place;
-          best_model = &model;
+  /// The best room for one more copy of each model, kept while others are
+  /// placed: only the engine that was filled, and the model itself, change.
+  class RoomFinder {
+   public:
+    explicit RoomFinder(const Plan& plan)
+        : m_plan(plan), m_places(plan.m_state.model_count()) {
+      Refresh([](const auto& /*place*/) { return true; });
+    }
+    [[nodiscard]] const std::optional<Place>& RoomFor(Model model) const {
+      return m_places[model];
+    }
+    void NotePlaced(Engine engine, Model placed) {
+      const bool store_is_out =
+          m_plan.m_state.store_loads() >= m_plan.m_limits.store_loads;
+      const bool changed =
+          std::exchange(m_store_was_out, store_is_out) != store_is_out;
+      m_places[placed] = m_plan.FindRoom(placed);
+      Refresh([&](const std::optional<Place>& place) {
+        return changed || (place.has_value() && place->engine == engine);
+      });
+    }
+
+   private:
+    template <typename Predicate>
+    void Refresh(Predicate is_stale) {
+      for (Model model = 0; model < m_places.size(); ++model) {
+        if (is_stale(m_places[model])) {
+          m_places[model] = m_plan.FindRoom(model);
         }
       }
-      if (best_model != nullptr) {
-        Put(best, *best_model);
-        placed = true;
+    }
+
+    const Plan& m_plan;
+    std::vector<std::optional<Place>> m_places;
+    bool m_store_was_out = false;
+  };
+
+  // Room goes to whatever is wanted most, as long as enough is left for every
+  // model that no engine holds: an engine loads one model at a time, and a
+  // wanted model needs many engines while they are cold.
+  void FillRoom() {
+    int spare = m_state.SparePlaces();
+    RoomFinder rooms(*this);
+    for (;;) {
+      const std::optional<Model> model = NextForRoom(rooms, spare > 0);
+      if (!model.has_value()) {
+        return;
+      }
+      const Place place = *rooms.RoomFor(*model);
+      spare -= m_state.copies(*model) == 0 ? 0 : 1;
+      Put(place, *model);
+      rooms.NotePlaced(place.engine, *model);
+    }
+  }
+
+  /// @returns the model that gains most from a place, if any is worth one:
+  /// loads from the weight store are for models that are missing, or with
+  /// enough demand.
+  [[nodiscard]] std::optional<Model> NextForRoom(const RoomFinder& rooms,
+                                                 bool has_spare) const {
+    std::optional<Model> best;
+    double best_cost = std::numeric_limits<double>::max();
+    for (Model model = 0; model < m_state.model_count(); ++model) {
+      const std::optional<Place>& place = rooms.RoomFor(model);
+      const bool missing = m_state.copies(model) == 0;
+      if (!place.has_value() || (!missing && !has_spare)) {
+        continue;
+      }
+      const double gain = LoadPerCopy(model, m_state.copies(model) + 1);
+      const bool worth = missing || m_state.IsLocal(place->engine, model) ||
+                         gain > kStoreLoadCost;
+      if (worth && place->cost - gain < best_cost) {
+        best = model;
+        best_cost = place->cost - gain;
       }
     }
+    return best;
   }
 
   void MoveCopies() {
-    const int moves = std::max(
-        1, static_cast<int>(
-               std::ceil(static_cast<double>(m_engines.size()) * kMovesShare)));
-    for (int i = 0; i < moves; ++i) {
-      const std::vector<ModelName> models = ByLoadPerCopy();
-      const bool moved =
-          std::ranges::any_of(models, [this](const ModelName& model) {
-            const Place place = FindPlace(model, true);
-            if (place.engine == nullptr || place.evicted == nullptr) {
-              return false;
-            }
-            const double gain = LoadPerCopy(model, m_copies.at(model));
-            const double loss =
-                LoadPerCopy(*place.evicted, m_copies.at(*place.evicted) - 1);
-            if (gain < kLeastLoadToMove || gain < loss * kMoveGain) {
-              return false;
-            }
-            Put(place, model);
-            return true;
-          });
-      if (!moved) {
+    const auto moves = static_cast<int>(
+        std::ceil(static_cast<double>(m_engines.size()) * kMovesShare));
+    for (int i = 0; i < std::max(1, moves); ++i) {
+      const std::vector<Model> models = ByLoadPerCopy();
+      if (std::ranges::none_of(
+              models, [this](Model model) { return MoveCopyTo(model); })) {
         return;
       }
     }
   }
 
+  /// @returns whether an engine is to drop a model for this one.
+  bool MoveCopyTo(Model model) {
+    const double gain = LoadPerCopy(model, m_state.copies(model));
+    if (gain < kLeastLoadToMove) {
+      return false;
+    }
+    const std::optional<Place> place = FindExchange(model);
+    if (!place.has_value()) {
+      return false;
+    }
+    const double loss =
+        LoadPerCopy(*place->evicted, m_state.copies(*place->evicted) - 1);
+    if (gain < loss * kMoveGain) {
+      return false;
+    }
+    Put(*place, model);
+    return true;
+  }
+
   const EngineProfile& m_profile;
   const std::vector<EngineView>& m_engines;
   PlanLimits m_limits;
-  int m_store_loads = 0;
-  std::map<ModelName, double> m_load;
-  std::map<ModelName, int> m_copies;
-  PlacementTargets m_targets;
+  PlacementState m_state;
+  /// Prompt tokens a second that are asked of each model.
+  std::vector<double> m_load;
 };
 
 }  // namespace
--- a/packages/serving/src/serving_agent.cc
+++ b/packages/serving/src/serving_agent.cc
@@ -17,11 +17,6 @@
 // The engine's report is free on its own machine and lags by some hundred
 // milliseconds, so that asking more often tells little.
 constexpr Duration kPollPeriod = milliseconds(200);
-// How often the lists of models and copies are sent in full; a lost message
-// leaves an entry with older lists for this long.
-constexpr Duration kListsPeriod = milliseconds(1000);
-// Entries that were not heard of for this long get no more reports.
-constexpr Duration kEntryLifetime = std::chrono::seconds(3);
 // A target older than this is no longer followed.
 constexpr Duration kTargetLifetime = std::chrono::seconds(2);
 // A report shows an order that was accepted this long before it.
@@ -63,7 +58,8 @@
           {deps.documents.OperatorTable(), kOperatorPause, kOperatorPause},
           [this](const TableRow& row) { HandleOperatorRow(row); }),
       m_ledger(deps.loop, deps.table),
-      m_cold_permits(deps.loop.clock()) {}
+      m_cold_permits(deps.loop.clock()),
+      m_subscribers(deps.loop.clock()) {}
 
 bool ServingAgent::Start() {
   if (!m_socket.Bind(m_settings.peers)) {
@@ -92,8 +88,9 @@
   });
   metrics.SetGauge("adapter_jobs",
                    [this] { return static_cast<double>(m_jobs.size()); });
-  metrics.SetGauge("entries_known",
-                   [this] { return static_cast<double>(m_entries.size()); });
+  metrics.SetGauge("entries_known", [this] {
+    return static_cast<double>(m_subscribers.all().size());
+  });
   RegisterLogGauges(metrics);
 }
 
@@ -106,7 +103,7 @@
                         {"upstream", m_upstream.value()},
                         {"orders_accepted", m_orders_accepted},
                         {"fencing_token", m_fencing_token},
-                        {"entries", m_entries.size()},
+                        {"entries", m_subscribers.all().size()},
                         {"not_ready", NotReadyReason()}}
       .dump();
 }
@@ -148,12 +145,23 @@
 
 void ServingAgent::HandleTarget(const Endpoint& from, const InstanceId& sender,
                                 const EngineTarget& target) {
-  const TimePoint now = m_deps.loop.clock().Now();
-  m_entries[sender] = {from, now};
-  m_upstream = target.upstream;
+  const bool is_new = m_subscribers.Hear(sender, from);
+  if (m_upstream != target.upstream) {
+    // Reports under another id are of no use to anybody.
+    m_upstream = target.upstream;
+    m_subscribers.ForgetLists();
+  }
+  // An entry cannot use an engine that it has no report of.
+  if (is_new && m_report.has_value()) {
+    NumberLists();
+    SendReport(m_subscribers.all()[sender]);
+  }
   if (target.models.has_value()) {
-    m_target = target.models;
-    m_target_at = now;
+    m_target_at = m_deps.loop.clock().Now();
+    if (m_target != target.models) {
+      m_target = target.models;
+      Reconcile();
+    }
   }
 }
 
@@ -267,37 +275,32 @@
 }
 
 void ServingAgent::Broadcast() {
-  const TimePoint now = m_deps.loop.clock().Now();
-  std::erase_if(m_entries, [&](const auto& item) {
-    return now - item.second.heard_at > kEntryLifetime;
-  });
-  if (m_entries.empty()) {
-    return;
-  }
-  const std::string bytes =
-      EncodeStatus({m_settings.id, m_incarnation, MakeStatus()});
-  for (const auto& [id, entry] : m_entries) {
-    m_socket.Send(entry.address, bytes);
+  m_subscribers.Expire();
+  NumberLists();
+  for (auto& [id, subscriber] : m_subscribers.all()) {
+    SendReport(subscriber);
   }
 }
 
-EngineStatus ServingAgent::MakeStatus() {
+void ServingAgent::SendReport(ReportSubscribers::Subscriber& subscriber) {
+  const bool brief = !m_subscribers.TakeNeedOfLists(subscriber, m_lists);
+  m_socket.Send(
+      subscriber.address,
+      EncodeStatus({m_settings.id, m_incarnation,
+                    EngineStatus{m_upstream, *m_report, m_lists, brief}}));
+}
+
+void ServingAgent::NumberLists() {
   EngineStatus lists;
+  lists.report.born_ms = m_report->born_ms;
   lists.report.models = m_report->models;
   lists.report.on_disk = m_report->on_disk;
   lists.report.in_host_memory = m_report->in_host_memory;
   std::string text = EncodeStatus({m_settings.id, m_incarnation, lists});
-  const TimePoint now = m_deps.loop.clock().Now();
   if (text != m_lists_text) {
     m_lists_text = std::move(text);
     ++m_lists;
-    m_lists_sent_at = {};
-  }
-  const bool brief = now - m_lists_sent_at < kListsPeriod;
-  if (!brief) {
-    m_lists_sent_at = now;
   }
-  return {m_upstream, *m_report, m_lists, brief};
 }
 
 void ServingAgent::Reply(const AdapterJob& job, bool loaded) {
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -30,6 +30,8 @@
 constexpr Duration kSpendingRepeatTime = std::chrono::seconds(2);
 constexpr Duration kTickPeriod = milliseconds(100);
 constexpr Duration kPlanPeriod = milliseconds(300);
+// After an engine's first report: others follow within some milliseconds.
+constexpr Duration kPlanSoon = milliseconds(40);
 constexpr Duration kRegisterRetry = milliseconds(400);
 // Upstream connections are made in some milliseconds; the fleet's links are
 // short.
@@ -110,6 +112,12 @@
   // A new peer needs every total once.
   m_peers.OnPeerFound([this] { m_spent.clear(); });
   m_peers.OnEngineStatus([this](const EngineStatus& status) {
+    const Upstream* upstream = m_upstreams.Find(status.upstream);
+    const bool is_first =
+        upstream != nullptr && !m_upstreams.HasFreshReport(*upstream);
+    if (is_first && m_plan_soon == nullptr) {
+      m_plan_soon = m_deps.loop.After(kPlanSoon, [this] { Plan(); });
+    }
     if (status.brief) {
       m_upstreams.SetBriefReport(status.upstream, status.report);
     } else {
@@ -338,6 +346,11 @@
         .With("cold_ms", record.cold_remaining / milliseconds(1));
   }
   m_upstreams.Put(record);
+  // A new engine can be used, and told what to hold, once its agent reports.
+  const Upstream* listed = m_upstreams.Find(id);
+  if (listed->has_engine && !m_upstreams.HasFreshReport(*listed)) {
+    m_peers.Greet(id);
+  }
 }
 
 void ServingEntry::HandleMemberRow(const TableRow& row) {
@@ -419,6 +432,7 @@
 }
 
 void ServingEntry::Plan() {
+  m_plan_soon = nullptr;
   PlacementTargets targets;
   if (m_active != nullptr && m_peers.IsPlanner() &&
       !m_draining_since.has_value()) {
