Local copies tell of demand before it is measured; callers return when engines are warm

Cause: the first plan after a loss of power is made before any demand is known: at 35.3 to 35.5 s eight engines began with rare models. Callers that cold engines could not take were sent back for 0.25 to 0.75 s, into the same shortage, and a caller comes back once. Ruled out: a row of demand in the store (a write every few seconds for what the engines' disks tell anyway); a prior that also moves copies (trial with 100 a copy in every load: it would evict for models that were wanted once). Change: where room is filled, each local copy counts 500 tokens a second; Retry-After is the time until the first cold engine that could serve the call is warm, if the caller can wait that long.

--- a/packages/serving/include/bambooquay/serving/forwarded_call.h
+++ b/packages/serving/include/bambooquay/serving/forwarded_call.h
@@ -111,6 +111,9 @@
   /// Leaves the service unset if the configuration does not know it.
   void ChooseService();
   void TryUpstream();
+  /// @returns the time after which a caller that no upstream could take now
+  ///   should come back.
+  [[nodiscard]] Duration RetryDelay(PickFailure failure);
   void LoadAdapter();
   /// Asks for a permit, if a cold engine could take the call.
   /// @returns whether one was asked for.
--- a/packages/serving/include/bambooquay/serving/upstream_set.h
+++ b/packages/serving/include/bambooquay/serving/upstream_set.h
@@ -146,6 +146,9 @@
   void GrantCold(const UpstreamId& id);
   /// Notes that its agent has no permit for this long.
   void DenyCold(const UpstreamId& id, Duration wait);
+  /// @returns the time until an upstream that is only cold bears any load;
+  ///   nothing if there is none.
+  [[nodiscard]] std::optional<Duration> TimeUntilWarm(const PickQuery& query);
   void Began(const UpstreamId& id, const PickQuery& query);
   void Ended(const UpstreamId& id, const PickQuery& query, AttemptEnd end);
 
--- a/packages/serving/src/forwarded_call.cc
+++ b/packages/serving/src/forwarded_call.cc
@@ -208,7 +208,19 @@
     return;
   }
   Refuse(ToCode(HttpStatus::kServiceUnavailable),
-         kReasons.at(static_cast<std::size_t>(failure)), kRetryAfter);
+         kReasons.at(static_cast<std::size_t>(failure)), RetryDelay(failure));
+}
+
+Duration ForwardedCall::RetryDelay(PickFailure failure) {
+  if (failure != PickFailure::kFull) {
+    return kRetryAfter;
+  }
+  // Cold upstreams are a bottleneck until they are warm; a caller that cannot
+  // wait for that may as well try earlier.
+  const Duration warm =
+      m_context.upstreams.TimeUntilWarm(m_query).value_or(Duration::zero());
+  return warm + kRetryAfterSpread < TimeLeft() ? std::max(warm, kRetryAfter)
+                                               : kRetryAfter;
 }
 
 void ForwardedCall::LoadAdapter() {
--- a/packages/serving/src/placement_planner.cc
+++ b/packages/serving/src/placement_planner.cc
@@ -18,6 +18,10 @@
 constexpr double kDecodeTokens = 3000.0;
 // Keeps models without demand in a stable order, in tokens a second.
 constexpr double kBaseLoad = 1.0;
+// What a local copy adds to the load of its model where room is filled, in
+// tokens a second: it is there because the model was wanted, which matters
+// while little else is known. Six copies weigh like one request a second.
+constexpr double kCopyLoad = 500.0;
 // A copy moves only to a model with at least this load per copy, in tokens a
 // second: about a seventh of what an engine reads.
 constexpr double kLeastLoadToMove = 6000.0;
@@ -44,7 +48,13 @@
         m_engines(engines),
         m_limits(limits),
         m_state(profile, engines),
-        m_load(profile.models.size(), kBaseLoad) {
+        m_load(profile.models.size(), kBaseLoad),
+        m_past_load(profile.models.size()) {
+    for (Engine engine = 0; engine < engines.size(); ++engine) {
+      for (Model model = 0; model < m_load.size(); ++model) {
+        m_past_load[model] += m_state.IsLocal(engine, model) ? kCopyLoad : 0.0;
+      }
+    }
     for (const ModelDemand& item : demand) {
       const Model model = m_state.Find(item.model);
       if (model < m_load.size()) {
@@ -78,8 +88,9 @@
 
   [[nodiscard]] std::vector<ModelName> InOrder(
       std::vector<Model> models) const {
-    std::ranges::stable_sort(models, std::greater<>(),
-                             [this](Model model) { return m_load[model]; });
+    std::ranges::stable_sort(models, std::greater<>(), [this](Model model) {
+      return m_load[model] + m_past_load[model];
+    });
     std::vector<ModelName> names;
     std::ranges::transform(
         models, std::back_inserter(names),
@@ -257,9 +268,10 @@
       if (!place.has_value() || (!missing && !has_spare)) {
         continue;
       }
-      const double gain = LoadPerCopy(model, m_state.copies(model) + 1);
+      const int copies = m_state.copies(model) + 1;
+      const double gain = (m_load[model] + m_past_load[model]) / copies;
       const bool worth = missing || m_state.IsLocal(place->engine, model) ||
-                         gain > kStoreLoadCost;
+                         LoadPerCopy(model, copies) > kStoreLoadCost;
       if (worth && place->cost - gain < best_cost) {
         best = model;
         best_cost = place->cost - gain;
@@ -305,6 +317,8 @@
   PlacementState m_state;
   /// Prompt tokens a second that are asked of each model.
   std::vector<double> m_load;
+  /// The same as far as local copies tell of it.
+  std::vector<double> m_past_load;
 };
 
 }  // namespace
--- a/packages/serving/src/upstream_choice.cc
+++ b/packages/serving/src/upstream_choice.cc
@@ -240,6 +240,17 @@
              : std::optional<UpstreamId>(best->upstream->record.id);
 }
 
+std::optional<Duration> UpstreamSet::TimeUntilWarm(const PickQuery& query) {
+  std::optional<Duration> least;
+  for (const Candidate& candidate : FindCandidates(query)) {
+    if (IsColdLimited(*candidate.upstream)) {
+      const Duration left = candidate.upstream->cold_until - m_clock.Now();
+      least = std::min(least.value_or(left), left);
+    }
+  }
+  return least;
+}
+
 void UpstreamSet::GrantCold(const UpstreamId& id) {
   const auto known = m_upstreams.find(id);
   if (known != m_upstreams.end()) {
--- a/packages/serving/tests/placement_planner_test.cc
+++ b/packages/serving/tests/placement_planner_test.cc
@@ -169,6 +169,27 @@
   }
 }
 
+// When all entries have restarted, nothing is known of demand yet; a model
+// that was wanted has left copies on many engines.
+BOOST_AUTO_TEST_CASE(copies_tell_of_demand_before_it_is_measured) {
+  std::vector<EngineView> engines;
+  for (int i = 0; i < 10; ++i) {
+    engines.push_back(Engine(i, {}, {10 + i, 20 + i, 30 + i, i % 5}));
+  }
+  for (int i = 0; i < 5; ++i) {
+    engines[static_cast<std::size_t>(2 * i + 1)].local_copies.push_back(
+        Model(0));
+  }
+  const PlacementTargets targets =
+      PlanPlacement(Profile(25), engines, {}, {false, 20});
+  // One in each of three data centres at least, before models of one copy.
+  BOOST_TEST(CopiesOf(targets, 0) >= 3);
+  for (const auto& [engine, models] : targets) {
+    const bool holds = std::ranges::find(models, Model(0)) != models.end();
+    BOOST_TEST((!holds || models.front() == Model(0)));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_rising_model_gains_copies_at_the_stores_pace) {
   std::vector<EngineView> engines;
   for (int i = 0; i < 9; ++i) {
--- a/packages/serving/tests/upstream_set_test.cc
+++ b/packages/serving/tests/upstream_set_test.cc
@@ -254,6 +254,23 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(the_first_upstream_to_be_warm_tells_when_to_come_back) {
+  Set set;
+  set.upstreams.SetColdRate(ServiceName("s"), 8.0);
+  BOOST_TEST(!set.upstreams.TimeUntilWarm(Query("s")).has_value());
+  UpstreamRecord record = Record("a", 1);
+  record.cold_remaining = milliseconds(2000);
+  set.upstreams.Put(record);
+  record = Record("b", 2);
+  record.cold_remaining = milliseconds(1000);
+  set.upstreams.Put(record);
+  const auto first = set.upstreams.TimeUntilWarm(Query("s"));
+  BOOST_REQUIRE(first.has_value());
+  BOOST_TEST((*first >= milliseconds(1000) && *first < milliseconds(2000)));
+  set.clock.Advance(seconds(5));
+  BOOST_TEST(!set.upstreams.TimeUntilWarm(Query("s")).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(a_permit_that_is_not_used_at_once_expires) {
   Set set;
   set.upstreams.SetEngineServices({ServiceName("s")});
