--- a/packages/serving/src/forwarded_call.cc
+++ b/packages/serving/src/forwarded_call.cc
@@ -254,13 +254,15 @@
     return false;
   }
   m_wait_timer = nullptr;
+  // The permit is of use to other calls also when this one has ended.
   m_context.agents.AskPermit(
-      *upstream, [this, alive = std::weak_ptr(m_alive), id = *upstream](
-                     bool granted, Duration wait) {
+      *upstream,
+      [this, alive = std::weak_ptr(m_alive), &upstreams = m_context.upstreams,
+       id = *upstream](bool granted, Duration wait) {
         if (granted) {
-          m_context.upstreams.GrantCold(id);
+          upstreams.GrantCold(id);
         } else {
-          m_context.upstreams.DenyCold(id, wait);
+          upstreams.DenyCold(id, wait);
         }
         if (!alive.expired() && !m_done) {
           TryUpstream();
