An upstream that cannot be reached is no attempt

Ruled out: knowing crashes sooner (the list and the agent's report lag by design, and 21 entries each find out by trying). Change: a connection that could not be made carried nothing, so it takes none of the route's attempts and none of the retry budget; at most four of them.

--- a/packages/serving/include/bambooquay/serving/forwarded_call.h
+++ b/packages/serving/include/bambooquay/serving/forwarded_call.h
@@ -142,7 +142,11 @@
 
   [[nodiscard]] Duration Elapsed() const;
   [[nodiscard]] Duration TimeLeft() const;
+  /// @returns whether the route and the time left allow another attempt.
   [[nodiscard]] bool CanRetry(bool may_have_run);
+  /// @returns whether the service's budget allows another attempt, and takes it
+  ///   from there. One that reached no upstream burdens none.
+  [[nodiscard]] bool TakeRetry(AttemptEnd end);
   /// Sets what the call needs of an upstream.
   void MakeQuery();
 
@@ -159,6 +163,8 @@
 
   PickQuery m_query;
   int m_attempts = 0;
+  /// Attempts whose upstream could not be reached; nothing was sent to it.
+  int m_unsent = 0;
   /// Some attempt may have run the request.
   bool m_may_have_run = false;
   bool m_adapter_asked = false;
--- a/packages/serving/src/forwarded_response.cc
+++ b/packages/serving/src/forwarded_response.cc
@@ -16,6 +16,9 @@
 constexpr std::size_t kPauseBytes = 64 * 1024;
 // Attempts with less time left than this are not worth making.
 constexpr Duration kLeastAttemptTime = milliseconds(50);
+// Upstreams that could not be reached, beyond which a call gives up: each costs
+// up to the time in which connections are made.
+constexpr int kMostUnsent = 4;
 // A stream is moved when it pauses for this multiple of the longest pause
 // that its route allows.
 constexpr double kSilencePauses = 2.0;
@@ -177,7 +180,17 @@
   if (may_have_run && !m_route->repeatable()) {
     return false;
   }
-  return m_attempts < m_route->max_attempts && TimeLeft() > kLeastAttemptTime;
+  return m_attempts - m_unsent < m_route->max_attempts &&
+         m_unsent <= kMostUnsent && TimeLeft() > kLeastAttemptTime;
+}
+
+bool ForwardedCall::TakeRetry(AttemptEnd end) {
+  const bool burdens = end != AttemptEnd::kUnreachable;
+  const bool granted =
+      !burdens || m_context.budget_of(m_service->name).TryRetry();
+  m_context.metrics.Increment(granted ? "retries_total{granted=\"yes\"}"
+                                      : "retries_total{granted=\"no\"}");
+  return granted;
 }
 
 void ForwardedCall::HandleFailedAttempt(AttemptEnd end, bool may_have_run,
@@ -186,15 +199,12 @@
   m_context.metrics.Increment("attempts_failed_total{reason=\"" +
                               std::string(reason) + "\"}");
   EndAttempt(end);
+  m_unsent += end == AttemptEnd::kUnreachable ? 1 : 0;
   m_may_have_run = m_may_have_run || may_have_run;
   m_body.clear();
   static_cast<void>(m_events.TakeRest());
   const bool allowed = CanRetry(may_have_run);
-  const bool retry = allowed && m_context.budget_of(m_service->name).TryRetry();
-  if (allowed) {
-    m_context.metrics.Increment(retry ? "retries_total{granted=\"yes\"}"
-                                      : "retries_total{granted=\"no\"}");
-  }
+  const bool retry = allowed && TakeRetry(end);
   LogEvent(LogLevel::kInfo, "attempt_failed")
       .With("request", m_call.id.value())
       .With("upstream", upstream)
