Trial: lists of engines are sent until confirmed, fewer watches

Engines' lists go to every entry once a second. Change: agents pause 8 s between watches, cut short by a model they do not know; entries pause 5 s between watches of the members; lists are numbered, entries confirm the number, and lists are sent only until confirmed.

--- a/packages/serving/include/bambooquay/serving/serving_agent.h
+++ b/packages/serving/include/bambooquay/serving/serving_agent.h
@@ -61,6 +61,8 @@
                     const EngineTarget& target);
   void HandleAdapterRequest(const Endpoint& from,
                             const AdapterRequest& request);
+  /// A model in the target that the configuration lacks is in a newer one.
+  void LookForUnknownModels();
   void HandlePermitRequest(const Endpoint& from, const PermitRequest& request);
   void HandleOperatorRow(const TableRow& row);
   void Poll();
@@ -88,6 +90,8 @@
   ServingSettings m_settings;
   ServingAgentDeps m_deps;
   std::uint64_t m_incarnation;
+  /// Number of the report's lists; unlike those of other lives of the agent.
+  std::uint64_t m_lists;
   DatagramSocket m_socket;
   TableMirror m_operator_rows;
   LoadLedger m_ledger;
@@ -97,9 +101,7 @@
   UpstreamId m_upstream;
   std::optional<EngineReport> m_report;
   TimePoint m_reported_at{};
-  /// Of the lists in the report: their number, and the text they were encoded
-  /// as.
-  std::uint64_t m_lists = 0;
+  /// The lists in the report as they were encoded last.
   std::string m_lists_text;
   /// The last target and who sent it.
   std::optional<std::vector<ModelName>> m_target;
--- a/packages/serving/include/bambooquay/serving/table_mirror.h
+++ b/packages/serving/include/bambooquay/serving/table_mirror.h
@@ -38,6 +38,8 @@
   void AskFallback();
   /// Called by the handler: more changes like this one are expected soon.
   void Hurry() noexcept { m_hurry = true; }
+  /// Watches again now, if there is a pause between two watches.
+  void EndPause();
   /// Sets where to list the table while the store does not answer.
   void SetFallback(FleetTable& fallback) { m_fallback = &fallback; }
   /// @returns the copy as one page.
@@ -86,6 +88,8 @@
   std::uint64_t m_version = 0;
   bool m_complete = false;
   bool m_hurry = false;
+  /// Whether `m_next` ends a pause, and is no retry.
+  bool m_pausing = false;
   int m_failures = 0;
   std::optional<TimePoint> m_answered_at;
   std::unique_ptr<Timer> m_next;
--- a/packages/serving/src/serving_agent.cc
+++ b/packages/serving/src/serving_agent.cc
@@ -26,8 +26,9 @@
 // A job is given up after this time; its entry has turned elsewhere.
 constexpr Duration kJobLifetime = milliseconds(600);
 constexpr Duration kOrderRetry = milliseconds(50);
-// Model sizes and limits change rarely, and nothing depends on their age.
-constexpr Duration kOperatorPause = std::chrono::seconds(2);
+// Model sizes and limits change rarely; a target with a model that is not known
+// ends the pause.
+constexpr Duration kOperatorPause = std::chrono::seconds(8);
 // Reports missed in a row after which the engine counts as lost.
 constexpr int kMissedReports = 3;
 
@@ -49,6 +50,7 @@
     : m_settings(settings),
       m_deps(deps),
       m_incarnation(MakeRandomNumber()),
+      m_lists(m_incarnation),
       m_socket(deps.loop,
                [this](const Endpoint& from, std::string_view bytes) {
                  Receive(from, bytes);
@@ -145,12 +147,8 @@
 
 void ServingAgent::HandleTarget(const Endpoint& from, const InstanceId& sender,
                                 const EngineTarget& target) {
-  const bool is_new = m_subscribers.Hear(sender, from);
-  if (m_upstream != target.upstream) {
-    // Reports under another id are of no use to anybody.
-    m_upstream = target.upstream;
-    m_subscribers.ForgetLists();
-  }
+  const bool is_new = m_subscribers.Hear(sender, from, target.lists);
+  m_upstream = target.upstream;
   // An entry cannot use an engine that it has no report of.
   if (is_new && m_report.has_value()) {
     NumberLists();
@@ -160,11 +158,24 @@
     m_target_at = m_deps.loop.clock().Now();
     if (m_target != target.models) {
       m_target = target.models;
+      LookForUnknownModels();
       Reconcile();
     }
   }
 }
 
+void ServingAgent::LookForUnknownModels() {
+  const EngineProfile* profile = Profile();
+  const bool all_known =
+      profile != nullptr &&
+      std::ranges::all_of(*m_target, [&](const ModelName& model) {
+        return profile->Find(model) != nullptr;
+      });
+  if (!all_known) {
+    m_operator_rows.EndPause();
+  }
+}
+
 void ServingAgent::HandleAdapterRequest(const Endpoint& from,
                                         const AdapterRequest& request) {
   const bool known = std::ranges::any_of(m_jobs, [&](const AdapterJob& job) {
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -21,7 +21,8 @@
 constexpr Duration kOperatorPause = milliseconds(50);
 constexpr Duration kUpstreamPause = milliseconds(1000);
 constexpr Duration kUpstreamShortPause = milliseconds(200);
-constexpr Duration kMemberPause = milliseconds(1000);
+// A new entry tells the others of itself; the list only tells it of them.
+constexpr Duration kMemberPause = std::chrono::seconds(5);
 // A version that a peer has for this long should have come from the store too;
 // its watch may have gone silent.
 constexpr Duration kCatchUpTime = milliseconds(600);
@@ -121,7 +122,7 @@
     if (status.brief) {
       m_upstreams.SetBriefReport(status.upstream, status.report);
     } else {
-      m_upstreams.SetReport(status.upstream, status.report);
+      m_upstreams.SetReport(status.upstream, status.report, status.lists);
     }
   });
 }
--- a/packages/serving/src/table_mirror.cc
+++ b/packages/serving/src/table_mirror.cc
@@ -119,7 +119,15 @@
   });
 }
 
+void TableMirror::EndPause() {
+  if (m_pausing) {
+    m_next = nullptr;
+    Watch();
+  }
+}
+
 void TableMirror::Watch() {
+  m_pausing = false;
   m_table.Watch(m_settings.table, m_version, kWatchTime,
                 [this](TableResult result) { HandleWatch(std::move(result)); });
 }
@@ -146,6 +154,7 @@
   });
   m_version = std::max(m_version, page.version);
   const bool hurry = std::exchange(m_hurry, false);
+  m_pausing = true;
   m_next = m_loop.After(hurry ? m_settings.short_pause : m_settings.pause,
                         [this] { Watch(); });
 }
--- a/packages/serving/src/upstream_set.cc
+++ b/packages/serving/src/upstream_set.cc
@@ -94,7 +94,8 @@
   });
 }
 
-void UpstreamSet::SetReport(const UpstreamId& id, const EngineReport& report) {
+void UpstreamSet::SetReport(const UpstreamId& id, const EngineReport& report,
+                            std::uint64_t lists) {
   const auto known = m_upstreams.find(id);
   if (known == m_upstreams.end()) {
     return;
@@ -105,6 +106,7 @@
     return;
   }
   upstream.report = report;
+  upstream.lists = lists;
   upstream.reported_at = m_clock.Now();
   upstream.sent_since_report = 0;
   upstream.fresh_adapters.clear();
--- a/packages/serving/tests/table_test.cc
+++ b/packages/serving/tests/table_test.cc
@@ -21,8 +21,8 @@
 
 /// A mirror and what it was told.
 struct Mirrored {
-  Mirrored()
-      : mirror(loop, table, random, {"t", Duration::zero(), Duration::zero()},
+  explicit Mirrored(Duration pause = Duration::zero())
+      : mirror(loop, table, random, {"t", pause, pause},
                [this](const TableRow& row) {
                  if (row.deleted) {
                    seen.erase(row.key);
@@ -58,6 +58,20 @@
   }));
 }
 
+BOOST_AUTO_TEST_CASE(a_pause_between_watches_can_be_ended) {
+  Mirrored mirrored(std::chrono::hours(1));
+  mirrored.mirror.Start();
+  BOOST_TEST(mirrored.Until([&] { return mirrored.mirror.complete(); }));
+  mirrored.table.Put("t", "a", "1");
+  BOOST_TEST(mirrored.Until([&] { return mirrored.seen.contains("a"); }));
+  // The hour has begun; this change is not seen before its end.
+  mirrored.table.Put("t", "b", "2");
+  mirrored.loop.RunUntil([] { return false; }, milliseconds(50));
+  BOOST_TEST(!mirrored.seen.contains("b"));
+  mirrored.mirror.EndPause();
+  BOOST_TEST(mirrored.Until([&] { return mirrored.seen.contains("b"); }));
+}
+
 BOOST_AUTO_TEST_CASE(a_dropped_history_leads_to_a_new_listing) {
   Mirrored mirrored;
   mirrored.table.Put("t", "a", "1");
