--- a/packages/peers/include/bambooquay/peers/status_messages.h
+++ b/packages/peers/include/bambooquay/peers/status_messages.h
@@ -40,8 +40,6 @@
   UpstreamId upstream;
   /// Models to hold; set only by the entry that plans placement.
   std::optional<std::vector<ModelName>> models;
-  /// Number of the engine's lists that the sender has; 0 for none.
-  std::uint64_t lists = 0;
 };
 
 /// From each agent to the entries that it hears from.
--- a/packages/peers/src/status_messages.cc
+++ b/packages/peers/src/status_messages.cc
@@ -80,7 +80,6 @@
 void Write(status::EngineTarget::Builder to, const EngineTarget& from) {
   to.setUpstream(from.upstream.value().c_str());
   to.setPlanned(from.models.has_value());
-  to.setLists(from.lists);
   if (from.models.has_value()) {
     WriteTexts(to.initModels(static_cast<unsigned>(from.models->size())),
                *from.models);
@@ -90,7 +89,6 @@
 EngineTarget Read(status::EngineTarget::Reader from) {
   EngineTarget to;
   to.upstream = UpstreamId(ToText(from.getUpstream()));
-  to.lists = from.getLists();
   if (from.getPlanned()) {
     to.models = ReadTexts<ModelName>(from.getModels());
   }
--- a/packages/peers/status.capnp
+++ b/packages/peers/status.capnp
@@ -32,8 +32,6 @@
   upstream @0 :Text;
   planned @1 :Bool;
   models @2 :List(Text);
-  # Number of the engine's lists that the sender has; 0 for none.
-  lists @3 :UInt64;
 }
 
 struct HeldModel {
--- a/packages/serving/include/bambooquay/serving/report_subscribers.h
+++ b/packages/serving/include/bambooquay/serving/report_subscribers.h
@@ -11,33 +11,32 @@
 namespace bambooquay {
 
 /// Decides which entries get the engine's lists of models and copies in full:
-/// those that have not confirmed these lists, again after a while, as any
+/// those that have not got these lists yet, and each once a second, as any
 /// datagram may be lost. The rest get a brief report.
 class ReportSubscribers {
  public:
   struct Subscriber {
     Endpoint address;
     TimePoint heard_at{};
-    /// Number of the lists that it has; 0 for none.
-    std::uint64_t confirmed = 0;
-    /// Number of the lists that were sent last, and when.
-    std::uint64_t sent = 0;
-    TimePoint sent_at{};
+    /// Number of the lists that it got last; 0 for none.
+    std::uint64_t lists = 0;
+    TimePoint lists_sent_at{};
   };
 
   explicit ReportSubscribers(const Clock& clock) noexcept : m_clock(clock) {}
 
   /// Notes that an entry was heard of.
-  /// @param confirmed  number of the lists that it has.
-  /// @returns whether it has none.
-  bool Hear(const InstanceId& entry, const Endpoint& from,
-            std::uint64_t confirmed);
+  /// @returns whether it is new or has moved, and has got no lists.
+  bool Hear(const InstanceId& entry, const Endpoint& from);
   /// Drops entries that were not heard of for a while.
   void Expire();
   /// @param lists  number of the lists as they are now.
   /// @returns whether the next report to it needs them; they count as sent.
   [[nodiscard]] bool TakeNeedOfLists(Subscriber& subscriber,
                                      std::uint64_t lists) const;
+  /// What they have got no longer counts.
+  void ForgetLists();
+
   [[nodiscard]] std::map<InstanceId, Subscriber>& all() noexcept {
     return m_subscribers;
   }
--- a/packages/serving/include/bambooquay/serving/serving_agent.h
+++ b/packages/serving/include/bambooquay/serving/serving_agent.h
@@ -90,8 +90,6 @@
   ServingSettings m_settings;
   ServingAgentDeps m_deps;
   std::uint64_t m_incarnation;
-  /// Number of the report's lists; unlike those of other lives of the agent.
-  std::uint64_t m_lists;
   DatagramSocket m_socket;
   TableMirror m_operator_rows;
   LoadLedger m_ledger;
@@ -101,7 +99,9 @@
   UpstreamId m_upstream;
   std::optional<EngineReport> m_report;
   TimePoint m_reported_at{};
-  /// The lists in the report as they were encoded last.
+  /// Of the lists in the report: their number, and the text they were encoded
+  /// as.
+  std::uint64_t m_lists = 0;
   std::string m_lists_text;
   /// The last target and who sent it.
   std::optional<std::vector<ModelName>> m_target;
--- a/packages/serving/include/bambooquay/serving/upstream_set.h
+++ b/packages/serving/include/bambooquay/serving/upstream_set.h
@@ -82,8 +82,6 @@
   TimePoint cold_denied_until{};
 
   std::optional<EngineReport> report;
-  /// Its agent's number for the lists in the report; 0 without any.
-  std::uint64_t lists = 0;
   TimePoint reported_at{};
   /// Calls sent from here that have not ended.
   int in_flight = 0;
@@ -114,9 +112,7 @@
   /// @param grace  how long the upstream may still be used: for an entry that
   ///   lapsed while the store was away.
   void Remove(const UpstreamId& id, Duration grace);
-  /// @param lists  the agent's number for the report's lists.
-  void SetReport(const UpstreamId& id, const EngineReport& report,
-                 std::uint64_t lists = 0);
+  void SetReport(const UpstreamId& id, const EngineReport& report);
   /// The same for a report without its lists, which stay as they are.
   void SetBriefReport(const UpstreamId& id, const EngineReport& report);
   void SetDataCentreOut(const DataCentreId& data_centre, bool out);
--- a/packages/serving/src/peer_exchange.cc
+++ b/packages/serving/src/peer_exchange.cc
@@ -170,9 +170,7 @@
 void PeerExchange::Greet(const UpstreamId& upstream) {
   const auto agent = AgentOf(upstream);
   if (agent.has_value()) {
-    const EngineTarget target{upstream, std::nullopt,
-                              m_upstreams.Find(upstream)->lists};
-    Send(*agent, {m_self, m_incarnation, target});
+    Send(*agent, {m_self, m_incarnation, EngineTarget{upstream, std::nullopt}});
   }
 }
 
@@ -183,7 +181,6 @@
     }
     EngineTarget target;
     target.upstream = id;
-    target.lists = upstream.lists;
     const auto planned = targets.find(id);
     if (planned != targets.end()) {
       target.models = planned->second;
--- a/packages/serving/src/report_subscribers.cc
+++ b/packages/serving/src/report_subscribers.cc
@@ -4,23 +4,23 @@
 namespace bambooquay {
 namespace {
 
-// Entries confirm lists with their next message, which they send every 300 ms.
-constexpr Duration kRepeatAfter = std::chrono::milliseconds(500);
+// How often the lists are sent again; a lost message leaves an entry with
+// older lists for this long.
+constexpr Duration kListsPeriod = std::chrono::milliseconds(1000);
 // Entries that were not heard of for this long get no more reports.
 constexpr Duration kLifetime = std::chrono::seconds(3);
 
 }  // namespace
 
-bool ReportSubscribers::Hear(const InstanceId& entry, const Endpoint& from,
-                             std::uint64_t confirmed) {
-  Subscriber& subscriber = m_subscribers[entry];
-  if (subscriber.address != from) {
+bool ReportSubscribers::Hear(const InstanceId& entry, const Endpoint& from) {
+  const auto [known, is_new] = m_subscribers.try_emplace(entry);
+  Subscriber& subscriber = known->second;
+  if (!is_new && subscriber.address != from) {
     subscriber = {};
   }
   subscriber.address = from;
   subscriber.heard_at = m_clock.Now();
-  subscriber.confirmed = confirmed;
-  return confirmed == 0;
+  return subscriber.lists == 0;
 }
 
 void ReportSubscribers::Expire() {
@@ -32,14 +32,19 @@
 bool ReportSubscribers::TakeNeedOfLists(Subscriber& subscriber,
                                         std::uint64_t lists) const {
   const TimePoint now = m_clock.Now();
-  const bool on_its_way =
-      subscriber.sent == lists && now - subscriber.sent_at < kRepeatAfter;
-  if (subscriber.confirmed == lists || on_its_way) {
+  if (subscriber.lists == lists &&
+      now - subscriber.lists_sent_at < kListsPeriod) {
     return false;
   }
-  subscriber.sent = lists;
-  subscriber.sent_at = now;
+  subscriber.lists = lists;
+  subscriber.lists_sent_at = now;
   return true;
 }
 
+void ReportSubscribers::ForgetLists() {
+  for (auto& [id, subscriber] : m_subscribers) {
+    subscriber.lists = 0;
+  }
+}
+
 }  // namespace bambooquay
--- a/packages/serving/src/serving_agent.cc
+++ b/packages/serving/src/serving_agent.cc
@@ -50,7 +50,6 @@
     : m_settings(settings),
       m_deps(deps),
       m_incarnation(MakeRandomNumber()),
-      m_lists(m_incarnation),
       m_socket(deps.loop,
                [this](const Endpoint& from, std::string_view bytes) {
                  Receive(from, bytes);
@@ -147,8 +146,12 @@
 
 void ServingAgent::HandleTarget(const Endpoint& from, const InstanceId& sender,
                                 const EngineTarget& target) {
-  const bool is_new = m_subscribers.Hear(sender, from, target.lists);
-  m_upstream = target.upstream;
+  const bool is_new = m_subscribers.Hear(sender, from);
+  if (m_upstream != target.upstream) {
+    // Reports under another id are of no use to anybody.
+    m_upstream = target.upstream;
+    m_subscribers.ForgetLists();
+  }
   // An entry cannot use an engine that it has no report of.
   if (is_new && m_report.has_value()) {
     NumberLists();
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -122,7 +122,7 @@
     if (status.brief) {
       m_upstreams.SetBriefReport(status.upstream, status.report);
     } else {
-      m_upstreams.SetReport(status.upstream, status.report, status.lists);
+      m_upstreams.SetReport(status.upstream, status.report);
     }
   });
 }
--- a/packages/serving/src/upstream_set.cc
+++ b/packages/serving/src/upstream_set.cc
@@ -94,8 +94,7 @@
   });
 }
 
-void UpstreamSet::SetReport(const UpstreamId& id, const EngineReport& report,
-                            std::uint64_t lists) {
+void UpstreamSet::SetReport(const UpstreamId& id, const EngineReport& report) {
   const auto known = m_upstreams.find(id);
   if (known == m_upstreams.end()) {
     return;
@@ -106,7 +105,6 @@
     return;
   }
   upstream.report = report;
-  upstream.lists = lists;
   upstream.reported_at = m_clock.Now();
   upstream.sent_since_report = 0;
   upstream.fresh_adapters.clear();
