An order counts once: agents no longer lose their engine after a lost reply

The reply to an unload took long enough to be given up; a report counted the order, then its repeat was answered that it holds already, and was counted again. The count was never lowered, so that agent gave its engine no further order: no model, no adapter, until one of them restarted. Ruled out: orders of two holders (one agent an engine, one fencing token); lagging reports (the count stayed wrong for 20 s). Change: OrderCount: an accepted order sets the count from the number that it named, and a report has the last word once it cannot lag behind.

--- a/packages/serving/include/bambooquay/serving/serving_agent.h
+++ b/packages/serving/include/bambooquay/serving/serving_agent.h
@@ -17,6 +17,7 @@
 #include "bambooquay/serving/document_codec.h"
 #include "bambooquay/serving/engine_memory_plan.h"
 #include "bambooquay/serving/load_ledger.h"
+#include "bambooquay/serving/order_count.h"
 #include "bambooquay/serving/report_subscribers.h"
 #include "bambooquay/serving/serving_settings.h"
 #include "bambooquay/serving/table_mirror.h"
@@ -110,9 +111,7 @@
   std::deque<std::string> m_adapter_use;
   std::optional<EngineOrder> m_order;
   bool m_order_in_flight = false;
-  std::uint64_t m_orders_accepted = 0;
-  /// Reports from before this time lag behind the orders given since.
-  TimePoint m_trust_reports_from{};
+  OrderCount m_orders;
   std::uint64_t m_fencing_token = 0;
   bool m_fence_pending = false;
   bool m_report_pending = false;
--- a/packages/serving/src/serving_agent.cc
+++ b/packages/serving/src/serving_agent.cc
@@ -19,8 +19,6 @@
 constexpr Duration kPollPeriod = milliseconds(200);
 // A target older than this is no longer followed.
 constexpr Duration kTargetLifetime = std::chrono::seconds(2);
-// A report shows an order that was accepted this long before it.
-constexpr Duration kReportLag = milliseconds(500);
 // An adapter is there this long after its load was accepted.
 constexpr Duration kAdapterLoadTime = milliseconds(12);
 // A job is given up after this time; its entry has turned elsewhere.
@@ -60,7 +58,8 @@
           [this](const TableRow& row) { HandleOperatorRow(row); }),
       m_ledger(deps.loop, deps.table),
       m_cold_permits(deps.loop.clock()),
-      m_subscribers(deps.loop.clock()) {}
+      m_subscribers(deps.loop.clock()),
+      m_orders(deps.loop.clock()) {}
 
 bool ServingAgent::Start() {
   if (!m_socket.Bind(m_settings.peers)) {
@@ -102,7 +101,7 @@
 std::string ServingAgent::StatusJson() const {
   return nlohmann::json{{"instance", m_settings.id.value()},
                         {"upstream", m_upstream.value()},
-                        {"orders_accepted", m_orders_accepted},
+                        {"orders_accepted", m_orders.count()},
                         {"fencing_token", m_fencing_token},
                         {"entries", m_subscribers.all().size()},
                         {"not_ready", NotReadyReason()}}
@@ -261,19 +260,16 @@
 }
 
 void ServingAgent::HandleReport(const EngineReport& report) {
-  const TimePoint now = m_deps.loop.clock().Now();
   const bool restarted =
       m_report.has_value() && report.born_ms != m_report->born_ms;
   if (restarted) {
     LogEvent(LogLevel::kInfo, "engine_restarted")
         .With("upstream", m_upstream.value());
-    m_orders_accepted = 0;
+    m_orders.Reset();
     m_order.reset();
-    m_trust_reports_from = now;
   }
-  m_orders_accepted = std::max(m_orders_accepted, report.orders_accepted);
-  const bool lags = now < m_trust_reports_from && !restarted;
-  if (lags && m_report.has_value()) {
+  m_orders.NoteReport(report.orders_accepted);
+  if (m_orders.ReportsLag() && m_report.has_value()) {
     // Keeps what the orders since then have changed.
     EngineReport merged = report;
     merged.models = m_report->models;
@@ -283,7 +279,7 @@
   } else {
     m_report = report;
   }
-  m_reported_at = now;
+  m_reported_at = m_deps.loop.clock().Now();
   Broadcast();
   Reconcile();
 }
@@ -380,7 +376,7 @@
 void ServingAgent::ReconcileModels() {
   const TimePoint now = m_deps.loop.clock().Now();
   if (!m_target.has_value() || now - m_target_at > kTargetLifetime ||
-      now < m_trust_reports_from || m_ledger.pending()) {
+      m_orders.ReportsLag() || m_ledger.pending()) {
     return;
   }
   const auto order = NextModelOrder(*Profile(), *m_report, *m_target);
@@ -405,7 +401,7 @@
   order.kind = planned.kind;
   order.model = planned.model;
   order.adapter = planned.adapter;
-  order.expected_orders = m_orders_accepted;
+  order.expected_orders = m_orders.count();
   order.engine = m_upstream;
   order.holder = m_settings.id;
   order.fencing_token = m_fencing_token;
@@ -413,7 +409,7 @@
       .With("operation", OperationName(order.kind))
       .With("model", AdapterKey(order.model, order.adapter))
       .With("from_store", planned.from_store ? "yes" : "no")
-      .With("expected", m_orders_accepted);
+      .With("expected", m_orders.count());
   m_order = order;
   m_order_in_flight = true;
   m_deps.engine.SendOrder(order, [this, order](OrderResult result) {
@@ -429,13 +425,14 @@
                            ResultName(result) + "\"}");
   switch (result) {
     case OrderResult::kAccepted:
-      ++m_orders_accepted;
+      m_orders.NoteAccepted(order.expected_orders.value_or(0));
       NoteAccepted(order);
       m_order.reset();
       break;
     case OrderResult::kHoldsAlready:
+      // An unload holds because an earlier try of it was accepted.
       if (order.kind == OrderKind::kUnload) {
-        ++m_orders_accepted;
+        m_orders.NoteAccepted(order.expected_orders.value_or(0));
       }
       NoteAccepted(order);
       m_order.reset();
@@ -449,7 +446,7 @@
           .With("result", ResultName(result));
       // The next report tells what holds.
       m_order.reset();
-      m_trust_reports_from = {};
+      m_orders.NoteRefused();
       m_retry = m_deps.loop.After(kOrderRetry, [this] { Poll(); });
       return;
     case OrderResult::kNotSent:
@@ -466,7 +463,7 @@
 }
 
 void ServingAgent::NoteAccepted(const EngineOrder& order) {
-  m_trust_reports_from = m_deps.loop.clock().Now() + kReportLag;
+  m_orders.NoteEffect();
   auto& models = m_report->models;
   if (order.adapter.empty()) {
     m_report->busy = true;
