Twenty failed requests explained from their logs, and what was missing there

An attempt that was answered 500 and followed by another one had no line; report_age_ms was the largest number where there is no report. Change: cold is counted whenever candidates are; attempt_failed in both places; -1 for no report; orders_refused_in_row and orders_stuck at the agent. Tried and taken back: a cost for upstreams with calls in flight from which nothing has come for 300 ms. The test written for it (upstream_set/an_upstream_that_hangs_gets_less) passes without it: a call that is in flight already makes the others cheaper. The test stays.

--- a/packages/serving/include/bambooquay/serving/forwarded_call.h
+++ b/packages/serving/include/bambooquay/serving/forwarded_call.h
@@ -123,12 +123,14 @@
   void RelayBody(std::string_view bytes);
   void StartRelay();
   void HandleComplete();
-  /// Sends a call that its upstream has failed to another one.
-  /// @returns whether an attempt was started.
-  [[nodiscard]] bool RetryFailure();
+  /// @returns the upstream to try after one has answered with a failure, which
+  ///   is the caller's answer if no other is free now.
+  [[nodiscard]] std::optional<UpstreamId> NextAfterFailure();
   /// Decides what follows an attempt that gave no usable response.
   void HandleFailedAttempt(AttemptEnd end, bool may_have_run,
                            std::string_view reason);
+  void LogFailedAttempt(const UpstreamId& upstream, std::string_view reason,
+                        bool may_have_run, std::string_view retry);
   void EndAttempt(AttemptEnd end);
   void HandleTimeLimit();
   void HandleSilence();
--- a/packages/serving/include/bambooquay/serving/serving_agent.h
+++ b/packages/serving/include/bambooquay/serving/serving_agent.h
@@ -112,6 +112,7 @@
   std::optional<EngineOrder> m_order;
   bool m_order_in_flight = false;
   OrderCount m_orders;
+  int m_refused_in_row = 0;
   std::uint64_t m_fencing_token = 0;
   bool m_fence_pending = false;
   bool m_report_pending = false;
--- a/packages/serving/include/bambooquay/serving/upstream_set.h
+++ b/packages/serving/include/bambooquay/serving/upstream_set.h
@@ -58,7 +58,7 @@
   int with_adapter = 0;  ///< Of these, with the adapter.
   int avoided = 0;       ///< Of these, tried already or failing.
   int full = 0;          ///< Of these, with too many calls.
-  int cold = 0;          ///< Of these, cold and without a permit now.
+  int cold = 0;          ///< Of those left, cold.
 };
 
 struct Upstream {
@@ -164,8 +164,9 @@
   [[nodiscard]] bool Usable(const Upstream& upstream) const;
   /// @returns whether its agent has reported lately.
   [[nodiscard]] bool HasFreshReport(const Upstream& upstream) const;
-  /// @returns the time since its last report; the longest one without any.
-  [[nodiscard]] Duration ReportAge(const Upstream& upstream) const;
+  /// @returns the time since its last report, if there is one.
+  [[nodiscard]] std::optional<Duration> ReportAge(
+      const Upstream& upstream) const;
   /// @returns what it holds: as reported lately, or as listed.
   [[nodiscard]] const std::vector<ResidentModel>& Models(
       const Upstream& upstream) const;
--- a/packages/serving/src/forwarded_call.cc
+++ b/packages/serving/src/forwarded_call.cc
@@ -35,6 +35,11 @@
   return text.data();
 }
 
+/// @returns the time for a log line; -1 for none.
+std::int64_t ToMilliseconds(std::optional<Duration> time) {
+  return time.has_value() ? *time / milliseconds(1) : -1;
+}
+
 }  // namespace
 
 ForwardedCall::ForwardedCall(ServingContext& context,
@@ -294,7 +299,7 @@
       .With("upstream", id.value())
       .With("load", m_context.upstreams.Load(*upstream))
       .With("report_age_ms",
-            m_context.upstreams.ReportAge(*upstream) / milliseconds(1))
+            ToMilliseconds(m_context.upstreams.ReportAge(*upstream)))
       .With("failure_share", upstream->failure_share)
       .With("kept_tokens", upstream->cache.KeptTokens(m_query.prompt))
       .With("prompt_tokens", m_call.prompt_tokens)
@@ -379,8 +384,7 @@
       .With("attempts", m_attempts)
       .With("configuration",
             m_active == nullptr ? 0 : m_active->configuration.version)
-      .With("first_event_ms",
-            m_first_event.has_value() ? *m_first_event / milliseconds(1) : -1)
+      .With("first_event_ms", ToMilliseconds(m_first_event))
       .With("longest_pause_ms", m_longest_pause / milliseconds(1))
       .With("elapsed_ms", Elapsed() / milliseconds(1));
 }
--- a/packages/serving/src/forwarded_response.cc
+++ b/packages/serving/src/forwarded_response.cc
@@ -135,9 +135,17 @@
 
 void ForwardedCall::HandleComplete() {
   const bool failed = m_status >= ToCode(HttpStatus::kInternalError);
+  const UpstreamId upstream = *m_upstream;
   EndAttempt(failed ? AttemptEnd::kFailed : AttemptEnd::kServed);
-  if (failed && !m_relaying && RetryFailure()) {
-    return;
+  if (failed && !m_relaying) {
+    const auto next = NextAfterFailure();
+    LogFailedAttempt(upstream, std::to_string(m_status), true,
+                     next.has_value() ? "yes" : "no");
+    if (next.has_value()) {
+      m_body.clear();
+      Attempt(*next);
+      return;
+    }
   }
   if (!m_relaying) {
     m_exchange->Reply(m_status, m_reply_headers, m_body);
@@ -151,20 +159,17 @@
   Finish(failed ? "upstream_error" : "served", std::to_string(m_status));
 }
 
-bool ForwardedCall::RetryFailure() {
+std::optional<UpstreamId> ForwardedCall::NextAfterFailure() {
   m_may_have_run = true;
   if (!CanRetry(true)) {
-    return false;
+    return std::nullopt;
   }
-  // The failure at hand is the answer unless another upstream is free now.
   const auto picked = m_context.upstreams.Pick(m_query);
   const auto* upstream = std::get_if<UpstreamId>(&picked);
-  if (upstream == nullptr || !m_context.budget_of(m_service->name).TryRetry()) {
-    return false;
+  if (upstream == nullptr || !TakeRetry(AttemptEnd::kFailed)) {
+    return std::nullopt;
   }
-  m_body.clear();
-  Attempt(*upstream);
-  return true;
+  return *upstream;
 }
 
 void ForwardedCall::EndAttempt(AttemptEnd end) {
@@ -195,7 +200,7 @@
 
 void ForwardedCall::HandleFailedAttempt(AttemptEnd end, bool may_have_run,
                                         std::string_view reason) {
-  const std::string upstream = m_upstream->value();
+  const UpstreamId upstream = *m_upstream;
   m_context.metrics.Increment("attempts_failed_total{reason=\"" +
                               std::string(reason) + "\"}");
   EndAttempt(end);
@@ -205,13 +210,8 @@
   static_cast<void>(m_events.TakeRest());
   const bool allowed = CanRetry(may_have_run);
   const bool retry = allowed && TakeRetry(end);
-  LogEvent(LogLevel::kInfo, "attempt_failed")
-      .With("request", m_call.id.value())
-      .With("upstream", upstream)
-      .With("reason", reason)
-      .With("may_have_run", may_have_run ? "yes" : "no")
-      .With("retry", retry ? "yes" : (allowed ? "over_budget" : "no"))
-      .With("elapsed_ms", Elapsed() / milliseconds(1));
+  LogFailedAttempt(upstream, reason, may_have_run,
+                   retry ? "yes" : (allowed ? "over_budget" : "no"));
   if (retry) {
     TryUpstream();
     return;
@@ -228,6 +228,18 @@
   }
 }
 
+void ForwardedCall::LogFailedAttempt(const UpstreamId& upstream,
+                                     std::string_view reason, bool may_have_run,
+                                     std::string_view retry) {
+  LogEvent(LogLevel::kInfo, "attempt_failed")
+      .With("request", m_call.id.value())
+      .With("upstream", upstream.value())
+      .With("reason", reason)
+      .With("may_have_run", may_have_run ? "yes" : "no")
+      .With("retry", retry)
+      .With("elapsed_ms", Elapsed() / milliseconds(1));
+}
+
 void ForwardedCall::HandleSilence() {
   if (m_upstream.has_value() && CanRetry(true)) {
     HandleFailedAttempt(AttemptEnd::kTimedOut, true, "too_slow");
--- a/packages/serving/src/serving_agent.cc
+++ b/packages/serving/src/serving_agent.cc
@@ -24,6 +24,9 @@
 // A job is given up after this time; its entry has turned elsewhere.
 constexpr Duration kJobLifetime = milliseconds(600);
 constexpr Duration kOrderRetry = milliseconds(50);
+// Orders refused in a row after which something is wrong that a retry does not
+// mend: more than a second of them.
+constexpr int kStuckOrders = 30;
 // Model sizes and limits change rarely; a target with a model that is not known
 // ends the pause.
 constexpr Duration kOperatorPause = std::chrono::seconds(8);
@@ -86,6 +89,8 @@
   metrics.SetGauge("engine_waiting", [this] {
     return m_report.has_value() ? static_cast<double>(m_report->waiting) : 0.0;
   });
+  metrics.SetGauge("orders_refused_in_row",
+                   [this] { return static_cast<double>(m_refused_in_row); });
   metrics.SetGauge("adapter_jobs",
                    [this] { return static_cast<double>(m_jobs.size()); });
   metrics.SetGauge("entries_known", [this] {
@@ -444,6 +449,11 @@
           .With("model", AdapterKey(order.model, order.adapter))
           .With("expected", order.expected_orders.value_or(0))
           .With("result", ResultName(result));
+      if (++m_refused_in_row == kStuckOrders) {
+        LogEvent(LogLevel::kWarning, "orders_stuck")
+            .With("upstream", m_upstream.value())
+            .With("refused_in_row", m_refused_in_row);
+      }
       // The next report tells what holds.
       m_order.reset();
       m_orders.NoteRefused();
@@ -463,6 +473,7 @@
 }
 
 void ServingAgent::NoteAccepted(const EngineOrder& order) {
+  m_refused_in_row = 0;
   m_orders.NoteEffect();
   auto& models = m_report->models;
   if (order.adapter.empty()) {
--- a/packages/serving/src/upstream_choice.cc
+++ b/packages/serving/src/upstream_choice.cc
@@ -147,6 +147,7 @@
       ++counts.full;
       continue;
     }
+    counts.cold += IsColdLimited(upstream) ? 1 : 0;
     candidates.push_back({&upstream, Cost(upstream, query)});
   }
   m_last_counts = counts;
@@ -195,7 +196,6 @@
         return TakeColdPermit(*candidate.upstream);
       });
   if (chosen == candidates.end()) {
-    m_last_counts.cold = static_cast<int>(candidates.size());
     return PickFailure::kFull;
   }
   return chosen->upstream->record.id;
--- a/packages/serving/src/upstream_set.cc
+++ b/packages/serving/src/upstream_set.cc
@@ -200,9 +200,10 @@
          m_clock.Now() - upstream.reported_at < kReportLifetime;
 }
 
-Duration UpstreamSet::ReportAge(const Upstream& upstream) const {
-  return upstream.report.has_value() ? m_clock.Now() - upstream.reported_at
-                                     : Duration::max();
+std::optional<Duration> UpstreamSet::ReportAge(const Upstream& upstream) const {
+  return upstream.report.has_value()
+             ? std::optional(m_clock.Now() - upstream.reported_at)
+             : std::nullopt;
 }
 
 const std::vector<ResidentModel>& UpstreamSet::Models(
--- a/packages/serving/tests/upstream_set_test.cc
+++ b/packages/serving/tests/upstream_set_test.cc
@@ -129,6 +129,41 @@
   BOOST_TEST(picks["a"] > 0);
 }
 
+// A server that hangs looks healthy and idle. Twenty calls a second for five
+// seconds, answered after 20 ms by two others; each call to the one that hangs
+// ends at its limit of a second.
+BOOST_AUTO_TEST_CASE(an_upstream_that_hangs_gets_less) {
+  Set set;
+  for (const int port : {1, 2, 3}) {
+    set.upstreams.Put(Record("s" + std::to_string(port), port));
+  }
+  const UpstreamId hanging("s2");
+  std::vector<std::pair<TimePoint, UpstreamId>> running;
+  int sent_to_hanging = 0;
+  for (int step = 0; step < 500; ++step) {
+    set.clock.Advance(milliseconds(10));
+    std::erase_if(running, [&](const auto& call) {
+      if (call.first > set.clock.Now()) {
+        return false;
+      }
+      const bool hangs = call.second == hanging;
+      set.upstreams.Ended(call.second, Query("s"),
+                          hangs ? AttemptEnd::kTimedOut : AttemptEnd::kServed);
+      return true;
+    });
+    if (step % 5 == 0) {
+      const UpstreamId picked = *set.Pick();
+      set.upstreams.Began(picked, Query("s"));
+      sent_to_hanging += picked == hanging ? 1 : 0;
+      running.emplace_back(
+          set.clock.Now() +
+              (picked == hanging ? milliseconds(1000) : milliseconds(20)),
+          picked);
+    }
+  }
+  BOOST_TEST(sent_to_hanging <= 5);
+}
+
 BOOST_AUTO_TEST_CASE(an_upstream_that_fails_often_gets_less) {
   Set set;
   set.upstreams.Put(Record("a", 1));
