--- a/packages/operators/src/status_table.cc
+++ b/packages/operators/src/status_table.cc
@@ -79,7 +79,7 @@
 }
 
 std::string DetailOf(const Json& state) {
-  const std::string reason = state.value("not_ready", "");
+  std::string reason = state.value("not_ready", "");
   if (!reason.empty()) {
     return reason;
   }
--- a/packages/serving/tests/placement_planner_test.cc
+++ b/packages/serving/tests/placement_planner_test.cc
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
-#include <ranges>
 #include <set>
 #include <string>
 #include <vector>
@@ -149,12 +148,14 @@
   }
   const PlacementTargets targets =
       PlanPlacement(Profile(kModels), engines, demand, {false, 8});
-  const auto first_wanted = std::ranges::count_if(targets, [&](auto& item) {
-    return !item.second.empty() &&
-           std::ranges::any_of(std::views::iota(0, kWanted), [&](int model) {
-             return item.second.front() == Model(model);
-           });
-  });
+  std::set<ModelName> wanted;
+  for (int model = 0; model < kWanted; ++model) {
+    wanted.insert(Model(model));
+  }
+  const auto first_wanted =
+      std::ranges::count_if(targets, [&](const auto& item) {
+        return !item.second.empty() && wanted.contains(item.second.front());
+      });
   BOOST_TEST(targets.size() == 24U);
   BOOST_TEST(first_wanted >= 20);
   BOOST_TEST(CopiesOf(targets, 0) >= 2 * CopiesOf(targets, 1));
@@ -176,9 +177,8 @@
   for (int i = 0; i < 10; ++i) {
     engines.push_back(Engine(i, {}, {10 + i, 20 + i, 30 + i, i % 5}));
   }
-  for (int i = 0; i < 5; ++i) {
-    engines[static_cast<std::size_t>(2 * i + 1)].local_copies.push_back(
-        Model(0));
+  for (std::size_t i = 1; i < engines.size(); i += 2) {
+    engines[i].local_copies.push_back(Model(0));
   }
   const PlacementTargets targets =
       PlanPlacement(Profile(25), engines, {}, {false, 20});
