A denied permit is not asked for again at once; only the planner plans early

Cause, found by reading the change: an agent without a configuration (restarted while the store is down) denies permits without a time, and the entry asked it again on each reply for as long as a call waited. Every entry, not only the one that plans, sent targets to all agents 40 ms after each engine's first report. Change: a denial lasts 20 ms at least; the early plan is the planner's. Test: upstream_set/a_permit_that_is_not_used_at_once_expires.

--- a/packages/serving/src/peer_exchange.cc
+++ b/packages/serving/src/peer_exchange.cc
@@ -26,9 +26,6 @@
 // for another engine, and this one is not asked for a while.
 constexpr Duration kPermitTimeout = milliseconds(60);
 constexpr Duration kPermitPause = milliseconds(200);
-// Permits that were denied may be taken by others meanwhile, so asking much
-// earlier or later than told is no use.
-constexpr Duration kLongestDenial = milliseconds(500);
 
 }  // namespace
 
@@ -293,9 +290,7 @@
   // A permit that was long on its way counts for a time that has passed.
   const bool in_time =
       m_loop.clock().Now() - permit.mapped().asked_at <= kPermitTimeout;
-  permit.mapped().done(
-      reply.granted && in_time,
-      std::clamp(reply.wait, Duration::zero(), kLongestDenial));
+  permit.mapped().done(reply.granted && in_time, reply.wait);
 }
 
 void PeerExchange::Receive(const Endpoint& from, std::string_view bytes) {
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -116,7 +116,7 @@
     const Upstream* upstream = m_upstreams.Find(status.upstream);
     const bool is_first =
         upstream != nullptr && !m_upstreams.HasFreshReport(*upstream);
-    if (is_first && m_plan_soon == nullptr) {
+    if (is_first && m_plan_soon == nullptr && m_peers.IsPlanner()) {
       m_plan_soon = m_deps.loop.After(kPlanSoon, [this] { Plan(); });
     }
     if (status.brief) {
--- a/packages/serving/src/upstream_choice.cc
+++ b/packages/serving/src/upstream_choice.cc
@@ -46,6 +46,11 @@
 constexpr ColdShare kShareBesideAgent{0.2, 2};
 // A permit is for a request that waits; it must not be used much later.
 constexpr Duration kGrantLifetime = std::chrono::milliseconds(50);
+// An agent that does not know yet what its engine bears denies without a time;
+// asking it all the time is no use. Permits that were denied may be there
+// sooner than told, as others do not use theirs.
+constexpr Duration kShortestDenial = std::chrono::milliseconds(20);
+constexpr Duration kLongestDenial = std::chrono::milliseconds(500);
 
 /// @returns a rank for rendezvous hashing: the same in every process.
 std::size_t CombineHash(std::size_t seed, const std::string& text) {
@@ -261,7 +266,8 @@
 void UpstreamSet::DenyCold(const UpstreamId& id, Duration wait) {
   const auto known = m_upstreams.find(id);
   if (known != m_upstreams.end()) {
-    known->second.cold_denied_until = m_clock.Now() + wait;
+    known->second.cold_denied_until =
+        m_clock.Now() + std::clamp(wait, kShortestDenial, kLongestDenial);
   }
 }
 
--- a/packages/serving/tests/upstream_set_test.cc
+++ b/packages/serving/tests/upstream_set_test.cc
@@ -324,7 +324,12 @@
   set.upstreams.GrantCold(UpstreamId("a"));
   set.clock.Advance(milliseconds(100));
   BOOST_TEST(!set.Pick(Query("s", "m")).has_value());
-  // A denial is kept in mind.
+  // A denial without a time is not followed by a request at once.
+  set.upstreams.DenyCold(UpstreamId("a"), Duration::zero());
+  BOOST_TEST(!set.upstreams.PickForPermit(Query("s", "m")).has_value());
+  set.clock.Advance(milliseconds(20));
+  BOOST_TEST(set.upstreams.PickForPermit(Query("s", "m")).has_value());
+  // One with a time is kept in mind for it.
   set.upstreams.DenyCold(UpstreamId("a"), milliseconds(100));
   BOOST_TEST(!set.upstreams.PickForPermit(Query("s", "m")).has_value());
   set.clock.Advance(milliseconds(110));
