One process frame, one settings parser, one comparison of header names

Cause, found by rereading the change: the two run_serve.cc were the same but for the part that they run; both settings parsers ended alike; names of headers were compared in three ways; the memory kept for adapters was worked out twice; files were read whole in two places of operators; the hosted stand-in had its own ReplyJson(), a test its own fetch, two tests the same fleet of entries. Change: HostedProcess and RunHostedProcess(); ParseSettings(); EqualsIgnoringCase(); EngineProfile::AdapterReserveMb() and LargestModelMb(); ReadTextFile(); the stand-ins' ReplyJson() and PendingAnswer; EntriesOfColdUpstream(). Assertions and bounds are as they were. Left: the header callbacks of the HTTP client and server (two lambdas over private members; sharing them costs more than it saves), the token buckets of LogBudget, ColdPermits and cold upstreams (they start and cap differently).

--- a/packages/core/include/bambooquay/core/ini_section_reader.h
+++ b/packages/core/include/bambooquay/core/ini_section_reader.h
@@ -7,6 +7,8 @@
 #include <functional>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <variant>
 #include <vector>
 
 #include "bambooquay/core/ini.h"
@@ -71,6 +73,28 @@
     const std::function<bool(const std::string& name,
                              IniSectionReader& reader)>& read);
 
+/// Reads a settings text into a structure.
+///
+/// @tparam Reader  made from a role and the settings; names the sections that
+///   must be there (`RequiredSections()`) and fills in the settings from one
+///   (`ReadSection(name, reader)`, which returns whether it is known).
+/// @returns the settings, or every fault found.
+template <typename Reader, typename Settings, typename Role>
+[[nodiscard]] std::variant<Settings, std::vector<IniError>> ParseSettings(
+    std::string_view text, std::string file, Role role) {
+  Settings settings;
+  Reader sections(role, settings);
+  std::vector<IniError> errors =
+      ReadSections(text, std::move(file), sections.RequiredSections(),
+                   [&](const std::string& name, IniSectionReader& reader) {
+                     return sections.ReadSection(name, reader);
+                   });
+  if (!errors.empty()) {
+    return errors;
+  }
+  return settings;
+}
+
 /// @returns `text` split at commas, with blanks trimmed and empties dropped.
 [[nodiscard]] std::vector<std::string> SplitList(std::string_view text);
 
--- a/packages/operators/src/commands.cc
+++ b/packages/operators/src/commands.cc
@@ -1,12 +1,10 @@
 // The operators' commands.
 #include "bambooquay/operators/commands.h"
 
-#include <fstream>
 #include <functional>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
-#include <sstream>
 #include <utility>
 
 #include "bambooquay/core/configuration.h"
@@ -17,6 +15,7 @@
 #include "command_line.h"
 #include "command_result.h"
 #include "platform_session.h"
+#include "text_file.h"
 
 namespace bambooquay {
 namespace {
@@ -31,13 +30,11 @@
 }
 
 std::variant<std::string, CommandError> ReadFile(const std::string& path) {
-  std::ifstream file(path, std::ios::binary);
-  std::ostringstream text;
-  text << file.rdbuf();
-  if (!file) {
+  std::optional<std::string> text = ReadTextFile(path);
+  if (!text.has_value()) {
     return CommandError{ExitCode::kNoInput, "cannot read '" + path + "'", {}};
   }
-  return text.str();
+  return std::move(*text);
 }
 
 /// Reads the platform's addresses from the settings file.
--- a/packages/operators/src/process_settings.cc
+++ b/packages/operators/src/process_settings.cc
@@ -87,17 +87,8 @@
 
 std::variant<ProcessSettings, std::vector<IniError>> ParseProcessSettings(
     std::string_view text, std::string file, ProcessRole role) {
-  ProcessSettings settings;
-  SettingsReader sections(role, settings);
-  std::vector<IniError> errors =
-      ReadSections(text, std::move(file), sections.RequiredSections(),
-                   [&](const std::string& name, IniSectionReader& reader) {
-                     return sections.ReadSection(name, reader);
-                   });
-  if (!errors.empty()) {
-    return errors;
-  }
-  return settings;
+  return ParseSettings<SettingsReader, ProcessSettings>(text, std::move(file),
+                                                        role);
 }
 
 }  // namespace bambooquay
--- a/packages/operators/src/process_start.cc
+++ b/packages/operators/src/process_start.cc
@@ -3,9 +3,10 @@
 
 #include <boost/program_options.hpp>
 #include <cstdlib>
-#include <fstream>
 #include <iostream>
-#include <sstream>
+#include <utility>
+
+#include "text_file.h"
 
 namespace bambooquay {
 namespace {
@@ -48,14 +49,12 @@
   file.path = values.contains("settings") ? values["settings"].as<std::string>()
                                           : std::string(fallback);
   file.check_only = values.contains("check");
-  std::ifstream stream(file.path, std::ios::binary);
-  std::ostringstream text;
-  text << stream.rdbuf();
-  if (!stream) {
+  std::optional<std::string> text = ReadTextFile(file.path);
+  if (!text.has_value()) {
     faults << program << ": cannot read '" << file.path << "'\n";
     return ExitCode::kNoInput;
   }
-  file.text = text.str();
+  file.text = std::move(*text);
   return file;
 }
 
--- a/packages/runtime/include/bambooquay/runtime/http_types.h
+++ b/packages/runtime/include/bambooquay/runtime/http_types.h
@@ -37,6 +37,10 @@
   return static_cast<int>(status);
 }
 
+/// @returns whether the two are the same but for the case of ASCII letters.
+[[nodiscard]] bool EqualsIgnoringCase(std::string_view a,
+                                      std::string_view b) noexcept;
+
 struct HttpHeader {
   std::string name;
   std::string value;
--- a/packages/runtime/src/http_framing.cc
+++ b/packages/runtime/src/http_framing.cc
@@ -4,7 +4,6 @@
 #include <event2/buffer.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <strings.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -25,10 +24,6 @@
   static_cast<void>(setsockopt(socket, level, option, &value, sizeof(value)));
 }
 
-bool EqualsIgnoringCase(std::string_view a, std::string_view b) noexcept {
-  return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
-}
-
 }  // namespace
 
 void HeaderCollector::OnField(std::string_view fragment) {
--- a/packages/runtime/src/http_types.cc
+++ b/packages/runtime/src/http_types.cc
@@ -1,4 +1,4 @@
-// Header look-up.
+// Header names and look-up.
 #include "bambooquay/runtime/http_types.h"
 
 #include <event2/util.h>
@@ -9,15 +9,18 @@
 
 namespace bambooquay {
 
+bool EqualsIgnoringCase(std::string_view a, std::string_view b) noexcept {
+  return a.size() == b.size() &&
+         evutil_ascii_strncasecmp(a.data(), b.data(), a.size()) == 0;
+}
+
 void HttpHeaders::Add(std::string name, std::string value) {
   items.push_back({std::move(name), std::move(value)});
 }
 
 std::string_view HttpHeaders::Get(std::string_view name) const noexcept {
   const auto found = std::ranges::find_if(items, [&](const HttpHeader& item) {
-    return item.name.size() == name.size() &&
-           evutil_ascii_strncasecmp(item.name.data(), name.data(),
-                                    name.size()) == 0;
+    return EqualsIgnoringCase(item.name, name);
   });
   return found == items.end() ? std::string_view() : found->value;
 }
--- a/packages/serving/include/bambooquay/serving/fleet_configuration.h
+++ b/packages/serving/include/bambooquay/serving/fleet_configuration.h
@@ -68,6 +68,10 @@
   std::vector<ServingModel> models;
 
   [[nodiscard]] const ServingModel* Find(const ModelName& model) const noexcept;
+  /// @returns the size of the largest model; 0 without models.
+  [[nodiscard]] double LargestModelMb() const noexcept;
+  /// @returns the memory that adapters may take on one engine.
+  [[nodiscard]] double AdapterReserveMb() const noexcept;
 };
 
 struct ServingService {
--- a/packages/serving/include/bambooquay/serving/peer_exchange.h
+++ b/packages/serving/include/bambooquay/serving/peer_exchange.h
@@ -99,7 +99,9 @@
   void Tick();
   void RepeatLoads();
   void Send(const Endpoint& to, const StatusMessage& message);
+  /// @returns the address of the agent beside an upstream, if it is known.
   [[nodiscard]] std::optional<Endpoint> AgentOf(const UpstreamId& id) const;
+  [[nodiscard]] Endpoint AgentOf(const Upstream& upstream) const;
   [[nodiscard]] static std::string LifeOf(const InstanceId& id,
                                           std::uint64_t incarnation);
 
--- a/packages/serving/src/engine_memory_plan.cc
+++ b/packages/serving/src/engine_memory_plan.cc
@@ -10,29 +10,13 @@
   return std::ranges::find(models, model) != models.end();
 }
 
-double AdapterReserveMb(const EngineProfile& profile) {
-  double largest = 0.0;
-  for (const ServingModel& model : profile.models) {
-    largest = std::max(largest, model.adapter_mb);
-  }
-  return largest * profile.adapter_places;
-}
-
 double HeldMb(const EngineProfile& profile, const EngineReport& report) {
-  double held = AdapterReserveMb(profile);
+  double held = profile.AdapterReserveMb();
   for (const ResidentModel& resident : report.models) {
     const ServingModel* model = profile.Find(resident.name);
     // A model that the configuration dropped still takes its memory; it
     // counts like the largest one.
-    double weights = 0.0;
-    if (model != nullptr) {
-      weights = model->weights_mb;
-    } else {
-      for (const ServingModel& known : profile.models) {
-        weights = std::max(weights, known.weights_mb);
-      }
-    }
-    held += weights;
+    held += model == nullptr ? profile.LargestModelMb() : model->weights_mb;
   }
   return held;
 }
--- a/packages/serving/src/fleet_configuration.cc
+++ b/packages/serving/src/fleet_configuration.cc
@@ -10,4 +10,20 @@
   return found == models.end() ? nullptr : &*found;
 }
 
+double EngineProfile::LargestModelMb() const noexcept {
+  double largest = 0.0;
+  for (const ServingModel& model : models) {
+    largest = std::max(largest, model.weights_mb);
+  }
+  return largest;
+}
+
+double EngineProfile::AdapterReserveMb() const noexcept {
+  double largest = 0.0;
+  for (const ServingModel& model : models) {
+    largest = std::max(largest, model.adapter_mb);
+  }
+  return largest * adapter_places;
+}
+
 }  // namespace bambooquay
--- a/packages/serving/src/peer_exchange.cc
+++ b/packages/serving/src/peer_exchange.cc
@@ -182,8 +182,7 @@
     if (planned != targets.end()) {
       target.models = planned->second;
     }
-    Send({upstream.record.address.host, m_port},
-         {m_self, m_incarnation, std::move(target)});
+    Send(AgentOf(upstream), {m_self, m_incarnation, std::move(target)});
   }
 }
 
@@ -196,7 +195,11 @@
   if (upstream == nullptr) {
     return std::nullopt;
   }
-  return Endpoint{upstream->record.address.host, m_port};
+  return AgentOf(*upstream);
+}
+
+Endpoint PeerExchange::AgentOf(const Upstream& upstream) const {
+  return {upstream.record.address.host, m_port};
 }
 
 void PeerExchange::Load(const UpstreamId& upstream, const ModelName& model,
--- a/packages/serving/src/placement_state.cc
+++ b/packages/serving/src/placement_state.cc
@@ -2,19 +2,6 @@
 #include "placement_state.h"
 
 namespace bambooquay {
-namespace {
-
-/// @returns the memory of an engine beside its adapters.
-double RoomForModels(const EngineProfile& profile) {
-  double adapter_mb = 0.0;
-  for (const ServingModel& model : profile.models) {
-    adapter_mb = std::max(adapter_mb, model.adapter_mb);
-  }
-  return profile.weights_mb - adapter_mb * profile.adapter_places;
-}
-
-}  // namespace
-
 PlacementState::PlacementState(const EngineProfile& profile,
                                const std::vector<EngineView>& engines)
     : m_profile(profile), m_copies(profile.models.size()) {
@@ -43,7 +30,7 @@
   EngineState& engine = m_engines.emplace_back();
   engine.view = &view;
   engine.data_centre = data_centre;
-  engine.free_mb = RoomForModels(m_profile);
+  engine.free_mb = m_profile.weights_mb - m_profile.AdapterReserveMb();
   engine.is_local.resize(model_count());
   for (const ModelName& name : view.local_copies) {
     if (const Model model = Find(name); model < model_count()) {
@@ -82,10 +69,7 @@
 }
 
 int PlacementState::SparePlaces() const {
-  double largest = 1.0;
-  for (const ServingModel& model : m_profile.models) {
-    largest = std::max(largest, model.weights_mb);
-  }
+  const double largest = std::max(1.0, m_profile.LargestModelMb());
   int places = 0;
   for (const EngineState& engine : m_engines) {
     places += static_cast<int>(std::max(0.0, engine.free_mb) / largest);
--- a/packages/serving/src/serving_settings.cc
+++ b/packages/serving/src/serving_settings.cc
@@ -96,17 +96,8 @@
 
 std::variant<ServingSettings, std::vector<IniError>> ParseServingSettings(
     std::string_view text, std::string file, ServingRole role) {
-  ServingSettings settings;
-  ServingSettingsReader sections(role, settings);
-  std::vector<IniError> errors =
-      ReadSections(text, std::move(file), sections.RequiredSections(),
-                   [&](const std::string& name, IniSectionReader& reader) {
-                     return sections.ReadSection(name, reader);
-                   });
-  if (!errors.empty()) {
-    return errors;
-  }
-  return settings;
+  return ParseSettings<ServingSettingsReader, ServingSettings>(
+      text, std::move(file), role);
 }
 
 }  // namespace bambooquay
--- a/packages/serving/tests/upstream_set_test.cc
+++ b/packages/serving/tests/upstream_set_test.cc
@@ -17,6 +17,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+// Requests a second that a cold upstream bears.
+constexpr double kColdRate = 8.0;
+
 UpstreamRecord Record(const std::string& id, int port,
                       std::int64_t born_ms = 1) {
   UpstreamRecord record;
@@ -43,6 +46,30 @@
                       {{1, 2500}, {2, 3800}, {own, 2900}});
 }
 
+/// Entries that know of each other and of one cold upstream.
+std::vector<std::unique_ptr<UpstreamSet>> EntriesOfColdUpstream(
+    int count, const Clock& clock, RandomSource& random,
+    const std::set<ServiceName>& engine_services) {
+  std::vector<InstanceId> ids;
+  for (int i = 0; i < count; ++i) {
+    ids.emplace_back("entry-" + std::to_string(i));
+  }
+  std::vector<std::unique_ptr<UpstreamSet>> entries;
+  for (const InstanceId& id : ids) {
+    entries.push_back(
+        std::make_unique<UpstreamSet>(clock, random, DataCentreId("dc"),
+                                      [](const Endpoint&) { return true; }));
+    UpstreamSet& entry = *entries.back();
+    entry.SetEntries(id, ids);
+    entry.SetEngineServices(engine_services);
+    entry.SetColdRate(ServiceName("s"), kColdRate);
+    UpstreamRecord record = Record("a", 1);
+    record.cold_remaining = seconds(20);
+    entry.Put(record);
+  }
+  return entries;
+}
+
 struct Set {
   Set() { upstreams.SetEntries(InstanceId("self"), {InstanceId("self")}); }
 
@@ -184,21 +211,7 @@
   for (const int entry_count : {1, 4, 5, 21}) {
     ManualClock clock;
     SeededRandom random{3};
-    std::vector<InstanceId> ids;
-    for (int i = 0; i < entry_count; ++i) {
-      ids.emplace_back("entry-" + std::to_string(i));
-    }
-    std::vector<std::unique_ptr<UpstreamSet>> entries;
-    for (const InstanceId& id : ids) {
-      entries.push_back(
-          std::make_unique<UpstreamSet>(clock, random, DataCentreId("dc"),
-                                        [](const Endpoint&) { return true; }));
-      entries.back()->SetEntries(id, ids);
-      entries.back()->SetColdRate(ServiceName("s"), 8.0);
-      UpstreamRecord record = Record("a", 1);
-      record.cold_remaining = seconds(20);
-      entries.back()->Put(record);
-    }
+    const auto entries = EntriesOfColdUpstream(entry_count, clock, random, {});
     std::deque<TimePoint> sent;
     std::size_t all = 0;
     for (int step = 0; step < 1000; ++step) {
@@ -224,30 +237,14 @@
 // for all entries served these at a third of what the engine bears, or not at
 // all. Some entries do not hear the agent and use what is left beside it.
 BOOST_AUTO_TEST_CASE(a_cold_engine_is_used_by_whichever_entries_have_calls) {
-  constexpr double kBears = 8.0;
   for (const std::uint32_t seed : {1, 2, 3, 4, 5}) {
     ManualClock clock;
     SeededRandom random{seed};
     ColdPermits permits(clock);
-    permits.SetRate(kBears);
+    permits.SetRate(kColdRate);
     const UpstreamId engine("a");
-    std::vector<InstanceId> ids;
-    for (int i = 0; i < 21; ++i) {
-      ids.emplace_back("entry-" + std::to_string(i));
-    }
-    std::vector<std::unique_ptr<UpstreamSet>> entries;
-    for (const InstanceId& id : ids) {
-      entries.push_back(
-          std::make_unique<UpstreamSet>(clock, random, DataCentreId("dc"),
-                                        [](const Endpoint&) { return true; }));
-      UpstreamSet& entry = *entries.back();
-      entry.SetEntries(id, ids);
-      entry.SetEngineServices({ServiceName("s")});
-      entry.SetColdRate(ServiceName("s"), kBears);
-      UpstreamRecord record = Record("a", 1);
-      record.cold_remaining = seconds(20);
-      entry.Put(record);
-    }
+    const auto entries =
+        EntriesOfColdUpstream(21, clock, random, {ServiceName("s")});
     const std::size_t first = random.Below(18);
     const auto hears = [&](std::size_t entry) { return entry % 3 != 2; };
     const auto calls = [&](std::size_t entry) {
@@ -283,9 +280,9 @@
       while (!sent.empty() && clock.Now() - sent.front() >= seconds(1)) {
         sent.pop_front();
       }
-      BOOST_REQUIRE(static_cast<double>(sent.size()) <= kBears * 1.5 + 5);
+      BOOST_REQUIRE(static_cast<double>(sent.size()) <= kColdRate * 1.5 + 5);
     }
-    BOOST_TEST(sent_with_permit >= 0.9 * kBears * 10);
+    BOOST_TEST(sent_with_permit >= 0.9 * kColdRate * 10);
   }
 }
 
--- a/programs/agent/run_serve.cc
+++ b/programs/agent/run_serve.cc
@@ -1,86 +1,51 @@
 // `bambooquay-agent serve`: the agent process on a hosted platform.
 #include "run_serve.h"
 
-#include <csignal>
-#include <memory>
 #include <utility>
 
-#include "bambooquay/operators/admin_server.h"
-#include "bambooquay/operators/process_start.h"
-#include "bambooquay/runtime/log.h"
 #include "bambooquay/serving/serving_agent.h"
-#include "platform/documents.h"
+#include "hosted_process.h"
 #include "platform/engine_calls.h"
-#include "platform/store_calls.h"
 
 namespace bambooquay {
 namespace {
 
-constexpr const char* kProgram = "bambooquay-agent serve";
-
-class ServeProcess {
+class AgentProcess final : public HostedProcess {
  public:
-  ServeProcess(const ServingSettings& settings,
+  AgentProcess(const ProcessIdentity& identity, const ServingSettings& settings,
                std::vector<std::string> arguments)
-      : m_settings(settings),
-        m_arguments(std::move(arguments)),
-        m_table(m_loop, settings.store),
+      : HostedProcess(identity, settings, std::move(arguments)),
         m_engine(m_loop, settings.engine),
         m_agent(settings,
-                {m_loop, m_documents, m_table, m_engine, m_metrics, m_random}),
-        m_admin(
-            m_loop, m_metrics, [this] { return m_agent.NotReadyReason(); },
-            [this] { return m_agent.StatusJson(); }) {}
-
-  ExitCode Run() {
-    if (!m_agent.Start() || !m_admin.Listen(m_settings.admin)) {
-      LogEvent(LogLevel::kError, "cannot_listen");
-      return ExitCode::kUnavailable;
-    }
-    for (const int signal : {SIGTERM, SIGINT}) {
-      m_loop.OnSignal(signal, [this] { m_loop.Stop(); });
-    }
-    m_loop.OnSignal(SIGHUP, [this] { Reload(); });
-    LogEvent(LogLevel::kInfo, "agent_started")
-        .With("engine", m_settings.engine.ToString());
-    m_loop.Run();
-    LogEvent(LogLevel::kInfo, "agent_stopped");
-    return ExitCode::kOk;
+                {m_loop, m_documents, m_table, m_engine, m_metrics, m_random}) {
   }
 
  private:
-  // Faults leave the settings in force.
-  void Reload() {
-    const auto settings = ReloadSettingsWith(
-        kProgram, m_arguments, ServingRole::kAgent, &ParseServingSettings);
-    if (settings.has_value()) {
-      m_agent.Reload(*settings);
-    }
+  bool Start() override { return m_agent.Start(); }
+  void Stop() override { m_loop.Stop(); }
+  void Reload(const ServingSettings& settings) override {
+    m_agent.Reload(settings);
+  }
+  [[nodiscard]] std::string NotReadyReason() const override {
+    return m_agent.NotReadyReason();
+  }
+  [[nodiscard]] std::string StatusJson() const override {
+    return m_agent.StatusJson();
+  }
+  [[nodiscard]] std::pair<std::string, std::string> StartFacts()
+      const override {
+    return {"engine", m_settings.engine.ToString()};
   }
 
-  ServingSettings m_settings;
-  std::vector<std::string> m_arguments;
-  EventLoop m_loop;
-  Metrics m_metrics;
-  SystemRandom m_random;
-  hosting::Documents m_documents;
-  hosting::StoreCalls m_table;
   hosting::EngineCalls m_engine;
   ServingAgent m_agent;
-  AdminServer m_admin;
 };
 
 }  // namespace
 
 ExitCode RunServe(const std::vector<std::string>& arguments) {
-  auto started = StartProcessWith(kProgram, arguments, ServingRole::kAgent,
-                                  &ParseServingSettings);
-  if (const auto* code = std::get_if<ExitCode>(&started)) {
-    return *code;
-  }
-  return std::make_unique<ServeProcess>(std::get<ServingSettings>(started),
-                                        arguments)
-      ->Run();
+  return RunHostedProcess<AgentProcess>(
+      {"bambooquay-agent serve", "agent", ServingRole::kAgent}, arguments);
 }
 
 }  // namespace bambooquay
