A call leaves a busy engine only for a free place; engines that report are a last resort

Ruled out: allowances (the 429s are all of the hot organisation, beyond its limit), full engines (16 refusals). Change: StallPolicy decides when silence is long enough; an upstream that has reported since the last event is left only when half of the caller's patience is over; the next upstream and the budget are taken first, and without them the attempt goes on. A broken stream waits for a place as long as its caller would. Failing upstreams that answer or report are distrusted, not avoided: they come last. A response that is relayed as it arrives is never continued by another run (found while reading: a large idempotent response could be joined of two runs).

--- a/packages/serving/include/bambooquay/serving/forwarded_call.h
+++ b/packages/serving/include/bambooquay/serving/forwarded_call.h
@@ -19,6 +19,7 @@
 #include "bambooquay/serving/fleet_allowance.h"
 #include "bambooquay/serving/retry_budget.h"
 #include "bambooquay/serving/route_table.h"
+#include "bambooquay/serving/stall_policy.h"
 #include "bambooquay/serving/upstream_set.h"
 
 namespace bambooquay {
@@ -133,11 +134,10 @@
   void RelayBody(std::string_view bytes);
   void StartRelay();
   void HandleCompleteResponse();
-  /// Chooses an upstream for a retry after a complete response with a server
-  /// error.
-  /// @returns nothing if there is to be no retry or no other upstream is free;
-  ///   the caller then gets the error response.
-  [[nodiscard]] std::optional<UpstreamId> PickAfterFailure();
+  /// Chooses an upstream to repeat the call at, and charges the retry budget.
+  /// @returns nothing if the call may not be repeated, no other upstream is
+  ///   free, or the budget is used up.
+  [[nodiscard]] std::optional<UpstreamId> PickForRepeat();
   /// Retries, or ends the call, after an attempt without a usable response.
   void HandleFailedAttempt(AttemptResult result, bool may_have_run,
                            std::string_view reason);
@@ -145,11 +145,18 @@
                         bool may_have_run, std::string_view retry);
   void EndAttempt(AttemptResult result);
   void HandleTimeLimit();
-  /// Moves the call to another upstream if it may still be retried.
+  /// Moves the call away from a silent upstream if that is due and another one
+  /// is free. Otherwise the attempt continues and is checked again later.
   void HandleStall();
-  /// @param limit  time without a response or event after which the attempt
-  ///   counts as stalled; 0 for none.
-  void StartStallTimer(Duration limit);
+  /// Moves the call from its present upstream, which has sent nothing for too
+  /// long, to another one.
+  void MoveTo(const UpstreamId& next);
+  /// Records that the attempt has been sent or has made progress.
+  void RestartStallTimer();
+  [[nodiscard]] SilentAttempt DescribeSilence() const;
+  [[nodiscard]] StallPolicy MakeStallPolicy() const;
+  /// Ends a response that has been started but can't be completed.
+  void AbortRelay(std::string_view reason);
   void HandleCallerDisconnect();
   void Refuse(int status, std::string_view code, Duration retry_after);
   void RecordEventTime();
@@ -159,7 +166,8 @@
 
   [[nodiscard]] Duration Elapsed() const;
   [[nodiscard]] Duration TimeLeft() const;
-  /// @returns whether the route and the remaining time allow another attempt.
+  /// @returns whether the route and the remaining time allow another attempt,
+  ///   and what the caller has received so far can be continued.
   [[nodiscard]] bool CanRetry(bool may_have_run);
   /// Charges a retry to the service's retry budget. A retry after an attempt
   /// that reached no upstream is free, as it adds no load.
@@ -204,6 +212,10 @@
   std::optional<Duration> m_first_event;
   Duration m_last_event{};
   Duration m_longest_pause{};
+  /// When the current attempt was sent, or sent its last event.
+  TimePoint m_progress_at{};
+  /// Whether the current attempt has sent an event.
+  bool m_attempt_has_events = false;
 
   /// Callbacks that may run after the call was destroyed hold a weak pointer
   /// to this.
--- a/packages/serving/include/bambooquay/serving/upstream_set.h
+++ b/packages/serving/include/bambooquay/serving/upstream_set.h
@@ -56,7 +56,7 @@
   int usable = 0;        ///< May get calls at all, see UpstreamSet::IsUsable().
   int with_model = 0;    ///< Of the usable ones, those with the model.
   int with_adapter = 0;  ///< Of those with the model, those with the adapter.
-  int avoided = 0;       ///< Of these, those that were tried or are failing.
+  int avoided = 0;       ///< Of these, those that were tried or are avoided.
   int full = 0;          ///< Of the others, those with too many calls.
   int cold = 0;          ///< Of the remaining ones, those that are cold.
 };
@@ -94,7 +94,12 @@
   /// Exponentially weighted share of failed attempts.
   double failure_share = 0.0;
   int failures_in_row = 0;
+  /// It gets no calls before this time: it cannot be reached, gives no sign of
+  /// life, or has just rejected a call under load.
   TimePoint avoid_until{};
+  /// It fails calls but answers or reports: until this time it gets only calls
+  /// that no other upstream can take.
+  TimePoint distrust_until{};
   TimePoint last_failure_at{};
   /// Models and adapters that it lacks according to its own responses, and
   /// until when this overrides its reports.
--- a/packages/serving/src/forwarded_call.cc
+++ b/packages/serving/src/forwarded_call.cc
@@ -21,11 +21,6 @@
 constexpr Duration kPickRetryInterval = milliseconds(50);
 // Share of the latency objective for which a call waits for an upstream.
 constexpr double kMaxWaitShare = 0.6;
-// A repeatable call is moved to another upstream if its first event takes
-// longer than this multiple of the latency objective, or than this share of
-// its time limit if that is less.
-constexpr double kStallObjectiveMultiple = 2.0;
-constexpr double kStallLimitShare = 0.4;
 // Short, as another entry can take the call at once.
 constexpr Duration kDrainingRetryAfter = milliseconds(20);
 // Retry delays are spread by up to this, so that callers do not retry together.
@@ -193,8 +188,11 @@
   if (failure == PickFailure::kFull && RequestColdPermit()) {
     return;
   }
-  const auto max_wait = std::chrono::duration_cast<Duration>(
-      m_route->target_latency * kMaxWaitShare);
+  // A caller that has received part of a stream waits for the rest.
+  const Duration max_wait =
+      m_relaying ? m_last_event + MakeStallPolicy().CallerPatience()
+                 : std::chrono::duration_cast<Duration>(
+                       m_route->target_latency * kMaxWaitShare);
   if (Elapsed() + kPickRetryInterval < std::min(max_wait, m_time_limit)) {
     m_wait_timer =
         m_context.loop.After(kPickRetryInterval, [this] { TryUpstream(); });
@@ -213,6 +211,10 @@
       .With("waited_ms", Elapsed() / milliseconds(1));
   constexpr std::array kReasons = {"no_upstream", "model_missing",
                                    "adapter_missing", "upstreams_full"};
+  if (m_relaying) {
+    AbortRelay(kReasons.at(static_cast<std::size_t>(failure)));
+    return;
+  }
   if (m_may_have_run) {
     Refuse(ToCode(HttpStatus::kBadGateway), "upstream_failed",
            Duration::zero());
@@ -291,6 +293,7 @@
   m_query.excluded.insert(id);
   m_upstream = id;
   m_status = 0;
+  m_attempt_has_events = false;
   AttemptMetadata metadata;
   metadata.upstream = id;
   metadata.time_left = TimeLeft();
@@ -320,20 +323,14 @@
       m_route->repeatable() ? ConnectionReuse::kAllowed
                             : ConnectionReuse::kRecentlyUsedOnly,
       *this);
-  if (m_route->repeatable()) {
-    StartStallTimer(std::min(
-        std::chrono::duration_cast<Duration>(m_route->target_latency *
-                                             kStallObjectiveMultiple),
-        std::chrono::duration_cast<Duration>(m_time_limit * kStallLimitShare)));
-  }
+  RestartStallTimer();
 }
 
 void ForwardedCall::HandleTimeLimit() {
   const bool attempt_in_progress = m_upstream.has_value();
   EndAttempt(AttemptResult::kTimedOut);
   if (m_relaying) {
-    m_exchange->Abort();
-    Finish("cut", "time_limit");
+    AbortRelay("time_limit");
     return;
   }
   const bool may_have_run = attempt_in_progress || m_may_have_run;
--- a/packages/serving/src/forwarded_response.cc
+++ b/packages/serving/src/forwarded_response.cc
@@ -1,5 +1,6 @@
 // Handling of an upstream's response to a forwarded call, and of failed
 // attempts.
+#include <algorithm>
 #include <utility>
 
 #include "bambooquay/runtime/log.h"
@@ -21,16 +22,57 @@
 // A call gives up after more unreachable upstreams than this, as each can take
 // the whole connect timeout.
 constexpr int kMaxUnreachableAttempts = 4;
-// A stream is moved to another upstream if it pauses for this multiple of the
-// longest pause that its route allows.
-constexpr double kStallPauseMultiple = 2.0;
+// Interval at which a call that should leave a silent upstream looks for
+// another one.
+constexpr Duration kStallRecheckInterval = milliseconds(200);
 
 }  // namespace
 
-void ForwardedCall::StartStallTimer(Duration limit) {
-  if (limit > Duration::zero()) {
-    m_stall_timer = m_context.loop.After(limit, [this] { HandleStall(); });
+StallPolicy ForwardedCall::MakeStallPolicy() const {
+  return StallPolicy(
+      {m_route->target_latency, m_route->max_pause, m_time_limit});
+}
+
+SilentAttempt ForwardedCall::DescribeSilence() const {
+  const Duration silent_for = m_context.loop.clock().Now() - m_progress_at;
+  const Upstream* upstream = m_context.upstreams.Find(*m_upstream);
+  const auto report_age = upstream == nullptr
+                              ? std::nullopt
+                              : m_context.upstreams.ReportAge(*upstream);
+  return {silent_for, m_attempt_has_events,
+          report_age.has_value() && *report_age < silent_for};
+}
+
+void ForwardedCall::RestartStallTimer() {
+  if (!m_route->repeatable()) {
+    return;
+  }
+  m_progress_at = m_context.loop.clock().Now();
+  m_stall_timer =
+      m_context.loop.After(MakeStallPolicy().TimeUntilMove(DescribeSilence()),
+                           [this] { HandleStall(); });
+}
+
+void ForwardedCall::HandleStall() {
+  const Duration wait = MakeStallPolicy().TimeUntilMove(DescribeSilence());
+  if (wait == Duration::zero()) {
+    if (const auto next = PickForRepeat()) {
+      MoveTo(*next);
+      return;
+    }
   }
+  m_stall_timer = m_context.loop.After(std::max(wait, kStallRecheckInterval),
+                                       [this] { HandleStall(); });
+}
+
+void ForwardedCall::MoveTo(const UpstreamId& next) {
+  LogFailedAttempt(*m_upstream, "too_slow", true, "yes");
+  m_context.metrics.Increment("attempts_failed_total{reason=\"too_slow\"}");
+  EndAttempt(AttemptResult::kTimedOut);
+  m_may_have_run = true;
+  m_body.clear();
+  static_cast<void>(m_events.TakeRemainder());
+  StartAttempt(next);
 }
 
 bool ForwardedCall::Accepts(const HttpHeaders& headers) {
@@ -75,12 +117,10 @@
   if (m_event_stream) {
     const std::string events = m_events.Append(bytes);
     if (!events.empty()) {
+      m_attempt_has_events = true;
       RecordEventTime();
       RelayBody(events);
-      if (m_route->repeatable()) {
-        StartStallTimer(std::chrono::duration_cast<Duration>(
-            m_route->max_pause * kStallPauseMultiple));
-      }
+      RestartStallTimer();
     }
     return;
   }
@@ -141,7 +181,8 @@
   const UpstreamId upstream = *m_upstream;
   EndAttempt(failed ? AttemptResult::kFailed : AttemptResult::kServed);
   if (failed && !m_relaying) {
-    const auto next = PickAfterFailure();
+    m_may_have_run = true;
+    const auto next = PickForRepeat();
     LogFailedAttempt(upstream, std::to_string(m_status), true,
                      next.has_value() ? "yes" : "no");
     if (next.has_value()) {
@@ -162,8 +203,7 @@
   Finish(failed ? "upstream_error" : "served", std::to_string(m_status));
 }
 
-std::optional<UpstreamId> ForwardedCall::PickAfterFailure() {
-  m_may_have_run = true;
+std::optional<UpstreamId> ForwardedCall::PickForRepeat() {
   if (!CanRetry(true)) {
     return std::nullopt;
   }
@@ -188,6 +228,10 @@
   if (may_have_run && !m_route->repeatable()) {
     return false;
   }
+  if (m_relaying && !m_event_stream) {
+    // The caller has bytes of a response that another run may not repeat.
+    return false;
+  }
   return m_attempt_count - m_unreachable_attempts < m_route->max_attempts &&
          m_unreachable_attempts <= kMaxUnreachableAttempts &&
          TimeLeft() > kMinAttemptTime;
@@ -221,8 +265,7 @@
     return;
   }
   if (m_relaying) {
-    m_exchange->Abort();
-    Finish("cut", reason);
+    AbortRelay(reason);
     return;
   }
   if (m_may_have_run) {
@@ -244,10 +287,9 @@
       .With("elapsed_ms", Elapsed() / milliseconds(1));
 }
 
-void ForwardedCall::HandleStall() {
-  if (m_upstream.has_value() && CanRetry(true)) {
-    HandleFailedAttempt(AttemptResult::kTimedOut, true, "too_slow");
-  }
+void ForwardedCall::AbortRelay(std::string_view reason) {
+  m_exchange->Abort();
+  Finish("cut", reason);
 }
 
 }  // namespace bambooquay
--- a/packages/serving/src/upstream_choice.cc
+++ b/packages/serving/src/upstream_choice.cc
@@ -16,6 +16,10 @@
 constexpr double kMsPerRunningRequest = 4.0;
 // Cost of an upstream with a failure share of 1, in milliseconds.
 constexpr double kFailureMs = 2000.0;
+// Cost of an upstream that is distrusted: more than any other cost, so that it
+// is the last choice. Load it answers: under a burst all engines with a model
+// are slow, and refusing its calls would leave their places unused.
+constexpr double kDistrustedMs = 10'000.0;
 // Cost of sending to another data centre: latency, and transfer of the body.
 constexpr double kOtherDataCentreMs = 1.0;
 constexpr double kOtherDataCentreMsPerKb = 0.5;
@@ -109,6 +113,9 @@
   const double decay =
       std::exp(-ToSeconds(since_failure) / ToSeconds(kFailureDecayTime));
   double cost = upstream.failure_share * decay * kFailureMs;
+  if (upstream.distrust_until > m_clock.Now()) {
+    cost += kDistrustedMs;
+  }
   if (upstream.record.data_centre != m_own_data_centre) {
     cost += kOtherDataCentreMs + static_cast<double>(query.body_bytes) /
                                      1024.0 * kOtherDataCentreMsPerKb;
--- a/packages/serving/src/upstream_set.cc
+++ b/packages/serving/src/upstream_set.cc
@@ -11,13 +11,14 @@
 constexpr Duration kReportLifetime = std::chrono::milliseconds(1500);
 // Weight of the last attempt in the failure share.
 constexpr double kFailureWeight = 0.15;
-// How long an upstream is avoided after it could not be reached. Doubled with
+// How long an upstream is avoided or distrusted after a failure. Doubled with
 // each further failure in a row.
 constexpr Duration kFirstAvoidTime = std::chrono::milliseconds(200);
 constexpr Duration kMaxAvoidTime = std::chrono::seconds(2);
 // How long an upstream is avoided after it has rejected a call under load.
 constexpr Duration kShedAvoidTime = std::chrono::milliseconds(50);
-// Failures in a row after which an upstream that can be reached is avoided.
+// Failures in a row after which an upstream that can be reached is avoided or
+// distrusted.
 constexpr int kFailuresToAvoid = 3;
 // How long a response that a model is missing overrides the reports, as these
 // may be older.
@@ -239,11 +240,11 @@
   Upstream& upstream = found->second;
   const TimePoint now = m_clock.Now();
   upstream.in_flight = std::max(0, upstream.in_flight - 1);
-  const auto avoid = [&](Duration first_avoid_time) {
-    const Duration avoid_time = std::min(
-        first_avoid_time * (1 << std::min(upstream.failures_in_row, 6)),
-        kMaxAvoidTime);
-    upstream.avoid_until = std::max(upstream.avoid_until, now + avoid_time);
+  const auto extend = [&](TimePoint& until) {
+    const Duration time =
+        std::min(kFirstAvoidTime * (1 << std::min(upstream.failures_in_row, 6)),
+                 kMaxAvoidTime);
+    until = std::max(until, now + time);
   };
   const auto record_failure = [&] {
     upstream.failure_share += (1.0 - upstream.failure_share) * kFailureWeight;
@@ -263,7 +264,7 @@
       MarkMissing(id, query.model, query.adapter);
       break;
     case AttemptResult::kUnreachable:
-      avoid(kFirstAvoidTime);
+      extend(upstream.avoid_until);
       record_failure();
       break;
     case AttemptResult::kBroken:
@@ -271,7 +272,9 @@
     case AttemptResult::kTimedOut:
       record_failure();
       if (upstream.failures_in_row >= kFailuresToAvoid) {
-        avoid(kFirstAvoidTime);
+        const bool is_alive =
+            result == AttemptResult::kFailed || HasFreshReport(upstream);
+        extend(is_alive ? upstream.distrust_until : upstream.avoid_until);
       }
       break;
     case AttemptResult::kCancelled:
--- a/packages/serving/tests/upstream_set_test.cc
+++ b/packages/serving/tests/upstream_set_test.cc
@@ -196,6 +196,53 @@
   BOOST_TEST(sent_to_hanging <= 5);
 }
 
+// Load: a burst makes every engine with a model so slow that calls leave it.
+// They report all the while and have free slots, so callers are served there
+// rather than refused.
+BOOST_AUTO_TEST_CASE(slow_engines_that_report_take_the_calls_of_a_burst) {
+  UpstreamSetFixture set;
+  set.upstreams.SetEngineServices({ServiceName("s")});
+  EngineReport report;
+  report.started_at_ms = 1;
+  report.models = {{ModelName("m"), {}}};
+  report.running = 20;
+  for (const char* id : {"a", "b"}) {
+    set.upstreams.Put(MakeRecord(id, *id));
+    set.upstreams.SetReport(UpstreamId(id), report);
+    for (int i = 0; i < 8; ++i) {
+      set.RecordAttempt(UpstreamId(id), AttemptResult::kTimedOut);
+    }
+  }
+  const PickQuery query = MakeQuery("s", "m");
+  BOOST_TEST(set.Pick(query).has_value());
+  // An engine that is not slow goes first.
+  set.upstreams.Put(MakeRecord("c", 3));
+  report.running = 60;
+  set.upstreams.SetReport(UpstreamId("c"), report);
+  for (int i = 0; i < 20; ++i) {
+    BOOST_TEST(set.Pick(query)->value() == "c");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(an_engine_without_a_sign_of_life_gets_no_calls) {
+  UpstreamSetFixture set;
+  set.upstreams.Put(MakeRecord("a", 1));
+  for (int i = 0; i < 8; ++i) {
+    set.RecordAttempt(UpstreamId("a"), AttemptResult::kTimedOut);
+  }
+  BOOST_TEST(!set.Pick(MakeQuery("s", "m")).has_value());
+}
+
+// Load: all upstreams of a plain service fail half of their calls.
+BOOST_AUTO_TEST_CASE(failing_upstreams_are_used_when_there_are_no_others) {
+  UpstreamSetFixture set;
+  set.upstreams.Put(MakeRecord("a", 1));
+  for (int i = 0; i < 8; ++i) {
+    set.RecordAttempt(UpstreamId("a"), AttemptResult::kFailed);
+  }
+  BOOST_TEST(set.Pick().has_value());
+}
+
 BOOST_AUTO_TEST_CASE(an_upstream_that_fails_often_is_not_chosen) {
   UpstreamSetFixture set;
   set.upstreams.Put(MakeRecord("a", 1));
