Entries don't crowd an engine between its reports; adapters of a crowded engine are spread

Cause: entries see the same reports, 200 ms apart, and send to the least loaded engine until its next one. Four entries put bursts of a dozen prompts on one engine, whose streams pause for more than the 150 ms their callers allow. Ruled out: prompt affinity (4 ms here), failure shares (0), other data centres (2 ms). Change: the cost of an engine counts own calls since the last report once for each entry. A call for an adapter loads it on another engine if it is served there 40 ms sooner. Tests: upstream_set/entries_do_not_crowd_*, an_adapter_is_spread_*; both fail without the change.

--- a/packages/serving/include/bambooquay/serving/upstream_set.h
+++ b/packages/serving/include/bambooquay/serving/upstream_set.h
@@ -40,6 +40,8 @@
   PromptPrefixes prompt;  ///< Empty if the service has no prompt cache.
   double prompt_tokens = 0.0;
   std::size_t body_bytes = 0;
+  /// Whether the call can wait until its adapter is loaded on another engine.
+  bool may_load_adapter = false;
   std::set<UpstreamId> excluded;  ///< Upstreams that were tried already.
 };
 
@@ -48,7 +50,10 @@
   kNoUpstream,      ///< The service has no usable upstream.
   kModelMissing,    ///< No upstream has the model.
   kAdapterMissing,  ///< Some upstreams have the model, but not the adapter.
-  kFull,            ///< All that could serve it are full, cold or failing.
+  /// The upstreams with the adapter are so busy that another one would serve
+  /// the call sooner, even after loading the adapter.
+  kAdapterCrowded,
+  kFull,  ///< All that could serve it are full, cold or failing.
 };
 
 /// How many upstreams of a service passed or failed each filter of one choice.
@@ -154,7 +159,8 @@
   [[nodiscard]] const PickCounts& last_counts() const noexcept {
     return m_last_counts;
   }
-  /// Chooses an upstream with the model, to load an adapter on it.
+  /// Chooses an upstream that has the model, but not the adapter, to load the
+  /// adapter on it.
   [[nodiscard]] std::optional<UpstreamId> PickForAdapter(
       const PickQuery& query);
   /// Chooses a cold engine whose agent is worth asking for a permit.
@@ -200,7 +206,19 @@
     Upstream* upstream = nullptr;
     double cost = 0.0;  ///< Expected delay in milliseconds.
   };
+  /// An upstream that could load an adapter.
+  struct AdapterHost {
+    UpstreamId id;
+    double cost = 0.0;  ///< Expected delay in milliseconds.
+  };
 
+  /// @returns the best upstream to load the query's adapter on.
+  [[nodiscard]] std::optional<AdapterHost> FindAdapterHost(
+      const PickQuery& query) const;
+  /// @param candidates  the upstreams that have the query's adapter.
+  /// @returns whether to load the adapter on another upstream.
+  [[nodiscard]] bool IsAdapterCrowded(
+      const PickQuery& query, const std::vector<Candidate>& candidates) const;
   /// Also sets m_last_counts.
   [[nodiscard]] std::vector<Candidate> FindCandidates(const PickQuery& query);
   /// Lowers the cost of the candidate that prompts with these shared parts
@@ -219,6 +237,12 @@
   /// @param key  name of a model, or AdapterKey() of an adapter.
   [[nodiscard]] bool IsKnownMissing(const Upstream& upstream,
                                     const std::string& key) const;
+  /// @returns an estimate of the calls that other entries have sent since the
+  ///   last report. They see the same reports and choose alike, so each is
+  ///   assumed to have sent as many as this entry. Load it answers: without it,
+  ///   all entries send to the least loaded engine until its next report, and
+  ///   the prompts of such a burst pause all of its streams.
+  [[nodiscard]] double EstimateUnreportedLoad(const Upstream& upstream) const;
   [[nodiscard]] double Cost(const Upstream& upstream,
                             const PickQuery& query) const;
   /// Charges a call to the cold upstream's permits, or to this entry's share
--- a/packages/serving/src/forwarded_call.cc
+++ b/packages/serving/src/forwarded_call.cc
@@ -167,6 +167,7 @@
   if (m_service->engine.has_value()) {
     m_query.model = m_call.model;
     m_query.adapter = m_call.adapter;
+    m_query.may_load_adapter = true;
     m_query.prompt = MakePrefixes(m_call.model, m_call.adapter, m_call.prompt);
   }
 }
@@ -181,6 +182,12 @@
 }
 
 void ForwardedCall::HandleNoUpstream(PickFailure failure) {
+  if (failure == PickFailure::kAdapterCrowded) {
+    // If the load fails, the call goes to an upstream that has the adapter.
+    m_query.may_load_adapter = false;
+    LoadAdapter();
+    return;
+  }
   if (failure == PickFailure::kAdapterMissing && !m_adapter_requested) {
     LoadAdapter();
     return;
@@ -210,7 +217,8 @@
       .With("cold", counts.cold)
       .With("waited_ms", Elapsed() / milliseconds(1));
   constexpr std::array kReasons = {"no_upstream", "model_missing",
-                                   "adapter_missing", "upstreams_full"};
+                                   "adapter_missing", "adapter_crowded",
+                                   "upstreams_full"};
   if (m_relaying) {
     AbortRelay(kReasons.at(static_cast<std::size_t>(failure)));
     return;
@@ -291,6 +299,7 @@
   const Upstream* upstream = m_context.upstreams.Find(id);
   ++m_attempt_count;
   m_query.excluded.insert(id);
+  m_query.may_load_adapter = false;
   m_upstream = id;
   m_status = 0;
   m_attempt_has_events = false;
--- a/packages/serving/src/upstream_choice.cc
+++ b/packages/serving/src/upstream_choice.cc
@@ -27,6 +27,12 @@
 constexpr double kNewConnectionMs = 4.0;
 // Delay of the load of an adapter while the engine carries out another order.
 constexpr double kBusyEngineMs = 1000.0;
+// An adapter is loaded on one more engine if calls are served sooner there by
+// more than this. Covers the load, the memory it takes from other adapters, and
+// the prompts that have to be processed again. Load it answers: one engine
+// holds the adapters of a model in demand, and the calls for them queue there
+// while the model's other replicas are idle.
+constexpr double kSpreadAdapterMs = 40.0;
 // Cost reduction for the engine that rendezvous hashing prefers for a prompt,
 // as a share of the time to process the shared parts.
 constexpr double kPromptAffinityShare = 0.5;
@@ -107,6 +113,15 @@
                                                   upstream.sent_since_report));
 }
 
+double UpstreamSet::EstimateUnreportedLoad(const Upstream& upstream) const {
+  if (!HasFreshReport(upstream) || m_entries.empty()) {
+    return 0.0;
+  }
+  const std::size_t others = m_entries.size() - 1;
+  return static_cast<double>(upstream.sent_since_report) *
+         static_cast<double>(others);
+}
+
 double UpstreamSet::Cost(const Upstream& upstream,
                          const PickQuery& query) const {
   const Duration since_failure = m_clock.Now() - upstream.last_failure_at;
@@ -129,7 +144,7 @@
     // 100 ms at one call per slot.
     return cost + load / slots * 100.0;
   }
-  cost += load * kMsPerRunningRequest;
+  cost += (load + EstimateUnreportedLoad(upstream)) * kMsPerRunningRequest;
   if (!query.prompt.empty()) {
     cost += (query.prompt_tokens -
              upstream.prompt_cache.CachedTokens(query.prompt)) /
@@ -202,6 +217,9 @@
   if (m_last_counts.with_adapter == 0) {
     return PickFailure::kAdapterMissing;
   }
+  if (IsAdapterCrowded(query, candidates)) {
+    return PickFailure::kAdapterCrowded;
+  }
   ApplyPromptAffinity(candidates, query);
   // Costs are often equal when upstreams are idle; adds up to 1 ms to choose
   // randomly among such upstreams.
@@ -219,14 +237,15 @@
   return chosen->upstream->record.id;
 }
 
-std::optional<UpstreamId> UpstreamSet::PickForAdapter(const PickQuery& query) {
-  const Upstream* best = nullptr;
-  double best_cost = std::numeric_limits<double>::max();
+std::optional<UpstreamSet::AdapterHost> UpstreamSet::FindAdapterHost(
+    const PickQuery& query) const {
+  std::optional<AdapterHost> best;
   const std::string key = AdapterKey(query.model, query.adapter);
   for (const auto& [id, upstream] : m_upstreams) {
     if (upstream.record.service != query.service || !IsUsable(upstream) ||
         query.excluded.contains(id) || upstream.avoid_until > m_clock.Now() ||
-        !HasModel(upstream, query.model)) {
+        !HasModel(upstream, query.model) ||
+        HasAdapter(upstream, query.model, query.adapter)) {
       continue;
     }
     // Rendezvous hashing keeps an adapter on few engines: adds up to 100 ms.
@@ -235,13 +254,27 @@
     const double cost = Cost(upstream, query) +
                         static_cast<double>(rank % 1000) / 10.0 +
                         (busy ? kBusyEngineMs : 0.0);
-    if (cost < best_cost) {
-      best = &upstream;
-      best_cost = cost;
+    if (!best.has_value() || cost < best->cost) {
+      best = {id, cost};
     }
   }
-  return best == nullptr ? std::nullopt
-                         : std::optional<UpstreamId>(best->record.id);
+  return best;
+}
+
+std::optional<UpstreamId> UpstreamSet::PickForAdapter(const PickQuery& query) {
+  const auto host = FindAdapterHost(query);
+  return host.has_value() ? std::optional(host->id) : std::nullopt;
+}
+
+bool UpstreamSet::IsAdapterCrowded(
+    const PickQuery& query, const std::vector<Candidate>& candidates) const {
+  if (!query.may_load_adapter || query.adapter.empty()) {
+    return false;
+  }
+  const auto best = std::ranges::min_element(candidates, {}, &Candidate::cost);
+  const auto host = FindAdapterHost(query);
+  return host.has_value() && (best == candidates.end() ||
+                              host->cost + kSpreadAdapterMs < best->cost);
 }
 
 std::optional<UpstreamId> UpstreamSet::PickForColdPermit(
--- a/packages/serving/tests/upstream_set_test.cc
+++ b/packages/serving/tests/upstream_set_test.cc
@@ -224,6 +224,82 @@
   }
 }
 
+// Load: a model in demand has two replicas, and all of its adapters are on one
+// of them. Calls with adapters queue there while the other is idle.
+BOOST_AUTO_TEST_CASE(an_adapter_is_spread_when_its_engine_is_crowded) {
+  UpstreamSetFixture set;
+  set.upstreams.SetEngineServices({ServiceName("s")});
+  EngineReport report;
+  report.started_at_ms = 1;
+  for (const char* id : {"a", "b"}) {
+    set.upstreams.Put(MakeRecord(id, *id));
+  }
+  report.models = {{ModelName("m"), {}}};
+  set.upstreams.SetReport(UpstreamId("b"), report);
+  report.models = {{ModelName("m"), {AdapterName("x")}}};
+  PickQuery query = MakeQuery("s", "m");
+  query.adapter = AdapterName("x");
+  query.may_load_adapter = true;
+  // A few requests are no reason to load it again.
+  report.running = 5;
+  set.upstreams.SetReport(UpstreamId("a"), report);
+  BOOST_TEST(set.Pick(query)->value() == "a");
+  report.running = 60;
+  set.upstreams.SetReport(UpstreamId("a"), report);
+  BOOST_TEST((std::get<PickFailure>(set.upstreams.Pick(query)) ==
+              PickFailure::kAdapterCrowded));
+  BOOST_TEST(set.upstreams.PickForAdapter(query)->value() == "b");
+  // A call that can't wait for the load goes to the crowded engine.
+  query.may_load_adapter = false;
+  BOOST_TEST(set.Pick(query)->value() == "a");
+  // Once it is loaded on both, the idle one is chosen.
+  set.upstreams.MarkAdapterLoaded(UpstreamId("b"), ModelName("m"),
+                                  AdapterName("x"));
+  query.may_load_adapter = true;
+  BOOST_TEST(set.Pick(query)->value() == "b");
+}
+
+// Load: four entries send 12 calls each between two reports of three engines
+// that are unevenly loaded. No engine gets a burst.
+BOOST_AUTO_TEST_CASE(entries_do_not_crowd_an_engine_between_its_reports) {
+  ManualClock clock;
+  SeededRandom random(1);
+  std::vector<InstanceId> ids;
+  for (int i = 0; i < 4; ++i) {
+    ids.emplace_back("entry-" + std::to_string(i));
+  }
+  std::map<UpstreamId, int> load;
+  std::vector<std::unique_ptr<UpstreamSet>> entries;
+  for (const InstanceId& id : ids) {
+    entries.push_back(
+        std::make_unique<UpstreamSet>(clock, random, DataCentreId("dc"),
+                                      [](const Endpoint&) { return true; }));
+    UpstreamSet& entry = *entries.back();
+    entry.SetEntries(id, ids);
+    entry.SetEngineServices({ServiceName("s")});
+    for (const char* engine : {"a", "b", "c"}) {
+      EngineReport report;
+      report.started_at_ms = 1;
+      report.models = {{ModelName("m"), {}}};
+      report.running = 2 * (*engine - 'a');
+      load[UpstreamId(engine)] = report.running;
+      entry.Put(MakeRecord(engine, *engine));
+      entry.SetReport(UpstreamId(engine), report);
+    }
+  }
+  const PickQuery query = MakeQuery("s", "m");
+  for (int call = 0; call < 12; ++call) {
+    for (const auto& entry : entries) {
+      const auto chosen = std::get<UpstreamId>(entry->Pick(query));
+      entry->RecordAttemptStart(chosen, query);
+      ++load[chosen];
+    }
+  }
+  const auto [least, most] = std::ranges::minmax_element(
+      load, {}, [](const auto& item) { return item.second; });
+  BOOST_TEST(most->second - least->second <= 4);
+}
+
 BOOST_AUTO_TEST_CASE(an_engine_without_a_sign_of_life_gets_no_calls) {
   UpstreamSetFixture set;
   set.upstreams.Put(MakeRecord("a", 1));
