One entry of a large data centre reads the store for the others

Ruled out: longer pauses between watches (a leaving upstream must be noticed within seconds); agents (one call in eight seconds each). Change: in a data centre of ten live entries or more, one, chosen by hash, reads the store; the others watch its copies for a second at a time. Entries say in their statuses which data centre they are in. Tests: tables/an_entry_follows_the_reader_*, rows_deleted_while_*, the_store_is_read_directly_*, one_entry_of_a_large_data_centre_*.

--- a/packages/peers/include/bambooquay/peers/status_messages.h
+++ b/packages/peers/include/bambooquay/peers/status_messages.h
@@ -30,6 +30,7 @@
   /// Version of the configuration that the entry applies; 0 if it has none.
   std::uint64_t configuration = 0;
   Duration uptime{};
+  DataCentreId data_centre;  ///< Empty if the sender does not say.
   /// Tokens spent since the entry started. An organisation whose total has not
   /// changed since the last messages may be omitted.
   std::map<OrganisationId, Tokens> spent;
--- a/packages/peers/src/status_messages.cc
+++ b/packages/peers/src/status_messages.cc
@@ -41,6 +41,7 @@
   to.setLeaving(from.leaving);
   to.setConfiguration(from.configuration);
   to.setUptimeSeconds(ToSeconds(from.uptime));
+  to.setDataCentre(from.data_centre.value().c_str());
   auto spending = to.initSpending(static_cast<unsigned>(from.spent.size()));
   unsigned index = 0;
   for (const auto& [organisation, tokens] : from.spent) {
@@ -64,6 +65,7 @@
   to.leaving = from.getLeaving();
   to.configuration = from.getConfiguration();
   to.uptime = FromSeconds(from.getUptimeSeconds());
+  to.data_centre = DataCentreId(ToString(from.getDataCentre()));
   for (const auto item : from.getSpending()) {
     to.spent[OrganisationId(ToString(item.getOrganisation()))] = {
         item.getTokens()};
--- a/packages/peers/status.capnp
+++ b/packages/peers/status.capnp
@@ -27,6 +27,7 @@
   spending @2 :List(Spending);
   demand @3 :List(Demand);
   uptimeSeconds @4 :Float64;
+  dataCentre @5 :Text;
 }
 
 # Sent by each entry to each agent. `models` is valid only if `planned` is set,
--- a/packages/serving/include/bambooquay/serving/serving_entry.h
+++ b/packages/serving/include/bambooquay/serving/serving_entry.h
@@ -19,6 +19,7 @@
 #include "bambooquay/serving/forwarded_call.h"
 #include "bambooquay/serving/peer_exchange.h"
 #include "bambooquay/serving/serving_settings.h"
+#include "bambooquay/serving/shared_table.h"
 #include "bambooquay/serving/table_mirror.h"
 #include "bambooquay/serving/table_relay.h"
 
@@ -60,8 +61,9 @@
 
  private:
   void HandleRequest(std::shared_ptr<HttpExchange> exchange);
-  /// Answers another entry's request for the local copy of a table.
-  void HandleTableRequest(HttpExchange& exchange) const;
+  /// @returns the address of the entry that reads the store for this data
+  ///   centre; nothing if this entry reads for itself.
+  [[nodiscard]] std::optional<Endpoint> TableReader() const;
   void HandleOperatorRow(const TableRow& row);
   void HandleUpstreamRow(const TableRow& row);
   void HandleMemberRow(const TableRow& row);
@@ -101,6 +103,9 @@
   std::shared_ptr<const ActiveConfiguration> m_active_configuration;
   std::list<std::unique_ptr<ForwardedCall>> m_calls;
   PeerTable m_peer_table;
+  PeerTable m_reader_table;
+  SharedTable m_shared_table;
+  TableRelay m_table_relay;
   TableMirror m_operator_rows;
   TableMirror m_upstream_rows;
   TableMirror m_member_rows;
--- a/packages/serving/include/bambooquay/serving/table_mirror.h
+++ b/packages/serving/include/bambooquay/serving/table_mirror.h
@@ -46,6 +46,12 @@
   void SetFallback(FleetTable& fallback) { m_fallback = &fallback; }
   /// @returns all rows of the copy as one page.
   [[nodiscard]] TablePage Snapshot() const;
+  /// @returns whether ChangesSince() can tell the changes after `version`.
+  [[nodiscard]] bool HasChangesSince(std::uint64_t version) const noexcept {
+    return m_complete && version >= m_history_start;
+  }
+  /// @returns the rows that were changed or deleted after `version`.
+  [[nodiscard]] TablePage ChangesSince(std::uint64_t version) const;
   [[nodiscard]] const std::string& table() const noexcept {
     return m_settings.table;
   }
@@ -61,6 +67,11 @@
   [[nodiscard]] const std::map<std::string, TableRow>& rows() const noexcept {
     return m_rows;
   }
+  /// Sets a handler that runs when the copy or its connection to the store has
+  /// changed.
+  void OnUpdated(std::function<void()> handler) {
+    m_on_updated = std::move(handler);
+  }
   /// Sets a handler that runs when the store responds again after failures.
   void OnStoreRegained(std::function<void()> handler) {
     m_on_store_regained = std::move(handler);
@@ -73,6 +84,7 @@
   void HandleWatch(TableResult result);
   void ApplyListing();
   void Apply(const TableRow& row);
+  void NotifyUpdated() const;
   void RetryLater(std::function<void()> retry, TableFailure failure);
   void HandleStoreResponse();
 
@@ -83,7 +95,12 @@
   MirrorSettings m_settings;
   RowHandler m_handler;
   std::function<void()> m_on_store_regained;
+  std::function<void()> m_on_updated;
   std::map<std::string, TableRow> m_rows;
+  /// Rows that were deleted, by the version at which that became known. Those
+  /// deleted up to m_history_start are not kept.
+  std::multimap<std::uint64_t, std::string> m_deleted;
+  std::uint64_t m_history_start = 0;
   /// Rows of a listing in progress.
   std::map<std::string, TableRow> m_listed;
   /// Version of the first page of that listing.
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -72,15 +72,19 @@
                   return RetryBudgetFor(service);
                 }},
       m_peer_table(deps.loop, [this] { return m_peers.NextLivePeer(); }),
-      m_operator_rows(deps.loop, deps.table, deps.random,
+      m_reader_table(deps.loop, [this] { return TableReader(); }),
+      m_shared_table(deps.loop.clock(), deps.table, m_reader_table,
+                     [this] { return TableReader().has_value(); }),
+      m_table_relay(deps.loop),
+      m_operator_rows(deps.loop, m_shared_table, deps.random,
                       {deps.document_codec.OperatorTableName(), kOperatorPause,
                        kOperatorPause},
                       [this](const TableRow& row) { HandleOperatorRow(row); }),
-      m_upstream_rows(deps.loop, deps.table, deps.random,
+      m_upstream_rows(deps.loop, m_shared_table, deps.random,
                       {deps.document_codec.UpstreamTableName(), kUpstreamPause,
                        kUpstreamShortPause},
                       [this](const TableRow& row) { HandleUpstreamRow(row); }),
-      m_member_rows(deps.loop, deps.table, deps.random,
+      m_member_rows(deps.loop, m_shared_table, deps.random,
                     {kMemberTable, kMemberPause, kMemberPause},
                     [this](const TableRow& row) { HandleMemberRow(row); }),
       m_server(deps.loop, HttpServerLimits{},
@@ -98,11 +102,12 @@
           }),
       m_table_server(deps.loop, HttpServerLimits{},
                      [this](const std::shared_ptr<HttpExchange>& exchange) {
-                       HandleTableRequest(*exchange);
+                       m_table_relay.HandleRequest(exchange);
                      }),
       m_freeze_detector(kTickPeriod) {
   for (TableMirror* mirror : m_mirrors) {
     mirror->SetFallback(m_peer_table);
+    m_table_relay.Serve(*mirror);
   }
   RegisterGauges();
   m_upstream_rows.OnStoreRegained(
@@ -248,19 +253,19 @@
   }
 }
 
-void ServingEntry::HandleTableRequest(HttpExchange& exchange) const {
-  const std::string& target = exchange.request().target;
-  const auto mirror =
-      std::ranges::find_if(m_mirrors, [&](const TableMirror* candidate) {
-        return candidate->is_complete() &&
-               target == "/tables/" + candidate->table();
-      });
-  if (mirror == m_mirrors.end()) {
-    exchange.Respond(ToCode(HttpStatus::kNotFound), {}, "");
-  } else {
-    exchange.Respond(ToCode(HttpStatus::kOk), {},
-                     EncodePage((*mirror)->Snapshot()));
+std::optional<Endpoint> ServingEntry::TableReader() const {
+  std::vector<InstanceId> members{m_settings.id};
+  for (const auto& [id, peer] : m_peers.peers()) {
+    if (peer.status.data_centre == m_settings.data_centre &&
+        !m_peers.IsSilent(peer) && !peer.status.leaving) {
+      members.push_back(id);
+    }
+  }
+  const auto reader = ChooseTableReader(members);
+  if (!reader.has_value() || *reader == m_settings.id) {
+    return std::nullopt;
   }
+  return m_peers.peers().at(*reader).address;
 }
 
 void ServingEntry::Reload(const ServingSettings& settings) {
@@ -284,6 +289,7 @@
 EntryStatus ServingEntry::MakeStatus() {
   EntryStatus status;
   status.leaving = m_draining_since.has_value();
+  status.data_centre = m_settings.data_centre;
   status.configuration = m_active_configuration == nullptr
                              ? 0
                              : m_active_configuration->configuration.version;
--- a/packages/serving/src/table_mirror.cc
+++ b/packages/serving/src/table_mirror.cc
@@ -20,6 +20,8 @@
 // of a second.
 constexpr int kFailuresToFallback = 3;
 constexpr Duration kMaxRetryDelay = std::chrono::milliseconds(500);
+// Deleted rows that are kept for entries that watch this copy.
+constexpr std::size_t kMaxDeletedRows = 1000;
 
 }  // namespace
 
@@ -88,8 +90,36 @@
       Apply(row);
     }
   }
+  // The versions of deletions that a listing reveals are not known.
   m_version = std::max(m_version, *m_list_version);
+  m_deleted.clear();
+  m_history_start = m_version;
   m_complete = true;
+  NotifyUpdated();
+}
+
+void TableMirror::NotifyUpdated() const {
+  if (m_on_updated) {
+    m_on_updated();
+  }
+}
+
+TablePage TableMirror::ChangesSince(std::uint64_t version) const {
+  TablePage page;
+  page.version = m_version;
+  for (const auto& [key, row] : m_rows) {
+    if (row.version > version) {
+      page.rows.push_back(row);
+    }
+  }
+  std::for_each(m_deleted.upper_bound(version), m_deleted.end(),
+                [&](const auto& item) {
+                  if (!m_rows.contains(item.second)) {
+                    page.rows.push_back(
+                        {m_settings.table, item.second, "", item.first, true});
+                  }
+                });
+  return page;
 }
 
 TablePage TableMirror::Snapshot() const {
@@ -159,6 +189,7 @@
     }
   });
   m_version = std::max(m_version, page.version);
+  NotifyUpdated();
   const bool use_short_pause = std::exchange(m_use_short_pause, false);
   m_pausing = true;
   m_next_timer =
@@ -169,6 +200,11 @@
 void TableMirror::Apply(const TableRow& row) {
   if (row.deleted) {
     m_rows.erase(row.key);
+    m_deleted.emplace(row.version, row.key);
+    while (m_deleted.size() > kMaxDeletedRows) {
+      m_history_start = m_deleted.begin()->first;
+      m_deleted.erase(m_deleted.begin());
+    }
   } else {
     m_rows[row.key] = row;
   }
@@ -188,6 +224,7 @@
   if (++m_failures >= kFailuresToFallback) {
     ListFromFallback();
   }
+  NotifyUpdated();
   // A random delay, so that many processes do not call at the same time.
   const auto spread = std::chrono::microseconds(m_random.UniformBelow(
       static_cast<std::uint32_t>(delay / std::chrono::microseconds(2))));
--- a/packages/serving/src/table_relay.cc
+++ b/packages/serving/src/table_relay.cc
@@ -1,6 +1,8 @@
 // Passes copies of the store's tables between entries.
 #include "bambooquay/serving/table_relay.h"
 
+#include <algorithm>
+#include <charconv>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -13,14 +15,24 @@
 
 // Entries respond to each other within some milliseconds.
 constexpr Duration kPeerTimeout = std::chrono::milliseconds(700);
+// Longest wait of a watch of another entry's copy.
+constexpr Duration kMaxPeerWatch = std::chrono::seconds(1);
+constexpr Duration kExpiryCheckPeriod = std::chrono::milliseconds(100);
+constexpr int kHistoryGoneStatus = 410;
+const std::string kPathPrefix = "/tables/";
+const std::string kAfterField = "?after=";
 
 }  // namespace
 
 std::string EncodePage(const TablePage& page) {
   Json rows = Json::array();
   for (const TableRow& row : page.rows) {
-    rows.push_back({row.key, row.version,
-                    Json::binary({row.value.begin(), row.value.end()})});
+    if (row.deleted) {
+      rows.push_back({row.key, row.version});
+    } else {
+      rows.push_back({row.key, row.version,
+                      Json::binary({row.value.begin(), row.value.end()})});
+    }
   }
   const std::vector<std::uint8_t> bytes =
       Json::to_cbor({{"version", page.version}, {"rows", std::move(rows)}});
@@ -33,9 +45,13 @@
     TablePage page;
     page.version = json.at("version");
     for (const Json& item : json.at("rows")) {
-      const Json::binary_t& value = item.at(2).get_binary();
-      page.rows.push_back(
-          {"", item.at(0), {value.begin(), value.end()}, item.at(1), false});
+      // A deleted row has no value.
+      TableRow row{"", item.at(0), "", item.at(1), item.size() < 3};
+      if (!row.deleted) {
+        const Json::binary_t& value = item.at(2).get_binary();
+        row.value.assign(value.begin(), value.end());
+      }
+      page.rows.push_back(std::move(row));
     }
     return page;
   } catch (const Json::exception& error) {
@@ -47,37 +63,50 @@
 
 PeerTable::PeerTable(EventLoop& loop,
                      std::function<std::optional<Endpoint>()> choose_peer)
-    : m_loop(loop), m_choose_peer(std::move(choose_peer)) {}
+    : m_client(loop, {.connect_timeout = kPeerTimeout,
+                      .tcp_user_timeout = kPeerTimeout}),
+      m_choose_peer(std::move(choose_peer)) {}
 
-void PeerTable::List(const std::string& table, const std::string& /*first_key*/,
-                     std::function<void(TableResult)> done) {
+void PeerTable::Fetch(const std::string& target, Duration timeout,
+                      std::function<void(TableResult)> done) {
   const auto peer = m_choose_peer();
   if (!peer.has_value()) {
     done(TableFailure::kUnavailable);
     return;
   }
   HttpRequest request;
-  request.target = "/tables/" + table;
-  m_calls.Fetch(m_loop, *peer, request, kPeerTimeout,
+  request.target = target;
+  m_calls.Fetch(m_client, *peer, request, timeout,
                 [done = std::move(done)](const HttpResult& result) {
                   const auto* response = std::get_if<HttpResponse>(&result);
+                  if (response == nullptr) {
+                    done(TableFailure::kUnavailable);
+                    return;
+                  }
                   std::optional<TablePage> page;
-                  if (response != nullptr &&
-                      response->status == ToCode(HttpStatus::kOk)) {
+                  if (response->status == ToCode(HttpStatus::kOk)) {
                     page = DecodePage(response->body);
                   }
                   if (page.has_value()) {
                     done(std::move(*page));
+                  } else if (response->status == kHistoryGoneStatus) {
+                    done(TableFailure::kHistoryGone);
                   } else {
                     done(TableFailure::kUnavailable);
                   }
                 });
 }
 
-void PeerTable::Watch(const std::string& /*table*/, std::uint64_t /*after*/,
+void PeerTable::List(const std::string& table, const std::string& /*first_key*/,
+                     std::function<void(TableResult)> done) {
+  Fetch(kPathPrefix + table, kPeerTimeout, std::move(done));
+}
+
+void PeerTable::Watch(const std::string& table, std::uint64_t after,
                       Duration /*wait*/,
                       std::function<void(TableResult)> done) {
-  done(TableFailure::kUnavailable);
+  Fetch(kPathPrefix + table + kAfterField + std::to_string(after),
+        kMaxPeerWatch + kPeerTimeout, std::move(done));
 }
 
 void PeerTable::Write(const TableWrite& /*write*/,
@@ -85,4 +114,77 @@
   done(TableFailure::kUnavailable);
 }
 
+TableRelay::TableRelay(EventLoop& loop)
+    : m_loop(loop),
+      m_expiry_timer(
+          loop.Every(kExpiryCheckPeriod, [this] { AnswerWatches(); })) {}
+
+void TableRelay::Serve(TableMirror& mirror) {
+  m_mirrors.push_back(&mirror);
+  mirror.OnUpdated([this] { AnswerWatches(); });
+}
+
+void TableRelay::HandleRequest(const std::shared_ptr<HttpExchange>& exchange) {
+  const std::string& target = exchange->request().target;
+  const std::string path = target.substr(0, target.find('?'));
+  const auto mirror =
+      std::ranges::find_if(m_mirrors, [&](const TableMirror* candidate) {
+        return candidate->is_complete() &&
+               path == kPathPrefix + candidate->table();
+      });
+  if (mirror == m_mirrors.end()) {
+    exchange->Respond(ToCode(HttpStatus::kNotFound), {}, "");
+    return;
+  }
+  const auto after_field = target.find(kAfterField);
+  if (after_field == std::string::npos) {
+    exchange->Respond(ToCode(HttpStatus::kOk), {},
+                      EncodePage((*mirror)->Snapshot()));
+    return;
+  }
+  PendingWatch watch{*mirror, 0, exchange,
+                     m_loop.clock().Now() + kMaxPeerWatch};
+  const char* digits = target.data() + after_field + kAfterField.size();
+  const char* end = target.data() + target.size();
+  if (std::from_chars(digits, end, watch.after).ptr != end) {
+    exchange->Respond(ToCode(HttpStatus::kBadRequest), {}, "");
+  } else if (!TryAnswer(watch)) {
+    m_watches.push_back(std::move(watch));
+  }
+}
+
+void TableRelay::AnswerWatches() {
+  for (auto watch = m_watches.begin(); watch != m_watches.end();) {
+    watch = TryAnswer(*watch) ? m_watches.erase(watch) : std::next(watch);
+  }
+}
+
+bool TableRelay::TryAnswer(const PendingWatch& watch) {
+  const TableMirror& mirror = *watch.mirror;
+  HttpExchange& exchange = *watch.exchange;
+  if (mirror.is_store_lost()) {
+    // The other entry may reach the store itself.
+    exchange.Respond(ToCode(HttpStatus::kServiceUnavailable), {}, "");
+  } else if (!mirror.HasChangesSince(watch.after)) {
+    exchange.Respond(kHistoryGoneStatus, {}, "");
+  } else if (mirror.version() > watch.after ||
+             m_loop.clock().Now() >= watch.expires_at) {
+    exchange.Respond(ToCode(HttpStatus::kOk), {},
+                     EncodeChanges(mirror, watch.after));
+  } else {
+    return false;
+  }
+  return true;
+}
+
+const std::string& TableRelay::EncodeChanges(const TableMirror& mirror,
+                                             std::uint64_t after) {
+  if (m_encoded.mirror != &mirror || m_encoded.after != after ||
+      m_encoded.version != mirror.version()) {
+    m_encoded = {&mirror, after, mirror.version(),
+                 EncodePage(mirror.ChangesSince(after))};
+  }
+  return m_encoded.body;
+}
+
 }  // namespace bambooquay
--- a/packages/serving/tests/table_test.cc
+++ b/packages/serving/tests/table_test.cc
@@ -1,5 +1,6 @@
 // Tests for the copies of the store's tables, their relay between entries, and
 // the limit on model loads.
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <deque>
 #include <functional>
@@ -7,7 +8,9 @@
 #include <string>
 #include <vector>
 
+#include "bambooquay/runtime/http_server.h"
 #include "bambooquay/serving/model_load_limiter.h"
+#include "bambooquay/serving/shared_table.h"
 #include "bambooquay/serving/table_mirror.h"
 #include "bambooquay/serving/table_relay.h"
 #include "support/fake_table.h"
@@ -200,6 +203,112 @@
   BOOST_TEST(granted >= 3);
 }
 
+/// An entry that reads the store for its data centre, and another one.
+struct SharingFixture {
+  SharingFixture()
+      : reader_mirror(loop, store, random, {"t", {}, {}},
+                      [](const TableRow& /*row*/) {}),
+        relay(loop),
+        server(loop, HttpServerLimits{},
+               [this](const std::shared_ptr<HttpExchange>& exchange) {
+                 relay.HandleRequest(exchange);
+               }),
+        peer(loop,
+             [this] {
+               return std::optional<Endpoint>({"127.0.0.1", server.port()});
+             }),
+        shared(loop.clock(), other_store, peer, [this] { return has_reader; }),
+        mirror(loop, shared, random, {"t", {}, {}},
+               [this](const TableRow& row) {
+                 if (row.deleted) {
+                   seen.erase(row.key);
+                 } else {
+                   seen[row.key] = row.value;
+                 }
+               }) {
+    relay.Serve(reader_mirror);
+    store.Put("t", "a", "1");
+    reader_mirror.Start();
+    BOOST_REQUIRE(server.Listen({"127.0.0.1", 0}));
+    BOOST_REQUIRE(RunUntil([this] { return reader_mirror.is_complete(); }));
+    mirror.Start();
+    BOOST_REQUIRE(RunUntil([this] { return seen.contains("a"); }));
+  }
+  bool RunUntil(const std::function<bool()>& done) {
+    return loop.RunUntil(done, kTimeout);
+  }
+
+  EventLoop loop;
+  SeededRandom random{5};
+  FakeTable store{loop};
+  /// The store as the other entry reaches it.
+  FakeTable other_store{loop};
+  bool has_reader = true;
+  std::map<std::string, std::string> seen;
+  TableMirror reader_mirror;
+  TableRelay relay;
+  HttpServer server;
+  PeerTable peer;
+  SharedTable shared;
+  TableMirror mirror;
+};
+
+// Load: many entries watch a table that changes all the time.
+BOOST_AUTO_TEST_CASE(an_entry_follows_the_reader_without_calls_to_the_store) {
+  SharingFixture fixture;
+  fixture.store.Put("t", "b", "2");
+  fixture.store.Delete("t", "a");
+  BOOST_TEST(fixture.RunUntil([&] {
+    return fixture.seen == std::map<std::string, std::string>{{"b", "2"}};
+  }));
+  // Longer than one watch of the reader takes.
+  fixture.loop.RunUntil([] { return false; }, milliseconds(1300));
+  fixture.store.Put("t", "c", "3");
+  BOOST_TEST(fixture.RunUntil([&] { return fixture.seen.contains("c"); }));
+  BOOST_TEST(fixture.other_store.list_count == 0);
+  BOOST_TEST(!fixture.mirror.is_store_lost());
+}
+
+BOOST_AUTO_TEST_CASE(rows_deleted_while_the_reader_listed_again_are_noticed) {
+  SharingFixture fixture;
+  fixture.store.DiscardHistory();
+  fixture.store.Delete("t", "a");
+  fixture.store.Put("t", "b", "2");
+  fixture.store.DiscardHistory();
+  BOOST_TEST(fixture.RunUntil([&] {
+    return fixture.seen == std::map<std::string, std::string>{{"b", "2"}};
+  }));
+}
+
+// The store turns the reader away and serves the others.
+BOOST_AUTO_TEST_CASE(the_store_is_read_directly_when_the_reader_lost_it) {
+  SharingFixture fixture;
+  fixture.other_store.version = 100;
+  fixture.other_store.Put("t", "d", "4");
+  fixture.store.is_down = true;
+  fixture.store.Put("t", "x", "0");
+  BOOST_TEST(fixture.RunUntil([&] { return fixture.seen.contains("d"); }));
+  BOOST_TEST(!fixture.seen.contains("x"));
+}
+
+BOOST_AUTO_TEST_CASE(one_entry_of_a_large_data_centre_reads_for_the_others) {
+  std::vector<InstanceId> members;
+  for (int i = 0; i < 9; ++i) {
+    members.emplace_back("entry-" + std::to_string(i));
+  }
+  BOOST_TEST(!ChooseTableReader(members).has_value());
+  members.emplace_back("entry-9");
+  const auto reader = ChooseTableReader(members);
+  BOOST_REQUIRE(reader.has_value());
+  // The order in which members are known doesn't matter.
+  std::ranges::reverse(members);
+  BOOST_TEST(ChooseTableReader(members)->value() == reader->value());
+  // When it is lost, the others agree on a successor.
+  std::erase(members, *reader);
+  members.emplace_back("entry-10");
+  BOOST_TEST(ChooseTableReader(members)->value() != reader->value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace bambooquay
