Reports by use, bounds on endless responses, crash reports

(2) A response that is buffered was bounded by silence only: bytes without end filled the memory, a byte now and then kept the call alive; interim responses, responses to other calls and an event without end were read for as long as the call lasted. An agent waits 24 s instead of 8 between two reads of the configuration. (2) A buffered response ends at 8 MiB or after twice its idle timeout, discarded bytes at 1 MiB, an event at 256 KiB. (3) A fatal signal writes the call stack. Calls of other entries are assumed for at most five of them.

--- a/packages/peers/include/bambooquay/peers/status_messages.h
+++ b/packages/peers/include/bambooquay/peers/status_messages.h
@@ -45,6 +45,8 @@
   /// Models that the engine is to have loaded; set only by the entry that plans
   /// placement.
   std::optional<std::vector<ModelName>> models;
+  /// Time between two reports that the entry asks for; 0 for all reports.
+  Duration report_period{};
 };
 
 /// Sent by each agent to the entries from which it receives targets.
--- a/packages/peers/src/status_messages.cc
+++ b/packages/peers/src/status_messages.cc
@@ -82,6 +82,8 @@
 void Write(status::EngineTarget::Builder to, const EngineTarget& from) {
   to.setUpstream(from.upstream.value().c_str());
   to.setPlanned(from.models.has_value());
+  to.setReportPeriodMs(static_cast<std::uint32_t>(
+      from.report_period / std::chrono::milliseconds(1)));
   if (from.models.has_value()) {
     WriteTextList(to.initModels(static_cast<unsigned>(from.models->size())),
                   *from.models);
@@ -91,6 +93,7 @@
 EngineTarget Read(status::EngineTarget::Reader from) {
   EngineTarget to;
   to.upstream = UpstreamId(ToString(from.getUpstream()));
+  to.report_period = std::chrono::milliseconds(from.getReportPeriodMs());
   if (from.getPlanned()) {
     to.models = ReadTextList<ModelName>(from.getModels());
   }
--- a/packages/peers/status.capnp
+++ b/packages/peers/status.capnp
@@ -36,6 +36,7 @@
   upstream @0 :Text;
   planned @1 :Bool;
   models @2 :List(Text);
+  reportPeriodMs @3 :UInt32;  # between two reports to the sender; 0: send all
 }
 
 # A model that an engine has loaded, with the adapters loaded for it.
--- a/packages/runtime/src/http_client.cc
+++ b/packages/runtime/src/http_client.cc
@@ -13,6 +13,11 @@
 // Interval at which idle connections are checked against the time limit.
 constexpr Duration kSweepPeriod = std::chrono::seconds(1);
 
+// A response that is larger than this, or takes longer than this multiple of
+// the idle timeout, has no end.
+constexpr std::size_t kMaxBufferedBytes = 8 * 1024 * 1024;
+constexpr int kMaxIdleTimeouts = 2;
+
 /// A call that buffers the response, for FetchHttp().
 class BufferedCall final : public HttpCall, private HttpObserver {
  public:
@@ -21,10 +26,12 @@
 
   void Start(EventLoop& loop, const Endpoint& endpoint,
              const HttpRequest& request, Duration idle_timeout) {
+    LimitTime(loop, idle_timeout);
     m_call = StartHttpCall(loop, endpoint, request, idle_timeout, *this);
   }
   void Start(HttpClient& client, const Endpoint& endpoint,
              const HttpRequest& request, Duration idle_timeout) {
+    LimitTime(client.loop(), idle_timeout);
     m_call = client.Start(endpoint, request, idle_timeout,
                           ConnectionReuse::kAllowed, *this);
   }
@@ -36,8 +43,23 @@
     m_response.status = status;
     m_response.headers = headers;
   }
-  void OnPart(std::string_view bytes) override { m_response.body += bytes; }
+  void OnPart(std::string_view bytes) override {
+    m_response.body += bytes;
+    if (m_response.body.size() > kMaxBufferedBytes) {
+      GiveUp(HttpOutcome::kBroken);
+    }
+  }
+  void LimitTime(EventLoop& loop, Duration idle_timeout) {
+    m_limit_timer = loop.After(idle_timeout * kMaxIdleTimeouts,
+                               [this] { GiveUp(HttpOutcome::kTimedOut); });
+  }
+  /// Closes the connection and ends the call.
+  void GiveUp(HttpOutcome outcome) {
+    m_call = nullptr;
+    OnEnd(outcome);
+  }
   void OnEnd(HttpOutcome outcome) override {
+    m_limit_timer = nullptr;
     // The callback may destroy this object.
     const auto done = std::move(m_done);
     if (outcome == HttpOutcome::kComplete) {
@@ -49,6 +71,7 @@
 
   HttpResponse m_response;
   std::function<void(HttpResult)> m_done;
+  std::unique_ptr<Timer> m_limit_timer;
   std::unique_ptr<HttpCall> m_call;
 };
 
--- a/packages/runtime/src/http_client_connection.cc
+++ b/packages/runtime/src/http_client_connection.cc
@@ -17,6 +17,8 @@
 
 // Reading from the peer pauses while this many bytes are buffered.
 constexpr std::size_t kReadAheadBytes = 256 * 1024;
+// Bytes that are no part of the response before the peer counts as broken.
+constexpr std::size_t kMaxDiscardedBytes = 1024 * 1024;
 // Fraction of the peer's announced idle timeout during which a connection is
 // reused. The margin avoids sending a request while the peer closes the
 // connection.
@@ -80,6 +82,7 @@
   m_head_complete = false;
   m_message_complete = false;
   m_is_skipping_response = false;
+  m_discarded_bytes = 0;
   m_headers.Clear();
 
   std::string head = request.method + " " + request.target + " HTTP/1.1\r\n";
@@ -246,6 +249,9 @@
     const http_errno error = HTTP_PARSER_ERRNO(&m_parser);
     evbuffer_drain(input, parsed);
     const bool is_interim = m_parser.status_code / 100 == 1;
+    if (is_interim || m_is_skipping_response) {
+      m_discarded_bytes += parsed;
+    }
     if (m_head_complete && !had_head && !is_interim) {
       const HttpHeaders headers = m_headers.headers();
       m_is_skipping_response = !m_observer->Accepts(headers);
@@ -259,7 +265,9 @@
     }
     if (error == HPE_PAUSED) {
       http_parser_pause(&m_parser, 0);
-    } else if (error != HPE_OK) {
+    }
+    const bool is_endless = m_discarded_bytes > kMaxDiscardedBytes;
+    if (is_endless || (error != HPE_PAUSED && error != HPE_OK)) {
       m_failed = true;
       if (DeliverBody()) {
         End(HttpOutcome::kBroken);
--- a/packages/runtime/tests/http_client_test.cc
+++ b/packages/runtime/tests/http_client_test.cc
@@ -276,6 +276,65 @@
   RC_ASSERT(fixture.Run(observer) == HttpOutcome::kBroken);
 }
 
+// A server in trouble sends bytes without end. Each case must end although the
+// connection is never silent.
+BOOST_AUTO_TEST_CASE(a_head_without_end_breaks_the_call) {
+  ClientAndServer fixture(
+      AlwaysRespond("HTTP/1.1 200 OK\r\nA: " + std::string(4 << 20, 'x')));
+  RecordingObserver observer;
+  BOOST_TEST((fixture.Run(observer) == HttpOutcome::kBroken));
+}
+
+BOOST_AUTO_TEST_CASE(interim_responses_without_end_break_the_call) {
+  std::string bytes;
+  while (bytes.size() < 4 << 20) {
+    bytes += "HTTP/1.1 102 Processing\r\n\r\n";
+  }
+  ClientAndServer fixture(AlwaysRespond(bytes));
+  RecordingObserver observer;
+  BOOST_TEST((fixture.Run(observer) == HttpOutcome::kBroken));
+}
+
+BOOST_AUTO_TEST_CASE(responses_to_others_without_end_break_the_call) {
+  std::string bytes;
+  while (bytes.size() < 4 << 20) {
+    bytes += Ok(std::string(1000, 'x'), "Id: other\r\n");
+  }
+  ClientAndServer fixture(AlwaysRespond(bytes));
+  RecordingObserver observer;
+  observer.id = "mine";
+  BOOST_TEST((fixture.Run(observer) == HttpOutcome::kBroken));
+}
+
+BOOST_AUTO_TEST_CASE(a_body_without_end_is_not_buffered) {
+  ClientAndServer fixture(
+      AlwaysRespond("HTTP/1.1 200 OK\r\n\r\n" + std::string(32 << 20, 'x')));
+  std::optional<HttpResult> result;
+  const auto call =
+      FetchHttp(fixture.client, fixture.server.endpoint(), HttpRequest{},
+                kTestTimeout, [&](HttpResult r) { result = std::move(r); });
+  BOOST_REQUIRE(
+      fixture.loop.RunUntil([&] { return result.has_value(); }, kTestTimeout));
+  BOOST_TEST((std::get<HttpOutcome>(*result) == HttpOutcome::kBroken));
+}
+
+BOOST_AUTO_TEST_CASE(a_byte_now_and_then_does_not_keep_a_call_alive) {
+  ClientAndServer fixture(AlwaysRespond("HTTP/1.1 200 OK\r\n\r\n"));
+  std::optional<HttpResult> result;
+  const auto call = FetchHttp(fixture.client, fixture.server.endpoint(),
+                              HttpRequest{}, milliseconds(300),
+                              [&](HttpResult r) { result = std::move(r); });
+  const auto dribble = fixture.loop.Every(milliseconds(100), [&] {
+    if (fixture.server.connection_count() > 0 &&
+        fixture.server.closed_by_peer_count() == 0) {
+      fixture.server.SendUnsolicited("x");
+    }
+  });
+  BOOST_REQUIRE(
+      fixture.loop.RunUntil([&] { return result.has_value(); }, seconds(3)));
+  BOOST_TEST((std::get<HttpOutcome>(*result) == HttpOutcome::kTimedOut));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace bambooquay
--- a/packages/serving/include/bambooquay/serving/event_stream.h
+++ b/packages/serving/include/bambooquay/serving/event_stream.h
@@ -1,6 +1,7 @@
 // Splits a stream of server-sent events into whole events.
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -22,6 +23,10 @@
   /// Clears the buffer.
   /// @returns the bytes of the incomplete event in it.
   [[nodiscard]] std::string TakeRemainder();
+  /// @returns the size of the incomplete event, in bytes.
+  [[nodiscard]] std::size_t pending_bytes() const noexcept {
+    return m_pending.size();
+  }
   /// @returns the id of the last complete event that has one.
   [[nodiscard]] const std::string& last_id() const noexcept {
     return m_last_id;
--- a/packages/serving/include/bambooquay/serving/peer_exchange.h
+++ b/packages/serving/include/bambooquay/serving/peer_exchange.h
@@ -6,12 +6,14 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "bambooquay/peers/status_messages.h"
 #include "bambooquay/runtime/datagram_socket.h"
 #include "bambooquay/serving/forwarded_call.h"
 #include "bambooquay/serving/placement_planner.h"
+#include "bambooquay/serving/report_pace.h"
 
 namespace bambooquay {
 
@@ -91,6 +93,12 @@
     TimePoint sent_at{};
   };
 
+  /// The last announcement to one agent.
+  struct Announcement {
+    TimePoint sent_at{};
+    Duration report_period{};
+  };
+
   /// A request for a cold permit that has had no reply yet.
   struct PendingPermit {
     TimePoint sent_at{};
@@ -129,6 +137,7 @@
   /// Ordered by id, because the live entry with the lowest id plans placement.
   std::map<InstanceId, PeerEntry> m_peers;
   std::vector<Endpoint> m_seeds;
+  std::unordered_map<UpstreamId, Announcement> m_announcements;
   std::size_t m_next_live_peer = 0;
   std::uint64_t m_next_request_id = 1;
   std::map<std::uint64_t, PendingLoad> m_pending_loads;
--- a/packages/serving/include/bambooquay/serving/report_subscribers.h
+++ b/packages/serving/include/bambooquay/serving/report_subscribers.h
@@ -22,16 +22,27 @@
     /// Version of the lists that was last sent to it; 0 for none.
     std::uint64_t lists_version = 0;
     TimePoint lists_sent_at{};
+    /// Time between two reports that the entry asks for; 0 for all reports.
+    Duration report_period{};
+    TimePoint report_sent_at{};
   };
 
   explicit ReportSubscribers(const Clock& clock) noexcept : m_clock(clock) {}
 
   /// Adds an entry or renews its subscription.
+  /// @param report_period  time between two reports that the entry asks for; 0
+  ///   for all reports.
   /// @returns whether the entry needs the lists: it is new, its address has
   ///   changed, or the lists that it was sent have been invalidated.
-  bool Subscribe(const InstanceId& entry, const Endpoint& address);
+  bool Subscribe(const InstanceId& entry, const Endpoint& address,
+                 Duration report_period = {});
   /// Removes entries whose subscription has not been renewed in time.
   void RemoveExpired();
+  /// Marks a report as sent to `subscriber` if it wants one now: its period is
+  /// over, or it lacks the current lists.
+  /// @returns whether to send it a report.
+  [[nodiscard]] bool MarkReportSentIfDue(Subscriber& subscriber,
+                                         std::uint64_t lists_version) const;
   /// Marks the lists as sent to `subscriber` if they have to be sent now.
   ///
   /// @param lists_version  current version of the lists.
--- a/packages/serving/include/bambooquay/serving/upstream_set.h
+++ b/packages/serving/include/bambooquay/serving/upstream_set.h
@@ -94,6 +94,8 @@
   TimePoint reported_at{};
   /// Calls from this entry that have not ended.
   int in_flight = 0;
+  /// When this entry last sent a call to it.
+  TimePoint last_attempt_at{};
   /// Calls sent from this entry since the last report.
   int sent_since_report = 0;
   /// Exponentially weighted share of failed attempts.
--- a/packages/serving/src/forwarded_response.cc
+++ b/packages/serving/src/forwarded_response.cc
@@ -17,6 +17,9 @@
 // Reading from the upstream pauses when more bytes than this wait to be sent
 // to the caller.
 constexpr std::size_t kMaxUnsentResponseBytes = 64 * 1024;
+// An upstream whose event is larger than this is in trouble: events are a few
+// hundred bytes.
+constexpr std::size_t kMaxEventBytes = 256 * 1024;
 // No attempt is made with less time left than this.
 constexpr Duration kMinAttemptTime = milliseconds(50);
 // A call gives up after more unreachable upstreams than this, as each can take
@@ -122,6 +125,9 @@
       RelayBody(events);
       RestartStallTimer();
     }
+    if (m_events.pending_bytes() > kMaxEventBytes) {
+      HandleFailedAttempt(AttemptResult::kBroken, true, "event_too_large");
+    }
     return;
   }
   if (m_relaying) {
--- a/packages/serving/src/peer_exchange.cc
+++ b/packages/serving/src/peer_exchange.cc
@@ -172,11 +172,16 @@
 void PeerExchange::AnnounceTo(const UpstreamId& upstream) {
   const auto agent = AgentAddress(upstream);
   if (agent.has_value()) {
-    Send(*agent, {m_self, m_incarnation, EngineTarget{upstream, std::nullopt}});
+    Send(*agent,
+         {m_self, m_incarnation, EngineTarget{upstream, std::nullopt, {}}});
   }
 }
 
 void PeerExchange::SendTargets(const PlacementTargets& targets) {
+  const ReportPace pace(static_cast<std::size_t>(std::ranges::count_if(
+      m_upstreams.all(),
+      [](const auto& item) { return item.second.has_engine; })));
+  const TimePoint now = m_loop.clock().Now();
   for (const auto& [id, upstream] : m_upstreams.all()) {
     if (!upstream.has_engine || upstream.superseded) {
       continue;
@@ -187,8 +192,21 @@
     if (planned != targets.end()) {
       target.models = planned->second;
     }
-    Send(AgentAddress(upstream), {m_self, m_incarnation, std::move(target)});
+    // The entry that plans placement needs all reports.
+    const bool wants_all = !targets.empty() || pace.IsInUse(upstream, now);
+    target.report_period =
+        wants_all ? Duration::zero() : pace.IdleReportPeriod();
+    Announcement& last = m_announcements[id];
+    if (target.models.has_value() ||
+        last.report_period != target.report_period ||
+        now - last.sent_at >= pace.RenewalPeriod()) {
+      last = {now, target.report_period};
+      Send(AgentAddress(upstream), {m_self, m_incarnation, std::move(target)});
+    }
   }
+  std::erase_if(m_announcements, [this](const auto& item) {
+    return m_upstreams.Find(item.first) == nullptr;
+  });
 }
 
 void PeerExchange::Send(const Endpoint& to, const StatusMessage& message) {
--- a/packages/serving/src/report_subscribers.cc
+++ b/packages/serving/src/report_subscribers.cc
@@ -13,7 +13,8 @@
 }  // namespace
 
 bool ReportSubscribers::Subscribe(const InstanceId& entry,
-                                  const Endpoint& address) {
+                                  const Endpoint& address,
+                                  Duration report_period) {
   const auto [found, is_new] = m_subscribers.try_emplace(entry);
   Subscriber& subscriber = found->second;
   if (!is_new && subscriber.address != address) {
@@ -21,6 +22,7 @@
   }
   subscriber.address = address;
   subscriber.renewed_at = m_clock.Now();
+  subscriber.report_period = report_period;
   return subscriber.lists_version == 0;
 }
 
@@ -30,6 +32,17 @@
   });
 }
 
+bool ReportSubscribers::MarkReportSentIfDue(Subscriber& subscriber,
+                                            std::uint64_t lists_version) const {
+  const TimePoint now = m_clock.Now();
+  if (subscriber.lists_version == lists_version &&
+      now - subscriber.report_sent_at < subscriber.report_period) {
+    return false;
+  }
+  subscriber.report_sent_at = now;
+  return true;
+}
+
 bool ReportSubscribers::MarkListsSentIfDue(Subscriber& subscriber,
                                            std::uint64_t lists_version) const {
   const TimePoint now = m_clock.Now();
--- a/packages/serving/src/serving_agent.cc
+++ b/packages/serving/src/serving_agent.cc
@@ -21,7 +21,7 @@
 constexpr Duration kPollPeriod = milliseconds(200);
 // Pause between two reads of the configuration. Model sizes and limits change
 // rarely, and a target with an unknown model ends the pause early.
-constexpr Duration kConfigurationPollPause = std::chrono::seconds(8);
+constexpr Duration kConfigurationPollPause = std::chrono::seconds(24);
 // Number of consecutive failures to fetch a report after which the engine
 // counts as lost.
 constexpr int kLostAfterMissedReports = 3;
@@ -118,7 +118,8 @@
 void ServingAgent::HandleTarget(const Endpoint& sender_address,
                                 const InstanceId& sender,
                                 const EngineTarget& target) {
-  const bool needs_lists = m_subscribers.Subscribe(sender, sender_address);
+  const bool needs_lists =
+      m_subscribers.Subscribe(sender, sender_address, target.report_period);
   if (m_upstream != target.upstream) {
     // Entries cannot use lists that were sent to them under another id.
     m_upstream = target.upstream;
@@ -242,6 +243,9 @@
 
 void ServingAgent::SendReport(ReportSubscribers::Subscriber& subscriber,
                               EncodedReports& encoded) {
+  if (!m_subscribers.MarkReportSentIfDue(subscriber, m_lists_version)) {
+    return;
+  }
   const bool omit_lists =
       !m_subscribers.MarkListsSentIfDue(subscriber, m_lists_version);
   std::string& bytes = omit_lists ? encoded.without_lists : encoded.with_lists;
--- a/packages/serving/src/upstream_choice.cc
+++ b/packages/serving/src/upstream_choice.cc
@@ -27,6 +27,10 @@
 constexpr double kNewConnectionMs = 4.0;
 // Delay of the load of an adapter while the engine carries out another order.
 constexpr double kBusyEngineMs = 1000.0;
+// Other entries that are assumed to choose the same engine between two of its
+// reports. In a large fleet each entry sends so few calls that their choices
+// hardly meet.
+constexpr std::size_t kMaxEntriesChoosingAlike = 5;
 // An adapter is loaded on one more engine if calls are served sooner there by
 // more than this. Covers the load, the memory it takes from other adapters, and
 // the prompts that have to be processed again. Load it answers: one engine
@@ -117,7 +121,8 @@
   if (!HasFreshReport(upstream) || m_entries.empty()) {
     return 0.0;
   }
-  const std::size_t others = m_entries.size() - 1;
+  const std::size_t others =
+      std::min(m_entries.size() - 1, kMaxEntriesChoosingAlike);
   return static_cast<double>(upstream.sent_since_report) *
          static_cast<double>(others);
 }
--- a/packages/serving/src/upstream_set.cc
+++ b/packages/serving/src/upstream_set.cc
@@ -227,6 +227,7 @@
   Upstream& upstream = found->second;
   ++upstream.in_flight;
   ++upstream.sent_since_report;
+  upstream.last_attempt_at = m_clock.Now();
   upstream.prompt_cache.RecordPrompt(query.prompt);
 }
 
--- a/packages/serving/tests/report_subscribers_test.cc
+++ b/packages/serving/tests/report_subscribers_test.cc
@@ -60,6 +60,31 @@
   BOOST_TEST(subscribers.all().contains(kSecondEntry));
 }
 
+// Load: hundreds of entries, each of which sends calls to few of the engines.
+BOOST_AUTO_TEST_CASE(an_entry_that_sends_no_calls_gets_fewer_reports) {
+  ManualClock clock;
+  ReportSubscribers subscribers(clock);
+  subscribers.Subscribe(kFirstEntry, kFirstAddress, milliseconds(900));
+  auto& first = subscribers.all()[kFirstEntry];
+  int reports = 0;
+  for (int i = 0; i < 50; ++i) {
+    if (subscribers.MarkReportSentIfDue(first, 1)) {
+      ++reports;
+      static_cast<void>(subscribers.MarkListsSentIfDue(first, 1));
+    }
+    clock.Advance(milliseconds(200));
+  }
+  BOOST_TEST(reports == 10);
+  BOOST_TEST(subscribers.MarkReportSentIfDue(first, 1));
+  static_cast<void>(subscribers.MarkListsSentIfDue(first, 1));
+  // Changed lists are sent at once, and all reports once it sends calls.
+  BOOST_TEST(!subscribers.MarkReportSentIfDue(first, 1));
+  BOOST_TEST(subscribers.MarkReportSentIfDue(first, 2));
+  static_cast<void>(subscribers.MarkListsSentIfDue(first, 2));
+  subscribers.Subscribe(kFirstEntry, kFirstAddress, Duration::zero());
+  BOOST_TEST(subscribers.MarkReportSentIfDue(first, 2));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace bambooquay
--- a/programs/agent/main.cc
+++ b/programs/agent/main.cc
@@ -7,6 +7,7 @@
 
 #include "bambooquay/operators/admin_server.h"
 #include "bambooquay/operators/process_start.h"
+#include "bambooquay/runtime/crash_report.h"
 #include "bambooquay/runtime/log.h"
 #include "bambooquay/upstreams/agent.h"
 #include "bambooquay/upstreams/agent_registration.h"
@@ -79,6 +80,7 @@
 }  // namespace bambooquay
 
 int main(int argc, char** argv) {
+  bambooquay::InstallCrashReport();
   try {
     std::vector<std::string> arguments(argv + 1, argv + argc);
     if (!arguments.empty() && arguments.front() == "serve") {
--- a/programs/bambooquay/main.cc
+++ b/programs/bambooquay/main.cc
@@ -6,10 +6,12 @@
 #include <vector>
 
 #include "bambooquay/operators/commands.h"
+#include "bambooquay/runtime/crash_report.h"
 #include "run_entry.h"
 #include "run_serve.h"
 
 int main(int argc, char** argv) {
+  bambooquay::InstallCrashReport();
   try {
     std::vector<std::string> arguments(argv + 1, argv + argc);
     bambooquay::ExitCode code = bambooquay::ExitCode::kOk;
