Stored demand for the planning after a restart of all entries (tried)

Cause looked for: after a power failure the first models that engines load are those with the most local copies, not those in demand.

--- a/packages/serving/include/bambooquay/serving/serving_entry.h
+++ b/packages/serving/include/bambooquay/serving/serving_entry.h
@@ -13,6 +13,7 @@
 #include "bambooquay/runtime/http_client.h"
 #include "bambooquay/runtime/http_server.h"
 #include "bambooquay/runtime/metrics.h"
+#include "bambooquay/serving/demand_memory.h"
 #include "bambooquay/serving/demand_meter.h"
 #include "bambooquay/serving/document_codec.h"
 #include "bambooquay/serving/fleet_planner.h"
@@ -88,6 +89,7 @@
   UpstreamSet m_upstreams;
   FleetAllowance m_allowance;
   DemandMeter m_demand;
+  DemandMemory m_demand_memory;
   FleetPlanner m_planner;
   HttpClient m_client;
   PeerExchange m_peers;
