--- a/packages/serving/include/bambooquay/serving/serving_entry.h
+++ b/packages/serving/include/bambooquay/serving/serving_entry.h
@@ -13,7 +13,6 @@
 #include "bambooquay/runtime/http_client.h"
 #include "bambooquay/runtime/http_server.h"
 #include "bambooquay/runtime/metrics.h"
-#include "bambooquay/serving/demand_memory.h"
 #include "bambooquay/serving/demand_meter.h"
 #include "bambooquay/serving/document_codec.h"
 #include "bambooquay/serving/fleet_planner.h"
@@ -89,7 +88,6 @@
   UpstreamSet m_upstreams;
   FleetAllowance m_allowance;
   DemandMeter m_demand;
-  DemandMemory m_demand_memory;
   FleetPlanner m_planner;
   HttpClient m_client;
   PeerExchange m_peers;
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -56,7 +56,6 @@
                   }),
       m_allowance(deps.loop.clock()),
       m_demand(deps.loop.clock()),
-      m_demand_memory(deps.loop.clock(), deps.table),
       m_planner(deps.loop.clock(), m_upstreams),
       m_client(deps.loop, kUpstreamClient),
       m_peers(deps.loop, settings.id, m_allowance, m_upstreams),
@@ -337,9 +336,7 @@
         std::ranges::copy(peer.status.demand, std::back_inserter(demand));
       }
     }
-    m_demand_memory.Save(demand);
-    targets = m_planner.Plan(m_active_configuration->configuration,
-                             m_demand_memory.Complete(std::move(demand)));
+    targets = m_planner.Plan(m_active_configuration->configuration, demand);
   } else {
     m_planner.ClearPlans();
   }
