Plans that can be carried out: evictions free enough memory, and plans last as long as loads take

Models there have 34 to 73 GB: the planner evicted one model for another without regard to their sizes, the engine could not make room and never started the load, and the plan took one of three places among the loads from the weight store until it timed out, again and again. And a plan lasted 5 s, while two loads take 8.4 s: a model loaded at 32.66 s was unloaded at 32.83 s as planning had started again. Change: as many models are evicted as the new one needs, and their losses are summed; a plan lasts for an unload and two loads of the slowest model (5 s on the first sites, as before; 11 s here). Tests: placement_planner/a_large_model_takes_the_place_of_several_small_ones and fleet_planner/a_plan_stays_in_force_for_as_long_as_loads_take fail without the change; targets_fit_and_no_loaded_model_is_lost now draws the sizes too.

--- a/packages/serving/include/bambooquay/serving/fleet_planner.h
+++ b/packages/serving/include/bambooquay/serving/fleet_planner.h
@@ -45,9 +45,12 @@
   /// Discards the plans of engines of `service` that are not usable.
   /// @returns the usable engines of `service`, sorted by id.
   [[nodiscard]] std::vector<EngineView> BuildEngineViews(
-      const ServiceName& service);
+      const ServingService& service);
+  /// @param plan_timeout  how long a plan stays in force that its engine has
+  ///   not reached.
   [[nodiscard]] EngineView BuildEngineView(const UpstreamId& id,
-                                           const Upstream& upstream) const;
+                                           const Upstream& upstream,
+                                           Duration plan_timeout) const;
   /// Records whether the list of engines has changed since the last plan.
   /// @returns the limits for the next plan.
   [[nodiscard]] PlanLimits UpdateLimits(const ServingService& service,
--- a/packages/serving/src/fleet_planner.cc
+++ b/packages/serving/src/fleet_planner.cc
@@ -9,10 +9,11 @@
 namespace bambooquay {
 namespace {
 
-// Time in which an engine has to reach its target, enough for two loads from
-// the weight store and an unload. Afterwards planning starts again from the
-// models that it has loaded.
-constexpr Duration kPlanTimeout = std::chrono::seconds(5);
+// An engine has to reach its target in the time of this many loads from the
+// weight store, and this much for unloads, which wait for running requests.
+// Afterwards planning starts again from the models that it has loaded.
+constexpr int kLoadsPerPlan = 2;
+constexpr Duration kUnloadTime = std::chrono::milliseconds(2600);
 // Time without a change after which the list of engines counts as complete.
 // When the fleet starts, engines are added over some seconds.
 constexpr Duration kEngineListSettleTime = std::chrono::seconds(2);
@@ -20,6 +21,14 @@
 // that the weight store allows.
 constexpr double kLoadHorizonSeconds = 1.5;
 
+Duration PlanTimeout(const EngineProfile& profile) {
+  const auto slowest =
+      std::ranges::max_element(profile.models, {}, &ServingModel::load_time);
+  return slowest == profile.models.end()
+             ? kUnloadTime
+             : kUnloadTime + slowest->load_time * kLoadsPerPlan;
+}
+
 }  // namespace
 
 PlacementTargets FleetPlanner::Plan(const FleetConfiguration& configuration,
@@ -36,7 +45,7 @@
 void FleetPlanner::PlanService(const ServingService& service,
                                const std::vector<ModelDemand>& demand,
                                PlacementTargets& targets) {
-  const std::vector<EngineView> engines = BuildEngineViews(service.name);
+  const std::vector<EngineView> engines = BuildEngineViews(service);
   const PlanLimits limits = UpdateLimits(service, engines);
   for (auto& [id, models] :
        PlanPlacement(*service.engine, engines, demand, limits)) {
@@ -54,14 +63,15 @@
 }
 
 std::vector<EngineView> FleetPlanner::BuildEngineViews(
-    const ServiceName& service) {
+    const ServingService& service) {
+  const Duration plan_timeout = PlanTimeout(*service.engine);
   std::vector<EngineView> engines;
   for (const auto& [id, upstream] : m_upstreams.all()) {
-    if (upstream.record.service != service) {
+    if (upstream.record.service != service.name) {
       continue;
     }
     if (m_upstreams.IsUsable(upstream)) {
-      engines.push_back(BuildEngineView(id, upstream));
+      engines.push_back(BuildEngineView(id, upstream, plan_timeout));
     } else {
       m_plans.erase(id);
     }
@@ -71,7 +81,8 @@
 }
 
 EngineView FleetPlanner::BuildEngineView(const UpstreamId& id,
-                                         const Upstream& upstream) const {
+                                         const Upstream& upstream,
+                                         Duration plan_timeout) const {
   EngineView view;
   view.id = id;
   view.data_centre = upstream.record.data_centre;
@@ -85,7 +96,7 @@
   }
   const auto plan = m_plans.find(id);
   if (plan != m_plans.end() &&
-      m_clock.Now() - plan->second.changed_at < kPlanTimeout) {
+      m_clock.Now() - plan->second.changed_at < plan_timeout) {
     view.assigned_models = plan->second.models;
   }
   view.local_copies = upstream.report->in_host_memory;
--- a/packages/serving/src/placement_planner.cc
+++ b/packages/serving/src/placement_planner.cc
@@ -92,8 +92,10 @@
   /// An engine that could load one more replica of some model.
   struct Candidate {
     EngineIndex engine = 0;
-    /// The model that has to be evicted for it, if any.
-    std::optional<ModelIndex> evicted;
+    /// The models that have to be evicted for it, and the demand per remaining
+    /// replica of them, summed.
+    std::vector<ModelIndex> evicted;
+    double eviction_loss = 0.0;
     double cost = std::numeric_limits<double>::max();
   };
 
@@ -114,25 +116,40 @@
     return m_demand[model] / std::max(1, replicas);
   }
 
-  /// @returns the model whose eviction from `engine` would leave the least
-  /// demand per remaining replica, or nothing if each model on it would lose
-  /// its last replica.
-  [[nodiscard]] std::optional<ModelIndex> CheapestEviction(
-      EngineIndex engine) const {
-    std::optional<ModelIndex> cheapest;
-    double least_demand = std::numeric_limits<double>::max();
-    for (const ModelIndex model : m_state.target(engine)) {
-      if (m_state.replicas(model) < 2) {
-        continue;
-      }
-      const double remaining_demand =
-          DemandPerReplica(model, m_state.replicas(model) - 1);
-      if (remaining_demand < least_demand) {
-        cheapest = model;
-        least_demand = remaining_demand;
-      }
+  /// @returns the demand per remaining replica of `model` after one of its
+  /// replicas was evicted.
+  [[nodiscard]] double EvictionLoss(ModelIndex model) const {
+    return DemandPerReplica(model, m_state.replicas(model) - 1);
+  }
+
+  /// @returns the models to evict from `engine` so that `model` fits, those
+  /// with the least loss first; nothing if it can't be made to fit without the
+  /// eviction of a last replica.
+  ///
+  /// Load it answers: models of different sizes. A plan whose evictions free
+  /// too little memory can't be carried out, and keeps its place among the
+  /// loads from the weight store until it times out.
+  [[nodiscard]] std::vector<ModelIndex> CheapestEvictions(
+      EngineIndex engine, ModelIndex model) const {
+    std::vector<ModelIndex> evictable;
+    std::ranges::copy_if(m_state.target(engine), std::back_inserter(evictable),
+                         [this](ModelIndex candidate) {
+                           return m_state.replicas(candidate) > 1;
+                         });
+    std::ranges::stable_sort(evictable, {}, [this](ModelIndex candidate) {
+      return EvictionLoss(candidate);
+    });
+    double free_mb = m_state.free_memory_mb(engine);
+    const auto end = std::ranges::find_if(evictable, [&](ModelIndex candidate) {
+      const bool fits = free_mb >= m_state.weights_mb(model);
+      free_mb += m_state.weights_mb(candidate);
+      return fits;
+    });
+    if (end == evictable.end() && free_mb < m_state.weights_mb(model)) {
+      return {};
     }
-    return cheapest;
+    evictable.erase(end, evictable.end());
+    return evictable;
   }
 
   [[nodiscard]] bool MayLoad(EngineIndex engine, ModelIndex model) const {
@@ -160,7 +177,7 @@
       }
       const double cost = PlacementCost(engine, model);
       if (cost < best.cost) {
-        best = {engine, std::nullopt, cost};
+        best = {engine, {}, 0.0, cost};
       }
     }
     return best.cost < std::numeric_limits<double>::max() ? std::optional(best)
@@ -168,7 +185,7 @@
   }
 
   /// @returns the best engine for one more replica of `model` that has to evict
-  /// another model for it.
+  /// other models for it.
   [[nodiscard]] std::optional<Candidate> FindWithEviction(
       ModelIndex model) const {
     Candidate best;
@@ -176,24 +193,27 @@
       if (m_state.Fits(engine, model) || !MayLoad(engine, model)) {
         continue;
       }
-      const std::optional<ModelIndex> evicted = CheapestEviction(engine);
-      if (!evicted.has_value()) {
+      std::vector<ModelIndex> evicted = CheapestEvictions(engine, model);
+      if (evicted.empty()) {
         continue;
       }
-      const double cost =
-          PlacementCost(engine, model) +
-          DemandPerReplica(*evicted, m_state.replicas(*evicted) - 1);
+      const double loss =
+          std::accumulate(evicted.begin(), evicted.end(), 0.0,
+                          [this](double sum, ModelIndex victim) {
+                            return sum + EvictionLoss(victim);
+                          });
+      const double cost = PlacementCost(engine, model) + loss;
       if (cost < best.cost) {
-        best = {engine, evicted, cost};
+        best = {engine, std::move(evicted), loss, cost};
       }
     }
-    return best.evicted.has_value() ? std::optional(best) : std::nullopt;
+    return best.evicted.empty() ? std::nullopt : std::optional(best);
   }
 
   void Apply(const Candidate& candidate, ModelIndex model) {
-    if (candidate.evicted.has_value()) {
-      m_state.Remove(candidate.engine, *candidate.evicted);
-    }
+    std::ranges::for_each(candidate.evicted, [&](ModelIndex victim) {
+      m_state.Remove(candidate.engine, victim);
+    });
     m_state.Add(candidate.engine, model);
   }
 
@@ -340,9 +360,7 @@
     if (!candidate.has_value()) {
       return false;
     }
-    const double loss = DemandPerReplica(
-        *candidate->evicted, m_state.replicas(*candidate->evicted) - 1);
-    if (gain < loss * kMinEvictionGainRatio) {
+    if (gain < candidate->eviction_loss * kMinEvictionGainRatio) {
       return false;
     }
     Apply(*candidate, model);
--- a/packages/serving/tests/fleet_planner_test.cc
+++ b/packages/serving/tests/fleet_planner_test.cc
@@ -96,6 +96,25 @@
   BOOST_TEST(!TargetHas(fixture.Plan({}), "b", "m3"));
 }
 
+// Load: models that take 4.2 s to load, and demand that moves on meanwhile. A
+// model that has just been loaded must not be unloaded for that.
+BOOST_AUTO_TEST_CASE(a_plan_stays_in_force_for_as_long_as_loads_take) {
+  Fixture fixture;
+  for (ServingModel& model :
+       fixture.configuration.services.front().engine->models) {
+    model.load_time = std::chrono::milliseconds(4200);
+  }
+  const std::vector<ModelDemand> demand = {
+      {ServiceName("names"), ModelName("m3"), 30.0, 200000.0}};
+  BOOST_TEST(TargetHas(fixture.Plan(demand), "b", "m3"));
+  fixture.clock.Advance(seconds(10));
+  fixture.Report();
+  BOOST_TEST(TargetHas(fixture.Plan({}), "b", "m3"));
+  fixture.clock.Advance(seconds(2));
+  fixture.Report();
+  BOOST_TEST(!TargetHas(fixture.Plan({}), "b", "m3"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace bambooquay
--- a/packages/serving/tests/placement_planner_test.cc
+++ b/packages/serving/tests/placement_planner_test.cc
@@ -53,6 +53,15 @@
   }));
 }
 
+double UsedMb(const EngineProfile& profile,
+              const std::vector<ModelName>& models) {
+  double used_mb = profile.AdapterReserveMb();
+  for (const ModelName& model : models) {
+    used_mb += profile.Find(model)->weights_mb;
+  }
+  return used_mb;
+}
+
 bool TargetsMatchLoadedModels(const PlacementTargets& targets,
                               const std::vector<EngineView>& engines) {
   return std::ranges::all_of(engines, [&](const EngineView& engine) {
@@ -93,6 +102,28 @@
   }
 }
 
+// Load: models of 34 and 73 GB, and engines full of small ones. The large model
+// needs the memory of two of them.
+BOOST_AUTO_TEST_CASE(a_large_model_takes_the_place_of_several_small_ones) {
+  EngineProfile profile = Profile(6);
+  profile.weights_mb = 200000.0;
+  for (int model = 0; model < 5; ++model) {
+    profile.models[static_cast<std::size_t>(model)].weights_mb = 38000.0;
+  }
+  profile.models[5].weights_mb = 72700.0;
+  const std::vector<EngineView> engines = {Engine(0, {0, 1, 2, 3, 4}),
+                                           Engine(1, {0, 1, 2, 3, 4})};
+  const PlacementTargets targets =
+      PlanPlacement(profile, engines, {Demand(5, 30, 12000)}, {});
+  BOOST_TEST(ReplicasOf(targets, 5) >= 1);
+  for (const auto& [id, models] : targets) {
+    BOOST_TEST(UsedMb(profile, models) <= profile.weights_mb);
+  }
+  for (int model = 0; model < 5; ++model) {
+    BOOST_TEST(ReplicasOf(targets, model) >= 1);
+  }
+}
+
 // After a power failure every engine is empty, but has weights on its disk. The
 // weight store is too slow to load all models of all engines.
 BOOST_AUTO_TEST_CASE(empty_engines_load_their_local_copies_first) {
@@ -230,8 +261,9 @@
   BOOST_TEST((targets.at(engines[0].id) == engines[0].loaded_models));
 }
 
-// For any loaded models and any demand: targets fit into the memory, list no
-// model twice, and leave a replica of every model that had one.
+// For models of any sizes, any loaded models and any demand: targets fit into
+// the memory, list no model twice, and leave a replica of every model that had
+// one.
 RC_BOOST_PROP(targets_fit_and_no_loaded_model_is_lost, ()) {
   const int models = *rc::gen::inRange(1, 12);
   const int engine_count = *rc::gen::inRange(1, 10);
@@ -251,13 +283,15 @@
     demand.push_back(
         Demand(i, *rc::gen::inRange(0, 40), *rc::gen::inRange(0, 300000)));
   }
-  const EngineProfile profile = Profile(models);
+  EngineProfile profile = Profile(models);
+  for (ServingModel& model : profile.models) {
+    model.weights_mb = *rc::gen::element(34300.0, 65100.0, kModelMb);
+  }
   const PlacementTargets targets =
       PlanPlacement(profile, engines, demand,
                     {*rc::gen::arbitrary<bool>(), *rc::gen::inRange(0, 5)});
   for (const auto& [engine, target] : targets) {
-    RC_ASSERT(static_cast<double>(target.size()) * kModelMb <=
-              profile.weights_mb);
+    RC_ASSERT(UsedMb(profile, target) <= profile.weights_mb);
     RC_ASSERT(std::set<ModelName>(target.begin(), target.end()).size() ==
               target.size());
   }
