Each entry reads the operators' rows itself

Since the readers of data centres, its configuration came from another entry. Change: only the lists of upstreams and of entries, which change all the time, are read through another entry; the operators' rows are read from the store by each, as before.

--- a/packages/serving/include/bambooquay/serving/serving_entry.h
+++ b/packages/serving/include/bambooquay/serving/serving_entry.h
@@ -104,6 +104,9 @@
   std::list<std::unique_ptr<ForwardedCall>> m_calls;
   PeerTable m_peer_table;
   PeerTable m_reader_table;
+  /// For the tables that change all the time. Operators' rows are rare, and a
+  /// withdrawn key must not wait for another entry, so each entry reads them
+  /// itself.
   SharedTable m_shared_table;
   TableRelay m_table_relay;
   TableMirror m_operator_rows;
