--- a/packages/serving/include/bambooquay/serving/table_mirror.h
+++ b/packages/serving/include/bambooquay/serving/table_mirror.h
@@ -61,6 +61,11 @@
   [[nodiscard]] std::optional<TimePoint> last_response_at() const noexcept {
     return m_last_response_at;
   }
+  /// @returns the time between the last two responses; nothing before the
+  ///   second one. Changes in the last response may be that old.
+  [[nodiscard]] std::optional<Duration> last_response_gap() const noexcept {
+    return m_last_response_gap;
+  }
   /// @returns whether the last call to the store failed.
   [[nodiscard]] bool is_store_lost() const noexcept { return m_failures > 0; }
   [[nodiscard]] std::uint64_t version() const noexcept { return m_version; }
@@ -87,6 +92,8 @@
   void NotifyUpdated() const;
   void RetryLater(std::function<void()> retry, TableFailure failure);
   void HandleStoreResponse();
+  /// @returns the time since the last response; negative if there is none.
+  [[nodiscard]] Duration CopyAge() const;
 
   EventLoop& m_loop;
   FleetTable& m_table;
@@ -113,7 +120,10 @@
   bool m_pausing = false;
   /// Failed calls to the store in a row.
   int m_failures = 0;
+  /// Start of the call in progress, or of the last one.
+  TimePoint m_call_started_at{};
   std::optional<TimePoint> m_last_response_at;
+  std::optional<Duration> m_last_response_gap;
   std::unique_ptr<Timer> m_next_timer;
 };
 
--- a/packages/serving/src/serving_entry_tables.cc
+++ b/packages/serving/src/serving_entry_tables.cc
@@ -85,8 +85,14 @@
   const UpstreamId id(row.key);
   if (row.deleted) {
     m_upstream_rows.UseShortPause();
-    LogEvent(LogLevel::kInfo, "upstream_gone").With("upstream", row.key);
-    m_upstreams.Remove(id, LapsedUpstreamGrace());
+    const Duration grace = LapsedUpstreamGrace();
+    LogEvent(LogLevel::kInfo, "upstream_gone")
+        .With("upstream", row.key)
+        .With("grace_ms", grace / milliseconds(1))
+        .With("gap_ms",
+              m_upstream_rows.last_response_gap().value_or(Duration::zero()) /
+                  milliseconds(1));
+    m_upstreams.Remove(id, grace);
     return;
   }
   const auto decoded = m_deps.document_codec.DecodeUpstream(row.key, row.value);
--- a/packages/serving/src/table_mirror.cc
+++ b/packages/serving/src/table_mirror.cc
@@ -41,6 +41,7 @@
     m_listed.clear();
     m_list_version.reset();
   }
+  m_call_started_at = m_loop.clock().Now();
   m_table.List(m_settings.table, first_key,
                [this](TableResult result) { HandleList(std::move(result)); });
 }
@@ -164,6 +165,7 @@
 
 void TableMirror::Watch() {
   m_pausing = false;
+  m_call_started_at = m_loop.clock().Now();
   m_table.Watch(m_settings.table, m_version, kMaxWatchTime,
                 [this](TableResult result) { HandleWatch(std::move(result)); });
 }
@@ -217,7 +219,10 @@
     LogEvent(LogLevel::kWarning, "store_lost")
         .With("table", m_settings.table)
         .With("busy", failure == TableFailure::kBusy ? "yes" : "no")
-        .With("version", m_version);
+        .With("version", m_version)
+        .With("waited_ms", (m_loop.clock().Now() - m_call_started_at) /
+                               std::chrono::milliseconds(1))
+        .With("copy_age_ms", CopyAge() / std::chrono::milliseconds(1));
   }
   const Duration delay = std::min(
       kFirstRetryDelay * (1 << std::min(m_failures, 8)), kMaxRetryDelay);
@@ -231,10 +236,23 @@
   m_next_timer = m_loop.After(delay / 2 + spread, std::move(retry));
 }
 
+Duration TableMirror::CopyAge() const {
+  return m_last_response_at.has_value()
+             ? m_loop.clock().Now() - *m_last_response_at
+             : std::chrono::milliseconds(-1);
+}
+
 void TableMirror::HandleStoreResponse() {
-  m_last_response_at = m_loop.clock().Now();
+  const TimePoint now = m_loop.clock().Now();
+  if (m_last_response_at.has_value()) {
+    m_last_response_gap = now - *m_last_response_at;
+  }
+  m_last_response_at = now;
   if (std::exchange(m_failures, 0) > 0) {
-    LogEvent(LogLevel::kInfo, "store_regained").With("table", m_settings.table);
+    LogEvent(LogLevel::kInfo, "store_regained")
+        .With("table", m_settings.table)
+        .With("gap_ms", m_last_response_gap.value_or(Duration::zero()) /
+                            std::chrono::milliseconds(1));
     if (m_on_store_regained) {
       m_on_store_regained();
     }
