A watch of the store ends after two seconds, so that a lost response is noticed

Cause: a watch that the store accepts while it is silent is never answered. The connection stays alive, keep-alive probes included, so the watch ended at its own limit only: 25 s of waiting and 2 s for the response. Until then the copy of the table was old and nothing knew it. As watches of all entries start at the same time after a change, all of them can be lost together, and no peer is ahead.

Agents wait for 10 s for the configuration, entries for 10 s for members.

--- a/packages/serving/include/bambooquay/serving/table_mirror.h
+++ b/packages/serving/include/bambooquay/serving/table_mirror.h
@@ -15,6 +15,10 @@
 
 struct MirrorSettings {
   std::string table;
+  /// Longest wait of one watch. A response that is lost is noticed only when
+  /// the watch should have ended, so this limits the age that the copy can
+  /// reach unnoticed.
+  Duration max_watch_time{};
   /// Time between the end of a watch and the start of the next one. Changes in
   /// this time are returned together, which saves calls.
   Duration pause{};
--- a/packages/serving/src/serving_agent.cc
+++ b/packages/serving/src/serving_agent.cc
@@ -22,6 +22,8 @@
 // Pause between two reads of the configuration. Model sizes and limits change
 // rarely, and a target with an unknown model ends the pause early.
 constexpr Duration kConfigurationPollPause = std::chrono::seconds(24);
+// Longest wait of a watch of the configuration.
+constexpr Duration kConfigurationWatchTime = std::chrono::seconds(10);
 // Number of consecutive failures to fetch a report after which the engine
 // counts as lost.
 constexpr int kLostAfterMissedReports = 3;
@@ -37,10 +39,11 @@
                [this](const Endpoint& sender_address, std::string_view bytes) {
                  HandleDatagram(sender_address, bytes);
                }),
-      m_operator_rows(deps.loop, deps.table, deps.random,
-                      {deps.document_codec.OperatorTableName(),
-                       kConfigurationPollPause, kConfigurationPollPause},
-                      [this](const TableRow& row) { HandleOperatorRow(row); }),
+      m_operator_rows(
+          deps.loop, deps.table, deps.random,
+          {deps.document_codec.OperatorTableName(), kConfigurationWatchTime,
+           kConfigurationPollPause, kConfigurationPollPause},
+          [this](const TableRow& row) { HandleOperatorRow(row); }),
       m_load_limiter(deps.loop, deps.table),
       m_cold_permits(deps.loop.clock()),
       m_subscribers(deps.loop.clock()),
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -14,6 +14,12 @@
 using std::chrono::milliseconds;
 
 constexpr const char* kMemberTable = "entries";
+// Longest waits of watches. A lost response must be noticed, and the change in
+// it take effect, within the time that the store needs to count as stable again
+// and the time that upstreams serve after their departure, 5 s together.
+constexpr Duration kWatchTime = std::chrono::seconds(2);
+// Entries also find each other by their statuses.
+constexpr Duration kMemberWatchTime = std::chrono::seconds(10);
 // Pauses between watches. Changes by operators and departures of upstreams must
 // take effect within two seconds; new upstreams should be used soon.
 constexpr Duration kOperatorPause = milliseconds(50);
@@ -77,16 +83,17 @@
                      [this] { return TableReader().has_value(); }),
       m_table_relay(deps.loop),
       m_operator_rows(deps.loop, deps.table, deps.random,
-                      {deps.document_codec.OperatorTableName(), kOperatorPause,
-                       kOperatorPause},
+                      {deps.document_codec.OperatorTableName(), kWatchTime,
+                       kOperatorPause, kOperatorPause},
                       [this](const TableRow& row) { HandleOperatorRow(row); }),
       m_upstream_rows(deps.loop, m_shared_table, deps.random,
-                      {deps.document_codec.UpstreamTableName(), kUpstreamPause,
-                       kUpstreamShortPause},
+                      {deps.document_codec.UpstreamTableName(), kWatchTime,
+                       kUpstreamPause, kUpstreamShortPause},
                       [this](const TableRow& row) { HandleUpstreamRow(row); }),
-      m_member_rows(deps.loop, m_shared_table, deps.random,
-                    {kMemberTable, kMemberPause, kMemberPause},
-                    [this](const TableRow& row) { HandleMemberRow(row); }),
+      m_member_rows(
+          deps.loop, m_shared_table, deps.random,
+          {kMemberTable, kMemberWatchTime, kMemberPause, kMemberPause},
+          [this](const TableRow& row) { HandleMemberRow(row); }),
       m_server(deps.loop, HttpServerLimits{},
                [this](std::shared_ptr<HttpExchange> exchange) {
                  HandleRequest(std::move(exchange));
--- a/packages/serving/src/table_mirror.cc
+++ b/packages/serving/src/table_mirror.cc
@@ -9,10 +9,6 @@
 namespace bambooquay {
 namespace {
 
-// Longest wait of one watch. A watch returns at the first change, so a long
-// wait delays nothing and saves calls. If the store becomes unreachable during
-// the wait, keep-alive probes detect it.
-constexpr Duration kMaxWatchTime = std::chrono::seconds(25);
 // Delay after the first failed call to the store. Each further failure doubles
 // it, up to kMaxRetryDelay.
 constexpr Duration kFirstRetryDelay = std::chrono::milliseconds(60);
@@ -166,7 +162,11 @@
 void TableMirror::Watch() {
   m_pausing = false;
   m_call_started_at = m_loop.clock().Now();
-  m_table.Watch(m_settings.table, m_version, kMaxWatchTime,
+  // After a failure, a response that comes at once shows whether the store is
+  // back.
+  const Duration wait =
+      m_failures > 0 ? Duration::zero() : m_settings.max_watch_time;
+  m_table.Watch(m_settings.table, m_version, wait,
                 [this](TableResult result) { HandleWatch(std::move(result)); });
 }
 
--- a/packages/serving/tests/table_test.cc
+++ b/packages/serving/tests/table_test.cc
@@ -22,11 +22,14 @@
 using testing::FakeTable;
 
 constexpr Duration kTimeout = std::chrono::seconds(10);
+// Longer than any test.
+constexpr Duration kLongWatch = std::chrono::hours(1);
 
 /// A mirror of table "t", and the rows that its handler was called with.
 struct MirrorFixture {
-  explicit MirrorFixture(Duration pause = Duration::zero())
-      : mirror(loop, table, random, {"t", pause, pause},
+  explicit MirrorFixture(Duration pause = Duration::zero(),
+                         Duration watch_time = kLongWatch)
+      : mirror(loop, table, random, {"t", watch_time, pause, pause},
                [this](const TableRow& row) {
                  if (row.deleted) {
                    seen.erase(row.key);
@@ -126,6 +129,33 @@
   BOOST_TEST(fixture.seen["key"] == "new");
 }
 
+BOOST_AUTO_TEST_CASE(
+    a_watch_whose_response_is_lost_hides_changes_only_shortly) {
+  constexpr Duration kWatchTime = milliseconds(100);
+  MirrorFixture fixture(Duration::zero(), kWatchTime);
+  fixture.table.Put("t", "a", "1");
+  fixture.table.is_silent = true;
+  fixture.mirror.Start();
+  BOOST_TEST(fixture.RunUntil([&] { return fixture.table.watch_count == 1; }));
+  fixture.table.is_silent = false;
+  fixture.table.Delete("t", "a");
+  // The first retry follows within 60 ms.
+  BOOST_TEST(fixture.loop.RunUntil(
+      [&] { return !fixture.seen.contains("a"); },
+      kWatchTime + FakeTable::kAnswerLimit + milliseconds(100)));
+}
+
+BOOST_AUTO_TEST_CASE(the_return_of_the_store_is_noticed_without_a_change) {
+  MirrorFixture fixture;
+  fixture.mirror.Start();
+  BOOST_TEST(fixture.RunUntil([&] { return fixture.mirror.is_complete(); }));
+  fixture.table.is_down = true;
+  fixture.table.Put("t", "a", "1");
+  BOOST_TEST(fixture.RunUntil([&] { return fixture.mirror.is_store_lost(); }));
+  fixture.table.is_down = false;
+  BOOST_TEST(fixture.RunUntil([&] { return !fixture.mirror.is_store_lost(); }));
+}
+
 // A watch whose connection has stalled returns late. By then the copy has newer
 // rows from a peer, which the late changes must not overwrite.
 BOOST_AUTO_TEST_CASE(late_changes_do_not_overwrite_newer_rows_from_a_peer) {
@@ -206,7 +236,7 @@
 /// An entry that reads the store for its data centre, and another one.
 struct SharingFixture {
   SharingFixture()
-      : reader_mirror(loop, store, random, {"t", {}, {}},
+      : reader_mirror(loop, store, random, {"t", kLongWatch, {}, {}},
                       [](const TableRow& /*row*/) {}),
         relay(loop),
         server(loop, HttpServerLimits{},
@@ -218,7 +248,7 @@
                return std::optional<Endpoint>({"127.0.0.1", server.port()});
              }),
         shared(loop.clock(), other_store, peer, [this] { return has_reader; }),
-        mirror(loop, shared, random, {"t", {}, {}},
+        mirror(loop, shared, random, {"t", kLongWatch, {}, {}},
                [this](const TableRow& row) {
                  if (row.deleted) {
                    seen.erase(row.key);
--- a/testing/support/fake_table.h
+++ b/testing/support/fake_table.h
@@ -1,10 +1,13 @@
 // In-memory implementation of FleetTable for tests without a store.
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <iterator>
 #include <map>
+#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
@@ -38,9 +41,16 @@
     });
   }
 
-  void Watch(const std::string& table, std::uint64_t after, Duration /*wait*/,
+  void Watch(const std::string& table, std::uint64_t after, Duration wait,
              std::function<void(TableResult)> done) override {
-    m_watches[table] = {after, std::move(done)};
+    ++watch_count;
+    PendingWatch& watch = m_watches[table];
+    watch.after = after;
+    watch.done = std::move(done);
+    watch.is_lost = is_silent;
+    watch.timer =
+        m_loop.After(watch.is_lost ? wait + kAnswerLimit : wait,
+                     [this, table] { EndWatch(table, m_watches[table]); });
     NotifyWatches();
   }
 
@@ -90,12 +100,18 @@
     NotifyWatches();
   }
 
+  /// Time for the response to a watch after its wait.
+  static constexpr Duration kAnswerLimit = std::chrono::milliseconds(200);
+
   bool is_down = false;  ///< Every call fails with kUnavailable.
+  /// Watches get no response, not even later; they fail at their time limit.
+  bool is_silent = false;
   /// Writes take effect but fail with kUnavailable.
   bool lose_responses = false;
   /// How many of the next lists have version 1 and no rows.
   int stale_list_responses = 0;
   int list_count = 0;                   ///< Calls of List so far.
+  int watch_count = 0;                  ///< Calls of Watch so far.
   std::uint64_t version = 10;           ///< Version of the newest change.
   std::chrono::milliseconds now{1000};  ///< The store's time.
 
@@ -103,6 +119,8 @@
   struct PendingWatch {
     std::uint64_t after = 0;
     std::function<void(TableResult)> done;
+    bool is_lost = false;
+    std::unique_ptr<Timer> timer;
   };
 
   [[nodiscard]] TablePage Page(const std::string& table) const {
@@ -119,7 +137,7 @@
 
   void NotifyWatches() {
     for (auto& [table, watch] : m_watches) {
-      if (watch.done) {
+      if (watch.done && !watch.is_lost) {
         NotifyWatch(table, watch);
       }
     }
@@ -132,20 +150,45 @@
     } else if (!is_down) {
       TablePage page;
       page.version = version;
-      for (const TableRow& row : m_changes) {
-        if (row.table == table && row.version > watch.after) {
-          page.rows.push_back(row);
-        }
-      }
+      page.rows = ChangesAfter(table, watch.after);
       if (page.rows.empty()) {
         return;
       }
       result = std::move(page);
     }
+    Complete(watch, std::move(result));
+  }
+
+  /// Ends a watch at the end of its wait, or of its time limit if it is lost.
+  void EndWatch(const std::string& table, PendingWatch& watch) {
+    if (!watch.done) {
+      return;
+    }
+    if (watch.is_lost || is_down) {
+      Complete(watch, TableFailure::kUnavailable);
+      return;
+    }
+    TablePage page;
+    page.version = version;
+    page.rows = ChangesAfter(table, watch.after);
+    Complete(watch, std::move(page));
+  }
+
+  void Complete(PendingWatch& watch, TableResult result) {
     m_loop.Post([done = std::exchange(watch.done, nullptr),
                  result = std::move(result)] { done(result); });
   }
 
+  [[nodiscard]] std::vector<TableRow> ChangesAfter(const std::string& table,
+                                                   std::uint64_t after) const {
+    std::vector<TableRow> changes;
+    std::ranges::copy_if(m_changes, std::back_inserter(changes),
+                         [&](const TableRow& row) {
+                           return row.table == table && row.version > after;
+                         });
+    return changes;
+  }
+
   EventLoop& m_loop;
   std::map<std::pair<std::string, std::string>, TableRow> m_rows;
   std::vector<TableRow> m_changes;
