Upstreams that left are not taken for expired ones when an outage is noticed late

In an entry behind a reader that is killed, the same grace follows without any fault of the store.

Change: ExpiryGrace counts from the start of the last failed call. Failures of other entries and of the rate limit do not count.

--- a/packages/serving/include/bambooquay/serving/fleet_table.h
+++ b/packages/serving/include/bambooquay/serving/fleet_table.h
@@ -31,8 +31,9 @@
 };
 
 enum class TableFailure : std::uint8_t {
-  kUnavailable,  ///< Failed, but a write may have been applied.
-  kBusy,         ///< Rejected by the store's rate limit; not applied.
+  kUnavailable,      ///< Failed, but a write may have been applied.
+  kBusy,             ///< Rejected by the store's rate limit; not applied.
+  kPeerUnavailable,  ///< Another entry failed, whose copy was to be read.
   kHistoryGone,  ///< The store has dropped these changes; list the table again.
 };
 
--- a/packages/serving/include/bambooquay/serving/serving_entry.h
+++ b/packages/serving/include/bambooquay/serving/serving_entry.h
@@ -79,9 +79,6 @@
   void CheckDrained();
   [[nodiscard]] RetryBudget& RetryBudgetFor(const ServiceName& service);
   [[nodiscard]] EntryStatus MakeStatus();
-  /// @returns how long an upstream may still be used after its row was deleted:
-  ///   zero unless the store is unreachable or has been until recently.
-  [[nodiscard]] Duration LapsedUpstreamGrace() const;
 
   ServingSettings m_settings;
   ServingEntryDeps m_deps;
@@ -109,6 +106,7 @@
   /// itself.
   SharedTable m_shared_table;
   TableRelay m_table_relay;
+  ExpiryGrace m_expiry_grace;
   TableMirror m_operator_rows;
   TableMirror m_upstream_rows;
   TableMirror m_member_rows;
@@ -119,7 +117,6 @@
   HttpServer m_readiness_server;
   HttpServer m_table_server;
   FreezeDetector m_freeze_detector;
-  std::optional<TimePoint> m_store_regained_at;
   /// Since when a peer has had a newer configuration.
   std::optional<TimePoint> m_behind_since;
   std::optional<TimePoint> m_draining_since;
--- a/packages/serving/include/bambooquay/serving/table_mirror.h
+++ b/packages/serving/include/bambooquay/serving/table_mirror.h
@@ -9,6 +9,7 @@
 
 #include "bambooquay/core/random.h"
 #include "bambooquay/runtime/event_loop.h"
+#include "bambooquay/serving/expiry_grace.h"
 #include "bambooquay/serving/fleet_table.h"
 
 namespace bambooquay {
@@ -81,10 +82,8 @@
   void OnUpdated(std::function<void()> handler) {
     m_on_updated = std::move(handler);
   }
-  /// Sets a handler that runs when the store responds again after failures.
-  void OnStoreRegained(std::function<void()> handler) {
-    m_on_store_regained = std::move(handler);
-  }
+  /// Sets what is told of the store's failures and responses.
+  void SetExpiryGrace(ExpiryGrace& grace) noexcept { m_grace = &grace; }
 
  private:
   void List(const std::string& first_key);
@@ -105,7 +104,7 @@
   RandomSource& m_random;
   MirrorSettings m_settings;
   RowHandler m_handler;
-  std::function<void()> m_on_store_regained;
+  ExpiryGrace* m_grace = nullptr;
   std::function<void()> m_on_updated;
   std::map<std::string, TableRow> m_rows;
   /// Rows that were deleted, by the version at which that became known. Those
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -82,6 +82,7 @@
       m_shared_table(deps.loop.clock(), deps.table, m_reader_table,
                      [this] { return TableReader().has_value(); }),
       m_table_relay(deps.loop),
+      m_expiry_grace(deps.loop.clock()),
       m_operator_rows(deps.loop, deps.table, deps.random,
                       {deps.document_codec.OperatorTableName(), kWatchTime,
                        kOperatorPause, kOperatorPause},
@@ -117,8 +118,7 @@
     m_table_relay.Serve(*mirror);
   }
   RegisterGauges();
-  m_upstream_rows.OnStoreRegained(
-      [this] { m_store_regained_at = m_deps.loop.clock().Now(); });
+  m_upstream_rows.SetExpiryGrace(m_expiry_grace);
   m_peers.SetStatusSource([this] { return MakeStatus(); });
   // A new peer needs all totals, so all are sent again.
   m_peers.OnPeerFound([this] { m_spent_totals.clear(); });
--- a/packages/serving/src/serving_entry_tables.cc
+++ b/packages/serving/src/serving_entry_tables.cc
@@ -10,9 +10,6 @@
 
 using std::chrono::milliseconds;
 
-// Upstreams whose rows expired while the store was lost register again within
-// two seconds of its return.
-constexpr Duration kLapsedUpstreamGrace = milliseconds(2000);
 // A configuration that a peer has had for this long should have arrived from
 // the store too. If not, the connection of the watch may have stalled.
 constexpr Duration kMaxTimeBehind = milliseconds(600);
@@ -69,23 +66,11 @@
       .With("organisations", active.organisations.size());
 }
 
-Duration ServingEntry::LapsedUpstreamGrace() const {
-  if (m_upstream_rows.is_store_lost()) {
-    return kLapsedUpstreamGrace;
-  }
-  if (!m_store_regained_at.has_value()) {
-    return Duration::zero();
-  }
-  return std::max(
-      Duration::zero(),
-      *m_store_regained_at + kLapsedUpstreamGrace - m_deps.loop.clock().Now());
-}
-
 void ServingEntry::HandleUpstreamRow(const TableRow& row) {
   const UpstreamId id(row.key);
   if (row.deleted) {
     m_upstream_rows.UseShortPause();
-    const Duration grace = LapsedUpstreamGrace();
+    const Duration grace = m_expiry_grace.Remaining();
     LogEvent(LogLevel::kInfo, "upstream_gone")
         .With("upstream", row.key)
         .With("grace_ms", grace / milliseconds(1))
--- a/packages/serving/src/table_mirror.cc
+++ b/packages/serving/src/table_mirror.cc
@@ -215,10 +215,14 @@
 
 void TableMirror::RetryLater(std::function<void()> retry,
                              TableFailure failure) {
+  if (failure == TableFailure::kUnavailable && m_grace != nullptr) {
+    m_grace->RecordFailure(m_call_started_at);
+  }
   if (m_failures == 0) {
     LogEvent(LogLevel::kWarning, "store_lost")
         .With("table", m_settings.table)
         .With("busy", failure == TableFailure::kBusy ? "yes" : "no")
+        .With("peer", failure == TableFailure::kPeerUnavailable ? "yes" : "no")
         .With("version", m_version)
         .With("waited_ms", (m_loop.clock().Now() - m_call_started_at) /
                                std::chrono::milliseconds(1))
@@ -253,9 +257,9 @@
         .With("table", m_settings.table)
         .With("gap_ms", m_last_response_gap.value_or(Duration::zero()) /
                             std::chrono::milliseconds(1));
-    if (m_on_store_regained) {
-      m_on_store_regained();
-    }
+  }
+  if (m_grace != nullptr) {
+    m_grace->RecordResponse();
   }
 }
 
--- a/packages/serving/src/table_relay.cc
+++ b/packages/serving/src/table_relay.cc
@@ -71,7 +71,7 @@
                       std::function<void(TableResult)> done) {
   const auto peer = m_choose_peer();
   if (!peer.has_value()) {
-    done(TableFailure::kUnavailable);
+    done(TableFailure::kPeerUnavailable);
     return;
   }
   HttpRequest request;
@@ -80,7 +80,7 @@
                 [done = std::move(done)](const HttpResult& result) {
                   const auto* response = std::get_if<HttpResponse>(&result);
                   if (response == nullptr) {
-                    done(TableFailure::kUnavailable);
+                    done(TableFailure::kPeerUnavailable);
                     return;
                   }
                   std::optional<TablePage> page;
@@ -92,7 +92,7 @@
                   } else if (response->status == kHistoryGoneStatus) {
                     done(TableFailure::kHistoryGone);
                   } else {
-                    done(TableFailure::kUnavailable);
+                    done(TableFailure::kPeerUnavailable);
                   }
                 });
 }
--- a/packages/serving/tests/table_test.cc
+++ b/packages/serving/tests/table_test.cc
@@ -321,6 +321,31 @@
   BOOST_TEST(!fixture.seen.contains("x"));
 }
 
+BOOST_AUTO_TEST_CASE(departures_get_no_grace_because_a_reader_failed) {
+  SharingFixture fixture;
+  ExpiryGrace grace(fixture.loop.clock());
+  fixture.mirror.SetExpiryGrace(grace);
+  fixture.other_store.version = 100;
+  fixture.other_store.Delete("t", "a");
+  fixture.store.is_down = true;
+  fixture.store.Put("t", "x", "0");
+  BOOST_TEST(fixture.RunUntil([&] { return !fixture.seen.contains("a"); }));
+  BOOST_TEST((grace.Remaining() == Duration::zero()));
+}
+
+BOOST_AUTO_TEST_CASE(rows_get_a_grace_when_the_store_itself_failed) {
+  MirrorFixture fixture;
+  ExpiryGrace grace(fixture.loop.clock());
+  fixture.mirror.SetExpiryGrace(grace);
+  fixture.mirror.Start();
+  BOOST_TEST(fixture.RunUntil([&] { return fixture.mirror.is_complete(); }));
+  BOOST_TEST((grace.Remaining() == Duration::zero()));
+  fixture.table.is_down = true;
+  fixture.table.Put("t", "a", "1");
+  BOOST_TEST(fixture.RunUntil([&] { return fixture.mirror.is_store_lost(); }));
+  BOOST_TEST((grace.Remaining() > Duration::zero()));
+}
+
 BOOST_AUTO_TEST_CASE(one_entry_of_a_large_data_centre_reads_for_the_others) {
   std::vector<InstanceId> members;
   for (int i = 0; i < 9; ++i) {
