Entries behind a reader learn from the others that a watch was lost

In a data centre with a reader only that entry watches closely now; the others wait for 25 s, and statuses carry the version of the newest change that an entry knows. An entry whose copy is older than a peer's for 0.6 s watches again: the response to its watch may be lost. Until now peers told only of newer configurations, not of disabled data centres, and the watch in progress was left as it was.

WatchNow() replaces a watch that is in progress; a late response to the one before is still applied. An agent that misses a model in its configuration uses the same call, which did nothing while a lost watch was in progress.

--- a/packages/peers/include/bambooquay/peers/status_messages.h
+++ b/packages/peers/include/bambooquay/peers/status_messages.h
@@ -29,6 +29,9 @@
   bool leaving = false;  ///< Whether the entry is draining before it stops.
   /// Version of the configuration that the entry applies; 0 if it has none.
   std::uint64_t configuration = 0;
+  /// Version of the newest change that the entry knows of in the operators'
+  /// table; 0 if it does not say.
+  std::uint64_t operators_version = 0;
   Duration uptime{};
   DataCentreId data_centre;  ///< Empty if the sender does not say.
   /// Tokens spent since the entry started. An organisation whose total has not
--- a/packages/peers/src/status_messages.cc
+++ b/packages/peers/src/status_messages.cc
@@ -40,6 +40,7 @@
 void Write(status::EntryStatus::Builder to, const EntryStatus& from) {
   to.setLeaving(from.leaving);
   to.setConfiguration(from.configuration);
+  to.setOperatorsVersion(from.operators_version);
   to.setUptimeSeconds(ToSeconds(from.uptime));
   to.setDataCentre(from.data_centre.value().c_str());
   auto spending = to.initSpending(static_cast<unsigned>(from.spent.size()));
@@ -64,6 +65,7 @@
   EntryStatus to;
   to.leaving = from.getLeaving();
   to.configuration = from.getConfiguration();
+  to.operators_version = from.getOperatorsVersion();
   to.uptime = FromSeconds(from.getUptimeSeconds());
   to.data_centre = DataCentreId(ToString(from.getDataCentre()));
   for (const auto item : from.getSpending()) {
--- a/packages/peers/status.capnp
+++ b/packages/peers/status.capnp
@@ -28,6 +28,9 @@
   demand @3 :List(Demand);
   uptimeSeconds @4 :Float64;
   dataCentre @5 :Text;
+  # Version of the newest change that the sender knows of in the operators'
+  # table; 0 if it does not say.
+  operatorsVersion @6 :UInt64;
 }
 
 # Sent by each entry to each agent. `models` is valid only if `planned` is set,
--- a/packages/serving/include/bambooquay/serving/serving_entry.h
+++ b/packages/serving/include/bambooquay/serving/serving_entry.h
@@ -70,9 +70,13 @@
   void ApplyConfiguration(const TableRow& row);
   void RegisterMember();
   void RegisterGauges();
-  /// Lists the tables from a peer if peers have had a newer configuration for
-  /// a while.
+  /// Reads the tables again if peers have had newer rows of the operators for a
+  /// while.
   void FetchTablesIfBehind();
+  /// Sets how long watches of the operators' rows may wait. Where another entry
+  /// reads the lists, that one watches closely and this one's watches are long,
+  /// which saves calls to the store.
+  void UpdateWatchTimes();
   void Tick();
   void Plan();
   /// Ends draining once all calls have ended or the drain limit is near.
@@ -119,6 +123,9 @@
   FreezeDetector m_freeze_detector;
   /// Since when a peer has had a newer configuration.
   std::optional<TimePoint> m_behind_since;
+  /// Whether another entry read the store for this data centre at the last
+  /// tick.
+  bool m_has_reader = false;
   std::optional<TimePoint> m_draining_since;
   /// Runs when draining has ended.
   std::function<void()> m_on_drained;
--- a/packages/serving/include/bambooquay/serving/table_mirror.h
+++ b/packages/serving/include/bambooquay/serving/table_mirror.h
@@ -45,8 +45,14 @@
   void ListFromFallback();
   /// Called by the handler if it expects more changes soon.
   void UseShortPause() noexcept { m_use_short_pause = true; }
-  /// Ends the pause between two watches, if there is one now.
+  /// Starts a watch in place of the pause or of the watch that is in progress.
+  /// For use when the copy seems to be outdated: the response to the watch may
+  /// be lost.
   void WatchNow();
+  /// Changes MirrorSettings::max_watch_time for later watches.
+  void SetMaxWatchTime(Duration time) noexcept {
+    m_settings.max_watch_time = time;
+  }
   /// Sets where the table is listed while the store is unreachable.
   void SetFallback(FleetTable& fallback) { m_fallback = &fallback; }
   /// @returns all rows of the copy as one page.
@@ -74,6 +80,10 @@
   /// @returns whether the last call to the store failed.
   [[nodiscard]] bool is_store_lost() const noexcept { return m_failures > 0; }
   [[nodiscard]] std::uint64_t version() const noexcept { return m_version; }
+  /// @returns the version of the newest change that the copy has had.
+  [[nodiscard]] std::uint64_t last_change() const noexcept {
+    return m_last_change;
+  }
   [[nodiscard]] const std::map<std::string, TableRow>& rows() const noexcept {
     return m_rows;
   }
@@ -90,6 +100,8 @@
   void HandleList(TableResult result);
   void Watch();
   void HandleWatch(TableResult result);
+  /// Applies the response to a watch.
+  void ApplyChanges(const TablePage& page);
   void ApplyListing();
   void Apply(const TableRow& row);
   void NotifyUpdated() const;
@@ -116,11 +128,15 @@
   /// Version of the first page of that listing.
   std::optional<std::uint64_t> m_list_version;
   std::uint64_t m_version = 0;
+  std::uint64_t m_last_change = 0;
   bool m_complete = false;
   bool m_use_short_pause = false;
   /// Whether `m_next_timer` ends a pause between watches; if not, it is for a
   /// retry.
   bool m_pausing = false;
+  bool m_watching = false;
+  /// Number of watches so far. Only the response to the last one counts.
+  std::uint64_t m_watch_count = 0;
   /// Failed calls to the store in a row.
   int m_failures = 0;
   /// Start of the call in progress, or of the last one.
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -18,6 +18,9 @@
 // it take effect, within the time that the store needs to count as stable again
 // and the time that upstreams serve after their departure, 5 s together.
 constexpr Duration kWatchTime = std::chrono::seconds(2);
+// The same for the operators' rows in an entry behind a reader. The versions in
+// the statuses of others tell it that a response was lost.
+constexpr Duration kFollowerWatchTime = std::chrono::seconds(25);
 // Entries also find each other by their statuses.
 constexpr Duration kMemberWatchTime = std::chrono::seconds(10);
 // Pauses between watches. Changes by operators and departures of upstreams must
@@ -275,6 +278,18 @@
   return m_peers.peers().at(*reader).address;
 }
 
+void ServingEntry::UpdateWatchTimes() {
+  const bool has_reader = TableReader().has_value();
+  if (std::exchange(m_has_reader, has_reader) == has_reader) {
+    return;
+  }
+  m_operator_rows.SetMaxWatchTime(has_reader ? kFollowerWatchTime : kWatchTime);
+  if (!has_reader) {
+    // The others rely on this entry from now on, or on themselves.
+    m_operator_rows.WatchNow();
+  }
+}
+
 void ServingEntry::Reload(const ServingSettings& settings) {
   m_settings.retries = settings.retries;
   m_settings.drain_limit = settings.drain_limit;
@@ -300,6 +315,7 @@
   status.configuration = m_active_configuration == nullptr
                              ? 0
                              : m_active_configuration->configuration.version;
+  status.operators_version = m_operator_rows.last_change();
   status.spent = m_allowance.SpentByOrganisation();
   // Leaves out totals that have not changed for a while: all peers have them.
   std::erase_if(status.spent, [this](const auto& item) {
@@ -315,6 +331,7 @@
 }
 
 void ServingEntry::Tick() {
+  UpdateWatchTimes();
   FetchTablesIfBehind();
   if (const auto frozen_time = m_freeze_detector.Check()) {
     LogEvent(LogLevel::kWarning, "freeze_noticed")
--- a/packages/serving/src/serving_entry_tables.cc
+++ b/packages/serving/src/serving_entry_tables.cc
@@ -10,8 +10,8 @@
 
 using std::chrono::milliseconds;
 
-// A configuration that a peer has had for this long should have arrived from
-// the store too. If not, the connection of the watch may have stalled.
+// A row that a peer has had for this long should have arrived from the store
+// too. If not, the response to the watch may be lost.
 constexpr Duration kMaxTimeBehind = milliseconds(600);
 
 }  // namespace
@@ -126,8 +126,10 @@
           : m_active_configuration->configuration.version;
   const bool behind =
       std::ranges::any_of(m_peers.peers(), [&](const auto& item) {
+        const EntryStatus& status = item.second.status;
         return !m_peers.IsSilent(item.second) &&
-               item.second.status.configuration > active_version;
+               (status.configuration > active_version ||
+                status.operators_version > m_operator_rows.version());
       });
   if (!behind) {
     m_behind_since.reset();
@@ -135,6 +137,10 @@
     m_behind_since = now;
   } else if (now - *m_behind_since > kMaxTimeBehind) {
     m_behind_since = now;
+    LogEvent(LogLevel::kWarning, "operators_rows_outdated")
+        .With("configuration", active_version)
+        .With("version", m_operator_rows.version());
+    m_operator_rows.WatchNow();
     m_operator_rows.ListFromFallback();
     m_upstream_rows.ListFromFallback();
   }
--- a/packages/serving/src/table_mirror.cc
+++ b/packages/serving/src/table_mirror.cc
@@ -153,7 +153,7 @@
 }
 
 void TableMirror::WatchNow() {
-  if (m_pausing) {
+  if (m_pausing || m_watching) {
     m_next_timer = nullptr;
     Watch();
   }
@@ -161,16 +161,37 @@
 
 void TableMirror::Watch() {
   m_pausing = false;
+  m_watching = true;
   m_call_started_at = m_loop.clock().Now();
   // After a failure, a response that comes at once shows whether the store is
   // back.
   const Duration wait =
       m_failures > 0 ? Duration::zero() : m_settings.max_watch_time;
   m_table.Watch(m_settings.table, m_version, wait,
-                [this](TableResult result) { HandleWatch(std::move(result)); });
+                [this, number = ++m_watch_count](TableResult result) {
+                  if (number == m_watch_count) {
+                    HandleWatch(std::move(result));
+                  } else if (const auto* page = std::get_if<TablePage>(&result);
+                             page != nullptr && (m_watching || m_pausing)) {
+                    // A late response to a watch that was replaced.
+                    ApplyChanges(*page);
+                  }
+                });
+}
+
+void TableMirror::ApplyChanges(const TablePage& page) {
+  std::ranges::for_each(page.rows, [this](const TableRow& row) {
+    // Skips changes that the copy already has.
+    if (row.version > m_version) {
+      Apply(row);
+    }
+  });
+  m_version = std::max(m_version, page.version);
+  NotifyUpdated();
 }
 
 void TableMirror::HandleWatch(TableResult result) {
+  m_watching = false;
   if (const auto* failure = std::get_if<TableFailure>(&result)) {
     if (*failure == TableFailure::kHistoryGone) {
       LogEvent(LogLevel::kWarning, "table_history_gone")
@@ -183,15 +204,7 @@
     return;
   }
   HandleStoreResponse();
-  const auto& page = std::get<TablePage>(result);
-  std::ranges::for_each(page.rows, [this](const TableRow& row) {
-    // Skips changes that the copy already has from the fallback.
-    if (row.version > m_version) {
-      Apply(row);
-    }
-  });
-  m_version = std::max(m_version, page.version);
-  NotifyUpdated();
+  ApplyChanges(std::get<TablePage>(result));
   const bool use_short_pause = std::exchange(m_use_short_pause, false);
   m_pausing = true;
   m_next_timer =
@@ -200,6 +213,7 @@
 }
 
 void TableMirror::Apply(const TableRow& row) {
+  m_last_change = std::max(m_last_change, row.version);
   if (row.deleted) {
     m_rows.erase(row.key);
     m_deleted.emplace(row.version, row.key);
--- a/packages/serving/tests/table_test.cc
+++ b/packages/serving/tests/table_test.cc
@@ -145,6 +145,25 @@
       kWatchTime + FakeTable::kAnswerLimit + milliseconds(100)));
 }
 
+BOOST_AUTO_TEST_CASE(a_watch_whose_response_seems_to_be_lost_is_replaced) {
+  MirrorFixture fixture;
+  fixture.table.is_silent = true;
+  fixture.mirror.Start();
+  BOOST_TEST(fixture.RunUntil([&] { return fixture.table.watch_count == 1; }));
+  fixture.table.Put("t", "a", "1");
+  fixture.mirror.WatchNow();
+  BOOST_TEST(fixture.table.watch_count == 2);
+  // The response to the first watch arrives late, while the second one waits.
+  fixture.table.AnswerOldestWatch();
+  BOOST_TEST(fixture.RunUntil([&] { return fixture.seen.contains("a"); }));
+  BOOST_TEST(fixture.mirror.last_change() == fixture.table.version);
+  BOOST_TEST(fixture.table.watch_count == 2);
+  fixture.table.is_silent = false;
+  fixture.mirror.WatchNow();
+  fixture.table.Put("t", "b", "2");
+  BOOST_TEST(fixture.RunUntil([&] { return fixture.seen.contains("b"); }));
+}
+
 BOOST_AUTO_TEST_CASE(the_return_of_the_store_is_noticed_without_a_change) {
   MirrorFixture fixture;
   fixture.mirror.Start();
--- a/testing/support/fake_table.h
+++ b/testing/support/fake_table.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <iterator>
+#include <list>
 #include <map>
 #include <memory>
 #include <string>
@@ -44,15 +45,26 @@
   void Watch(const std::string& table, std::uint64_t after, Duration wait,
              std::function<void(TableResult)> done) override {
     ++watch_count;
-    PendingWatch& watch = m_watches[table];
+    std::erase_if(m_watches, [](const PendingWatch& watch) {
+      return watch.done == nullptr;
+    });
+    PendingWatch& watch = m_watches.emplace_back();
+    watch.table = table;
     watch.after = after;
     watch.done = std::move(done);
     watch.is_lost = is_silent;
-    watch.timer =
-        m_loop.After(watch.is_lost ? wait + kAnswerLimit : wait,
-                     [this, table] { EndWatch(table, m_watches[table]); });
+    watch.timer = m_loop.After(watch.is_lost ? wait + kAnswerLimit : wait,
+                               [this, &watch] { EndWatch(watch); });
     NotifyWatches();
   }
+  /// Responds to the oldest watch now, in spite of `is_silent`.
+  void AnswerOldestWatch() {
+    const auto oldest = std::ranges::find_if(
+        m_watches,
+        [](const PendingWatch& watch) { return watch.done != nullptr; });
+    oldest->is_lost = false;
+    EndWatch(*oldest);
+  }
 
   void Write(const TableWrite& write,
              std::function<void(TableWriteResult)> done) override {
@@ -117,6 +129,7 @@
 
  private:
   struct PendingWatch {
+    std::string table;
     std::uint64_t after = 0;
     std::function<void(TableResult)> done;
     bool is_lost = false;
@@ -136,21 +149,21 @@
   }
 
   void NotifyWatches() {
-    for (auto& [table, watch] : m_watches) {
+    for (PendingWatch& watch : m_watches) {
       if (watch.done && !watch.is_lost) {
-        NotifyWatch(table, watch);
+        NotifyWatch(watch);
       }
     }
   }
 
-  void NotifyWatch(const std::string& table, PendingWatch& watch) {
+  void NotifyWatch(PendingWatch& watch) {
     TableResult result = TableFailure::kUnavailable;
     if (!is_down && watch.after < m_oldest_watchable_version) {
       result = TableFailure::kHistoryGone;
     } else if (!is_down) {
       TablePage page;
       page.version = version;
-      page.rows = ChangesAfter(table, watch.after);
+      page.rows = ChangesAfter(watch.table, watch.after);
       if (page.rows.empty()) {
         return;
       }
@@ -160,7 +173,7 @@
   }
 
   /// Ends a watch at the end of its wait, or of its time limit if it is lost.
-  void EndWatch(const std::string& table, PendingWatch& watch) {
+  void EndWatch(PendingWatch& watch) {
     if (!watch.done) {
       return;
     }
@@ -170,7 +183,7 @@
     }
     TablePage page;
     page.version = version;
-    page.rows = ChangesAfter(table, watch.after);
+    page.rows = ChangesAfter(watch.table, watch.after);
     Complete(watch, std::move(page));
   }
 
@@ -194,7 +207,8 @@
   std::vector<TableRow> m_changes;
   /// Watches from an earlier version fail, as their changes were discarded.
   std::uint64_t m_oldest_watchable_version = 0;
-  std::map<std::string, PendingWatch> m_watches;
+  /// Completed watches have no callback any more.
+  std::list<PendingWatch> m_watches;
 };
 
 }  // namespace bambooquay::testing
