Logs tell how far a broken attempt was

Nothing in the logs told the call that crashed an engine from those that broke beside it: attempt_failed now has begun_ms and events. No behaviour changes.

--- a/packages/serving/include/bambooquay/serving/forwarded_call.h
+++ b/packages/serving/include/bambooquay/serving/forwarded_call.h
@@ -214,8 +214,10 @@
   Duration m_longest_pause{};
   /// When the current attempt was sent, or sent its last event.
   TimePoint m_progress_at{};
-  /// Whether the current attempt has sent an event.
-  bool m_attempt_has_events = false;
+  /// When the current attempt began to respond, if it has.
+  std::optional<TimePoint> m_attempt_begun_at;
+  /// Events that the current attempt has sent.
+  int m_attempt_events = 0;
 
   /// Callbacks that may run after the call was destroyed hold a weak pointer
   /// to this.
--- a/packages/serving/src/forwarded_call.cc
+++ b/packages/serving/src/forwarded_call.cc
@@ -302,7 +302,8 @@
   m_query.may_load_adapter = false;
   m_upstream = id;
   m_status = 0;
-  m_attempt_has_events = false;
+  m_attempt_begun_at.reset();
+  m_attempt_events = 0;
   AttemptMetadata metadata;
   metadata.upstream = id;
   metadata.time_left = TimeLeft();
--- a/packages/serving/src/forwarded_response.cc
+++ b/packages/serving/src/forwarded_response.cc
@@ -42,7 +42,7 @@
   const auto report_age = upstream == nullptr
                               ? std::nullopt
                               : m_context.upstreams.ReportAge(*upstream);
-  return {silent_for, m_attempt_has_events,
+  return {silent_for, m_attempt_events > 0,
           report_age.has_value() && *report_age < silent_for};
 }
 
@@ -98,6 +98,7 @@
     HandleFailedAttempt(AttemptResult::kBroken, true, "not_authentic");
     return;
   }
+  m_attempt_begun_at = m_context.loop.clock().Now();
   const bool failed = status >= ToCode(HttpStatus::kInternalError);
   if (!m_relaying) {
     m_response_headers = m_context.codec.CallerHeaders(headers);
@@ -120,7 +121,7 @@
   if (m_event_stream) {
     const std::string events = m_events.Append(bytes);
     if (!events.empty()) {
-      m_attempt_has_events = true;
+      ++m_attempt_events;
       RecordEventTime();
       RelayBody(events);
       RestartStallTimer();
@@ -290,6 +291,12 @@
       .With("reason", reason)
       .With("may_have_run", may_have_run ? "yes" : "no")
       .With("retry", retry)
+      .With("begun_ms",
+            m_attempt_begun_at.has_value()
+                ? (m_context.loop.clock().Now() - *m_attempt_begun_at) /
+                      milliseconds(1)
+                : -1)
+      .With("events", m_attempt_events)
       .With("elapsed_ms", Elapsed() / milliseconds(1));
 }
 
