Prompts with a part that crashes engines are kept away from the engines

Cause: nothing tied a crash to what the engine was doing. Class: a failure that follows the request was taken for one of the upstream, so that avoiding the upstream and repeating the call spread it.

Evidence: in 69 of 78 crashes exactly one broken call had begun to respond and sent no event, so one can tell the cause from the calls that break beside it.

Change: PromptQuarantine. A call that breaks before its first event is suspected with all its parts but the last; a call that begins later and sends an event clears its parts. Three crashes, on different runs of upstreams and by calls that began one after the other, put a part under quarantine for 30 s; its prompts get 503 before anything is spent, with the remaining time in Retry-After. If several parts were in all these prompts, only prompts with all of them are kept away, and single prompts with one of them tell them apart. A call suspected of two crashes is not repeated. After the quarantine one entry, chosen by hash, tries one call; a crash doubles the time. Entries exchange crashes, survivals and quarantines in their statuses, so that a restarted entry knows them too. Everything kept and sent is bounded.

--- a/packages/core/include/bambooquay/core/ids.h
+++ b/packages/core/include/bambooquay/core/ids.h
@@ -4,6 +4,7 @@
 
 #include <compare>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <string_view>
@@ -49,6 +50,8 @@
 /// SHA-256 digest of a caller's key in hexadecimal. The key itself is never
 /// stored.
 using KeyDigest = Identifier<struct KeyDigestTag>;
+/// Hash of a part of a prompt; prompts with the same part have the same one.
+enum class PromptPartId : std::uint64_t {};
 
 }  // namespace bambooquay
 
--- a/packages/peers/include/bambooquay/peers/status_messages.h
+++ b/packages/peers/include/bambooquay/peers/status_messages.h
@@ -24,6 +24,39 @@
   double prompt_tokens_per_second = 0.0;
 };
 
+/// A call with these parts had begun and sent no event when its upstream broke.
+/// Ages are those at the time of sending.
+struct PartCrash {
+  std::vector<PromptPartId> parts;
+  std::uint64_t upstream_run = 0;  ///< Identifies the upstream and its start.
+  Duration begun_age{};
+  Duration crash_age{};
+};
+
+/// A call with this part has sent an event.
+struct PartSurvival {
+  PromptPartId part{};
+  Duration begun_age{};
+};
+
+/// Prompts with this part are not sent to upstreams.
+struct PartQuarantine {
+  PromptPartId part{};
+  int round = 1;  ///< Quarantines in a row.
+  Duration last_crash_age{};
+  Duration time_left{};  ///< Negative once it has expired.
+  /// Parts that may be the cause instead. Prompts without one of them are
+  /// allowed.
+  std::vector<PromptPartId> companions;
+};
+
+/// What an entry knows of parts that crash engines.
+struct PromptPartReports {
+  std::vector<PartCrash> crashes;
+  std::vector<PartSurvival> survivals;
+  std::vector<PartQuarantine> quarantines;
+};
+
 /// Sent by each entry to the other entries.
 struct EntryStatus {
   bool leaving = false;  ///< Whether the entry is draining before it stops.
@@ -33,6 +66,7 @@
   /// table; 0 if it does not say.
   std::uint64_t operators_version = 0;
   Duration uptime{};
+  PromptPartReports prompt_parts;
   DataCentreId data_centre;  ///< Empty if the sender does not say.
   /// Tokens spent since the entry started. An organisation whose total has not
   /// changed since the last messages may be omitted.
--- a/packages/peers/src/status_messages.cc
+++ b/packages/peers/src/status_messages.cc
@@ -37,7 +37,85 @@
   return std::string(text.cStr(), text.size());
 }
 
+std::uint32_t ToMs(Duration age) {
+  return static_cast<std::uint32_t>(std::max(age, Duration::zero()) /
+                                    std::chrono::milliseconds(1));
+}
+
+void WriteParts(capnp::List<std::uint64_t>::Builder to,
+                const std::vector<PromptPartId>& from) {
+  unsigned index = 0;
+  for (const PromptPartId part : from) {
+    to.set(index++, static_cast<std::uint64_t>(part));
+  }
+}
+
+std::vector<PromptPartId> ReadParts(capnp::List<std::uint64_t>::Reader from) {
+  std::vector<PromptPartId> parts;
+  for (const std::uint64_t part : from) {
+    parts.push_back(PromptPartId{part});
+  }
+  return parts;
+}
+
+void Write(status::EntryStatus::Builder to, const PromptPartReports& from) {
+  auto crashes = to.initPartCrashes(static_cast<unsigned>(from.crashes.size()));
+  unsigned index = 0;
+  for (const PartCrash& item : from.crashes) {
+    auto out = crashes[index++];
+    WriteParts(out.initParts(static_cast<unsigned>(item.parts.size())),
+               item.parts);
+    out.setUpstreamRun(item.upstream_run);
+    out.setBegunAgeMs(ToMs(item.begun_age));
+    out.setCrashAgeMs(ToMs(item.crash_age));
+  }
+  auto survivals =
+      to.initPartSurvivals(static_cast<unsigned>(from.survivals.size()));
+  index = 0;
+  for (const PartSurvival& item : from.survivals) {
+    auto out = survivals[index++];
+    out.setPart(static_cast<std::uint64_t>(item.part));
+    out.setBegunAgeMs(ToMs(item.begun_age));
+  }
+  auto quarantines =
+      to.initPartQuarantines(static_cast<unsigned>(from.quarantines.size()));
+  index = 0;
+  for (const PartQuarantine& item : from.quarantines) {
+    auto out = quarantines[index++];
+    out.setPart(static_cast<std::uint64_t>(item.part));
+    out.setRound(static_cast<std::uint32_t>(item.round));
+    out.setLastCrashAgeMs(ToMs(item.last_crash_age));
+    out.setLeftMs(static_cast<std::int32_t>(item.time_left /
+                                            std::chrono::milliseconds(1)));
+    WriteParts(
+        out.initCompanions(static_cast<unsigned>(item.companions.size())),
+        item.companions);
+  }
+}
+
+PromptPartReports ReadPromptParts(status::EntryStatus::Reader from) {
+  using std::chrono::milliseconds;
+  PromptPartReports to;
+  for (const auto item : from.getPartCrashes()) {
+    to.crashes.push_back({ReadParts(item.getParts()), item.getUpstreamRun(),
+                          milliseconds(item.getBegunAgeMs()),
+                          milliseconds(item.getCrashAgeMs())});
+  }
+  for (const auto item : from.getPartSurvivals()) {
+    to.survivals.push_back(
+        {PromptPartId{item.getPart()}, milliseconds(item.getBegunAgeMs())});
+  }
+  for (const auto item : from.getPartQuarantines()) {
+    to.quarantines.push_back(
+        {PromptPartId{item.getPart()}, static_cast<int>(item.getRound()),
+         milliseconds(item.getLastCrashAgeMs()), milliseconds(item.getLeftMs()),
+         ReadParts(item.getCompanions())});
+  }
+  return to;
+}
+
 void Write(status::EntryStatus::Builder to, const EntryStatus& from) {
+  Write(to, from.prompt_parts);
   to.setLeaving(from.leaving);
   to.setConfiguration(from.configuration);
   to.setOperatorsVersion(from.operators_version);
@@ -66,6 +144,7 @@
   to.leaving = from.getLeaving();
   to.configuration = from.getConfiguration();
   to.operators_version = from.getOperatorsVersion();
+  to.prompt_parts = ReadPromptParts(from);
   to.uptime = FromSeconds(from.getUptimeSeconds());
   to.data_centre = DataCentreId(ToString(from.getDataCentre()));
   for (const auto item : from.getSpending()) {
--- a/packages/peers/status.capnp
+++ b/packages/peers/status.capnp
@@ -20,6 +20,31 @@
   promptTokensPerSecond @3 :Float32;
 }
 
+# A call with these parts had begun and sent no event when its upstream broke.
+# Ages are those at the time of sending.
+struct PartCrash {
+  parts @0 :List(UInt64);
+  upstreamRun @1 :UInt64;  # identifies the upstream and its start
+  begunAgeMs @2 :UInt32;
+  crashAgeMs @3 :UInt32;
+}
+
+# A call with this part has sent an event.
+struct PartSurvival {
+  part @0 :UInt64;
+  begunAgeMs @1 :UInt32;
+}
+
+# Prompts with this part are not sent to upstreams.
+struct PartQuarantine {
+  part @0 :UInt64;
+  round @1 :UInt32;         # quarantines in a row
+  lastCrashAgeMs @2 :UInt32;
+  leftMs @3 :Int32;         # negative once it has expired
+  # Parts that may be the cause instead. Prompts without one of them are allowed.
+  companions @4 :List(UInt64);
+}
+
 # Sent by each entry to the other entries.
 struct EntryStatus {
   leaving @0 :Bool;          # the entry is draining before it stops
@@ -31,6 +56,9 @@
   # Version of the newest change that the sender knows of in the operators'
   # table; 0 if it does not say.
   operatorsVersion @6 :UInt64;
+  partCrashes @7 :List(PartCrash);
+  partSurvivals @8 :List(PartSurvival);
+  partQuarantines @9 :List(PartQuarantine);
 }
 
 # Sent by each entry to each agent. `models` is valid only if `planned` is set,
--- a/packages/serving/include/bambooquay/serving/call_codec.h
+++ b/packages/serving/include/bambooquay/serving/call_codec.h
@@ -17,7 +17,7 @@
 /// A part of a prompt. Requests with the same leading parts can share what an
 /// engine has cached for them.
 struct PromptPart {
-  std::uint64_t id = 0;
+  PromptPartId id{};
   double tokens = 0.0;
 };
 
--- a/packages/serving/include/bambooquay/serving/forwarded_call.h
+++ b/packages/serving/include/bambooquay/serving/forwarded_call.h
@@ -17,6 +17,7 @@
 #include "bambooquay/serving/call_codec.h"
 #include "bambooquay/serving/event_stream.h"
 #include "bambooquay/serving/fleet_allowance.h"
+#include "bambooquay/serving/prompt_quarantine.h"
 #include "bambooquay/serving/retry_budget.h"
 #include "bambooquay/serving/route_table.h"
 #include "bambooquay/serving/stall_policy.h"
@@ -80,6 +81,7 @@
   Metrics& metrics;
   AgentClient& agents;
   DemandSink& demand;
+  PromptQuarantine& quarantine;
   std::function<RetryBudget&(const ServiceName&)> retry_budget_for;
 };
 
@@ -105,6 +107,9 @@
   /// Called instead of Start() when the entry is about to stop and could not
   /// finish the call.
   void RefuseWhileDraining();
+  /// Called when a part of prompts was put under quarantine. Ends the call if
+  /// its prompt has the part and its upstream has not begun to respond.
+  void HandleQuarantine();
 
  private:
   /// Delay after which a refused caller may retry, unless a better estimate
@@ -118,6 +123,13 @@
 
   [[nodiscard]] bool Authenticate();
   [[nodiscard]] bool SpendAllowance();
+  /// Refuses the call if its prompt is under quarantine.
+  /// @returns whether it may go on.
+  [[nodiscard]] bool PassQuarantine();
+  /// Records that the upstream broke, if this call may be the cause.
+  void RecordPossibleCrash();
+  /// Ends the call because its prompt is under quarantine.
+  void RefuseQuarantined();
   /// Chooses one of the route's services by weight. Leaves m_service null if
   /// the configuration lacks the chosen service.
   void ChooseService();
@@ -194,6 +206,8 @@
   /// Whether any attempt so far may have run the request.
   bool m_may_have_run = false;
   bool m_adapter_requested = false;
+  /// Whether the call finds out if its prompt still crashes engines.
+  bool m_is_trial = false;
 
   std::optional<UpstreamId> m_upstream;
   std::unique_ptr<HttpCall> m_attempt;
--- a/packages/serving/include/bambooquay/serving/peer_exchange.h
+++ b/packages/serving/include/bambooquay/serving/peer_exchange.h
@@ -53,6 +53,10 @@
   void OnPeerFound(std::function<void()> handler) {
     m_on_peer_found = std::move(handler);
   }
+  /// Sets the handler for what another entry reports of prompts' parts.
+  void OnPromptParts(std::function<void(const PromptPartReports&)> handler) {
+    m_on_prompt_parts = std::move(handler);
+  }
   void OnEngineStatus(EngineStatusHandler handler) {
     m_on_engine_status = std::move(handler);
   }
@@ -133,6 +137,7 @@
   std::uint16_t m_port = 0;
   std::function<EntryStatus()> m_make_status;
   std::function<void()> m_on_peer_found;
+  std::function<void(const PromptPartReports&)> m_on_prompt_parts;
   EngineStatusHandler m_on_engine_status;
   /// Ordered by id, because the live entry with the lowest id plans placement.
   std::map<InstanceId, PeerEntry> m_peers;
--- a/packages/serving/include/bambooquay/serving/serving_entry.h
+++ b/packages/serving/include/bambooquay/serving/serving_entry.h
@@ -83,11 +83,15 @@
   void CheckDrained();
   [[nodiscard]] RetryBudget& RetryBudgetFor(const ServiceName& service);
   [[nodiscard]] EntryStatus MakeStatus();
+  /// @returns whether this entry tries a part of prompts again, the choice of
+  ///   which all entries agree on without communication.
+  [[nodiscard]] bool MakesTrial(PromptPartId part, std::uint64_t turn) const;
 
   ServingSettings m_settings;
   ServingEntryDeps m_deps;
   UpstreamSet m_upstreams;
   FleetAllowance m_allowance;
+  PromptQuarantine m_quarantine;
   DemandMeter m_demand;
   FleetPlanner m_planner;
   HttpClient m_client;
--- a/packages/serving/src/forwarded_call.cc
+++ b/packages/serving/src/forwarded_call.cc
@@ -89,7 +89,7 @@
            kRetryAfter);
     return;
   }
-  if (!SpendAllowance()) {
+  if (!PassQuarantine() || !SpendAllowance()) {
     return;
   }
   BuildQuery();
@@ -117,6 +117,35 @@
   return true;
 }
 
+bool ForwardedCall::PassQuarantine() {
+  const PromptVerdict verdict = m_context.quarantine.Judge(m_call.prompt);
+  m_is_trial = verdict == PromptVerdict::kTrial;
+  if (verdict == PromptVerdict::kQuarantined) {
+    RefuseQuarantined();
+    return false;
+  }
+  return true;
+}
+
+void ForwardedCall::RefuseQuarantined() {
+  if (m_may_have_run) {
+    Refuse(ToCode(HttpStatus::kBadGateway), "quarantined", Duration::zero());
+    return;
+  }
+  Refuse(ToCode(HttpStatus::kServiceUnavailable), "quarantined",
+         std::max(m_context.quarantine.TimeLeft(m_call.prompt), kRetryAfter));
+}
+
+void ForwardedCall::HandleQuarantine() {
+  if (m_done || m_is_trial || m_relaying || m_attempt_begun_at.has_value() ||
+      !m_context.quarantine.IsQuarantined(m_call.prompt)) {
+    return;
+  }
+  m_may_have_run = m_may_have_run || m_upstream.has_value();
+  EndAttempt(AttemptResult::kCancelled);
+  RefuseQuarantined();
+}
+
 bool ForwardedCall::SpendAllowance() {
   if (m_organisation == nullptr) {
     return true;
--- a/packages/serving/src/forwarded_response.cc
+++ b/packages/serving/src/forwarded_response.cc
@@ -1,6 +1,7 @@
 // Handling of an upstream's response to a forwarded call, and of failed
 // attempts.
 #include <algorithm>
+#include <boost/container_hash/hash.hpp>
 #include <utility>
 
 #include "bambooquay/runtime/log.h"
@@ -121,7 +122,9 @@
   if (m_event_stream) {
     const std::string events = m_events.Append(bytes);
     if (!events.empty()) {
-      ++m_attempt_events;
+      if (m_attempt_events++ == 0 && m_attempt_begun_at.has_value()) {
+        m_context.quarantine.RecordSurvival(m_call.prompt, *m_attempt_begun_at);
+      }
       RecordEventTime();
       RelayBody(events);
       RestartStallTimer();
@@ -175,6 +178,7 @@
       HandleFailedAttempt(AttemptResult::kUnreachable, false, "unreachable");
       return;
     case HttpOutcome::kBroken:
+      RecordPossibleCrash();
       HandleFailedAttempt(AttemptResult::kBroken, true, "broken");
       return;
     case HttpOutcome::kTimedOut:
@@ -210,6 +214,18 @@
   Finish(failed ? "upstream_error" : "served", std::to_string(m_status));
 }
 
+void ForwardedCall::RecordPossibleCrash() {
+  if (!m_event_stream || m_attempt_events > 0 ||
+      !m_attempt_begun_at.has_value()) {
+    return;
+  }
+  std::size_t run = std::hash<UpstreamId>()(*m_upstream);
+  if (const Upstream* upstream = m_context.upstreams.Find(*m_upstream)) {
+    boost::hash_combine(run, upstream->record.started_at_ms);
+  }
+  m_context.quarantine.RecordCrash(m_call.prompt, run, *m_attempt_begun_at);
+}
+
 std::optional<UpstreamId> ForwardedCall::PickForRepeat() {
   if (!CanRetry(true)) {
     return std::nullopt;
@@ -235,6 +251,9 @@
   if (may_have_run && !m_route->repeatable()) {
     return false;
   }
+  if (!m_context.quarantine.MayRepeat(m_call.prompt)) {
+    return false;
+  }
   if (m_relaying && !m_event_stream) {
     // The caller has bytes of a response that another run may not repeat.
     return false;
--- a/packages/serving/src/peer_exchange.cc
+++ b/packages/serving/src/peer_exchange.cc
@@ -360,6 +360,9 @@
   }
   peer.last_heard_at = m_loop.clock().Now();
   peer.status = status;
+  if (m_on_prompt_parts) {
+    m_on_prompt_parts(status.prompt_parts);
+  }
   const std::string incarnation =
       IncarnationKey(message.sender, message.incarnation);
   const bool started_earlier =
--- a/packages/serving/src/prompt_cache_view.cc
+++ b/packages/serving/src/prompt_cache_view.cc
@@ -22,7 +22,7 @@
   PromptPrefixes prefixes;
   prefixes.reserve(prompt.size());
   for (const PromptPart& part : prompt) {
-    boost::hash_combine(hash, part.id);
+    boost::hash_combine(hash, static_cast<std::uint64_t>(part.id));
     prefixes.push_back({hash, part.tokens});
   }
   return prefixes;
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -3,6 +3,7 @@
 #include "bambooquay/serving/serving_entry.h"
 
 #include <algorithm>
+#include <boost/container_hash/hash.hpp>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -64,6 +65,7 @@
                     return m_client.HasIdleConnection(address);
                   }),
       m_allowance(deps.loop.clock()),
+      m_quarantine(deps.loop.clock()),
       m_demand(deps.loop.clock()),
       m_planner(deps.loop.clock(), m_upstreams),
       m_client(deps.loop, kUpstreamClient),
@@ -77,6 +79,7 @@
                 deps.metrics,
                 m_peers,
                 m_demand,
+                m_quarantine,
                 [this](const ServiceName& service) -> RetryBudget& {
                   return RetryBudgetFor(service);
                 }},
@@ -125,6 +128,21 @@
   m_peers.SetStatusSource([this] { return MakeStatus(); });
   // A new peer needs all totals, so all are sent again.
   m_peers.OnPeerFound([this] { m_spent_totals.clear(); });
+  m_peers.OnPromptParts([this](const PromptPartReports& reports) {
+    m_quarantine.Merge(reports);
+  });
+  m_quarantine.SetTrialChooser([this](PromptPartId part, std::uint64_t turn) {
+    return MakesTrial(part, turn);
+  });
+  m_quarantine.OnQuarantined([this] {
+    // Runs within a call that has just failed, so the others end later.
+    m_deps.loop.Post([this] {
+      std::vector<ForwardedCall*> calls;
+      std::ranges::transform(m_calls, std::back_inserter(calls),
+                             [](const auto& call) { return call.get(); });
+      std::ranges::for_each(calls, &ForwardedCall::HandleQuarantine);
+    });
+  });
   m_peers.OnEngineStatus([this](const EngineStatus& status) {
     const Upstream* upstream = m_upstreams.Find(status.upstream);
     const bool is_first_report =
@@ -168,6 +186,9 @@
           return m_upstreams.IsUsable(item.second);
         }));
   });
+  metrics.RegisterGauge("prompt_parts_quarantined", [this, to_double] {
+    return to_double(m_quarantine.quarantined_count());
+  });
   metrics.RegisterGauge("entries_known", [this, to_double] {
     return to_double(m_peers.member_count());
   });
@@ -316,6 +337,7 @@
                              ? 0
                              : m_active_configuration->configuration.version;
   status.operators_version = m_operator_rows.last_change();
+  status.prompt_parts = m_quarantine.MakeReports();
   status.spent = m_allowance.SpentByOrganisation();
   // Leaves out totals that have not changed for a while: all peers have them.
   std::erase_if(status.spent, [this](const auto& item) {
@@ -330,6 +352,17 @@
   return status;
 }
 
+bool ServingEntry::MakesTrial(PromptPartId part, std::uint64_t turn) const {
+  const std::vector<InstanceId> members = m_peers.Members();
+  const auto rank = [&](const InstanceId& id) {
+    std::size_t hash = boost::hash<std::string>()(id.value());
+    boost::hash_combine(hash, static_cast<std::uint64_t>(part));
+    boost::hash_combine(hash, turn);
+    return std::pair(hash, id);
+  };
+  return *std::ranges::max_element(members, {}, rank) == m_settings.id;
+}
+
 void ServingEntry::Tick() {
   UpdateWatchTimes();
   FetchTablesIfBehind();
@@ -341,6 +374,7 @@
     m_client.CloseIdleConnections();
   }
   m_upstreams.Tick();
+  m_quarantine.RemoveExpired();
   const std::vector<InstanceId> members = m_peers.Members();
   std::ranges::for_each(m_budgets, [&](auto& item) {
     item.second.SetEntryCount(members.size());
--- /dev/null
+++ b/packages/serving/tests/prompt_quarantine_test.cc
@@ -0,0 +1,348 @@
+// Tests of the quarantine of parts of prompts that crash engines.
+#include "bambooquay/serving/prompt_quarantine.h"
+
+#include <rapidcheck/boost_test.h>
+
+#include <boost/test/unit_test.hpp>
+#include <deque>
+#include <initializer_list>
+#include <memory>
+#include <random>
+#include <vector>
+
+namespace bambooquay {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+using Prompt = std::vector<PromptPart>;
+
+constexpr std::uint64_t kDeadly = 0xdead;
+constexpr std::uint64_t kBeginning = 1;
+constexpr std::uint64_t kNeighbour = 2;
+
+/// @returns a prompt of these shared parts and a last one of its own.
+Prompt MakePrompt(std::initializer_list<std::uint64_t> shared) {
+  static std::uint64_t own_part = 1'000'000;
+  Prompt prompt;
+  for (const std::uint64_t id : shared) {
+    prompt.push_back({PromptPartId{id}, 100.0});
+  }
+  prompt.push_back({PromptPartId{++own_part}, 100.0});
+  return prompt;
+}
+
+/// One entry's quarantine, and the crashes of engines one after the other.
+struct Fixture {
+  /// A call that begins 50 ms from now and takes its engine with it.
+  void Crash(const Prompt& prompt) {
+    clock.Advance(milliseconds(50));
+    const TimePoint begun_at = clock.Now();
+    clock.Advance(milliseconds(50));
+    quarantine.RecordCrash(prompt, ++run, begun_at);
+  }
+  void Survive(const Prompt& prompt) {
+    clock.Advance(milliseconds(50));
+    const TimePoint begun_at = clock.Now();
+    clock.Advance(milliseconds(50));
+    quarantine.RecordSurvival(prompt, begun_at);
+  }
+  /// Three crashes over more than the shortest observation.
+  void CrashThrice(std::initializer_list<std::uint64_t> shared) {
+    for (int i = 0; i < 3; ++i) {
+      Crash(MakePrompt(shared));
+      clock.Advance(milliseconds(300));
+    }
+  }
+  bool Allows(std::initializer_list<std::uint64_t> shared) {
+    return quarantine.Judge(MakePrompt(shared)) == PromptVerdict::kAllowed;
+  }
+  bool Refuses(std::initializer_list<std::uint64_t> shared) {
+    return quarantine.Judge(MakePrompt(shared)) == PromptVerdict::kQuarantined;
+  }
+
+  ManualClock clock;
+  PromptQuarantine quarantine{clock};
+  std::uint64_t run = 0;
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(prompt_quarantine)
+
+BOOST_AUTO_TEST_CASE(the_part_that_no_call_survives_is_kept_away) {
+  Fixture fixture;
+  for (std::uint64_t i = 0; i < 3; ++i) {
+    BOOST_TEST(fixture.Allows({kBeginning, kDeadly}));
+    fixture.Crash(MakePrompt({kBeginning, kDeadly, 10 + i}));
+    fixture.Survive(MakePrompt({kBeginning, 10 + i}));
+    fixture.clock.Advance(milliseconds(300));
+  }
+  BOOST_TEST(fixture.Refuses({kBeginning, kDeadly, 99}));
+  BOOST_TEST(fixture.Allows({kBeginning, 10}));
+  BOOST_TEST(
+      (fixture.quarantine.TimeLeft(MakePrompt({kDeadly})) > seconds(20)));
+}
+
+BOOST_AUTO_TEST_CASE(the_last_part_is_never_to_blame) {
+  Fixture fixture;
+  const Prompt prompt = {{PromptPartId{kDeadly}, 100.0}};
+  for (int i = 0; i < 5; ++i) {
+    fixture.Crash(prompt);
+    fixture.clock.Advance(milliseconds(300));
+  }
+  BOOST_TEST(fixture.Allows({kDeadly}));
+}
+
+BOOST_AUTO_TEST_CASE(a_call_suspected_of_two_crashes_is_not_repeated) {
+  Fixture fixture;
+  fixture.Crash(MakePrompt({kDeadly}));
+  BOOST_TEST(fixture.quarantine.MayRepeat(MakePrompt({kDeadly})));
+  fixture.Crash(MakePrompt({kDeadly}));
+  BOOST_TEST(!fixture.quarantine.MayRepeat(MakePrompt({kDeadly})));
+  BOOST_TEST(fixture.quarantine.MayRepeat(MakePrompt({kNeighbour})));
+}
+
+// An engine that breaks its streams at their beginning, and is not replaced.
+BOOST_AUTO_TEST_CASE(one_broken_upstream_makes_no_quarantine) {
+  Fixture fixture;
+  for (int i = 0; i < 10; ++i) {
+    fixture.clock.Advance(milliseconds(300));
+    fixture.quarantine.RecordCrash(MakePrompt({kNeighbour}), 7,
+                                   fixture.clock.Now());
+  }
+  BOOST_TEST(fixture.Allows({kNeighbour}));
+}
+
+// All engines of a data centre lose power, and each breaks a call with the
+// part.
+BOOST_AUTO_TEST_CASE(the_loss_of_many_upstreams_at_once_makes_no_quarantine) {
+  Fixture fixture;
+  const TimePoint begun_at = fixture.clock.Now();
+  for (std::uint64_t run = 0; run < 10; ++run) {
+    fixture.clock.Advance(milliseconds(5));
+    fixture.quarantine.RecordCrash(MakePrompt({kNeighbour}), run, begun_at);
+  }
+  fixture.clock.Advance(seconds(2));
+  BOOST_TEST(fixture.Allows({kNeighbour}));
+}
+
+BOOST_AUTO_TEST_CASE(prompts_with_one_of_two_suspect_parts_tell_them_apart) {
+  Fixture fixture;
+  fixture.CrashThrice({kDeadly, kNeighbour});
+  BOOST_TEST(fixture.Refuses({kDeadly, kNeighbour}));
+  // One prompt at a time with only one of the parts.
+  BOOST_TEST((fixture.quarantine.Judge(MakePrompt({kNeighbour})) ==
+              PromptVerdict::kTrial));
+  BOOST_TEST(fixture.Refuses({kNeighbour}));
+  fixture.Survive(MakePrompt({kNeighbour}));
+  BOOST_TEST(fixture.Allows({kNeighbour}));
+  BOOST_TEST(fixture.Refuses({kDeadly}));
+}
+
+BOOST_AUTO_TEST_CASE(a_crash_without_its_companion_convicts_a_part_alone) {
+  Fixture fixture;
+  fixture.CrashThrice({kDeadly, kNeighbour});
+  BOOST_TEST((fixture.quarantine.Judge(MakePrompt({kDeadly})) ==
+              PromptVerdict::kTrial));
+  fixture.Crash(MakePrompt({kDeadly}));
+  fixture.clock.Advance(seconds(6));
+  BOOST_TEST(fixture.Refuses({kDeadly}));
+}
+
+// A part that was taken for the cause: calls that were on their way survive.
+BOOST_AUTO_TEST_CASE(a_call_that_was_on_its_way_ends_a_wrong_quarantine) {
+  Fixture fixture;
+  fixture.CrashThrice({kBeginning});
+  BOOST_TEST(fixture.Refuses({kBeginning}));
+  fixture.Survive(MakePrompt({kBeginning}));
+  BOOST_TEST(fixture.Allows({kBeginning}));
+}
+
+BOOST_AUTO_TEST_CASE(a_quarantine_ends_by_a_trial_and_doubles_after_a_crash) {
+  Fixture fixture;
+  fixture.CrashThrice({kDeadly});
+  fixture.clock.Advance(seconds(31));
+  BOOST_TEST((fixture.quarantine.Judge(MakePrompt({kDeadly})) ==
+              PromptVerdict::kTrial));
+  BOOST_TEST(fixture.Refuses({kDeadly}));
+  fixture.Crash(MakePrompt({kDeadly}));
+  fixture.clock.Advance(seconds(31));
+  BOOST_TEST(fixture.Refuses({kDeadly}));
+  fixture.clock.Advance(seconds(30));
+  BOOST_TEST((fixture.quarantine.Judge(MakePrompt({kDeadly})) ==
+              PromptVerdict::kTrial));
+  fixture.Survive(MakePrompt({kDeadly}));
+  BOOST_TEST(fixture.Allows({kDeadly}));
+}
+
+BOOST_AUTO_TEST_CASE(only_the_chosen_entry_makes_a_trial) {
+  Fixture fixture;
+  bool is_chosen = false;
+  fixture.quarantine.SetTrialChooser(
+      [&](PromptPartId /*part*/, std::uint64_t /*turn*/) { return is_chosen; });
+  fixture.CrashThrice({kDeadly});
+  fixture.clock.Advance(seconds(31));
+  BOOST_TEST(fixture.Refuses({kDeadly}));
+  is_chosen = true;
+  BOOST_TEST((fixture.quarantine.Judge(MakePrompt({kDeadly})) ==
+              PromptVerdict::kTrial));
+}
+
+BOOST_AUTO_TEST_CASE(a_restarted_entry_learns_of_a_quarantine_from_the_others) {
+  Fixture fixture;
+  fixture.CrashThrice({kDeadly});
+  fixture.clock.Advance(seconds(10));
+  BOOST_TEST(fixture.Refuses({kDeadly}));
+  PromptQuarantine restarted(fixture.clock);
+  restarted.Merge(fixture.quarantine.MakeReports());
+  BOOST_TEST(
+      (restarted.Judge(MakePrompt({kDeadly})) == PromptVerdict::kQuarantined));
+  // A trial that the restarted entry makes clears the part everywhere.
+  fixture.clock.Advance(seconds(30));
+  restarted.RecordSurvival(MakePrompt({kDeadly}), fixture.clock.Now());
+  fixture.quarantine.Merge(restarted.MakeReports());
+  BOOST_TEST(fixture.Allows({kDeadly}));
+}
+
+BOOST_AUTO_TEST_CASE(
+    an_entry_that_missed_a_survival_does_not_spread_its_error) {
+  Fixture fixture;
+  fixture.CrashThrice({kBeginning});
+  BOOST_TEST(fixture.Refuses({kBeginning}));
+  PromptQuarantine other(fixture.clock);
+  other.Merge(fixture.quarantine.MakeReports());
+  fixture.Survive(MakePrompt({kBeginning}));
+  // The reports of the survival are lost, and are sent again when the other
+  // entry shows that it has missed them.
+  fixture.clock.Advance(seconds(10));
+  fixture.quarantine.Merge(other.MakeReports());
+  BOOST_TEST(fixture.Allows({kBeginning}));
+  other.Merge(fixture.quarantine.MakeReports());
+  BOOST_TEST(
+      (other.Judge(MakePrompt({kBeginning})) == PromptVerdict::kAllowed));
+}
+
+BOOST_AUTO_TEST_CASE(invented_parts_do_not_displace_a_quarantine) {
+  Fixture fixture;
+  fixture.CrashThrice({kDeadly});
+  BOOST_TEST(fixture.Refuses({kDeadly}));
+  for (std::uint64_t i = 0; i < 2000; ++i) {
+    fixture.Crash(MakePrompt({100 + 3 * i, 101 + 3 * i, 102 + 3 * i}));
+  }
+  const PromptPartReports reports = fixture.quarantine.MakeReports();
+  BOOST_TEST(reports.crashes.size() <= 32U);
+  BOOST_TEST(reports.quarantines.size() == 1U);
+}
+
+// Load: five entries and 18 engines; 17 calls a second begin with the same
+// part, and a few of them have the deadly one. Engines return after 3 s.
+// Entries exchange reports every 150 ms, some of which are lost.
+RC_BOOST_PROP(few_deadly_calls_arrive_and_sound_ones_are_served, ()) {
+  std::mt19937 random(*rc::gen::arbitrary<std::uint32_t>());
+  const int deadly_percent = *rc::gen::inRange(2, 12);
+  const auto below = [&](int bound) {
+    return static_cast<int>(random() % static_cast<unsigned>(bound));
+  };
+  struct Call {
+    Prompt prompt;
+    std::size_t entry;
+    std::size_t engine;
+    TimePoint begins_at;
+    TimePoint decides_at;  ///< Of its first event, or its crash.
+    bool is_deadly;
+  };
+  struct Engine {
+    std::uint64_t run = 0;
+    TimePoint back_at{};
+  };
+  ManualClock clock;
+  std::vector<std::unique_ptr<PromptQuarantine>> entries;
+  for (int i = 0; i < 5; ++i) {
+    entries.push_back(std::make_unique<PromptQuarantine>(clock));
+  }
+  std::vector<Engine> engines(18);
+  for (std::size_t i = 0; i < engines.size(); ++i) {
+    engines[i].run = i;
+  }
+  std::uint64_t last_run = engines.size();
+  std::vector<Call> calls;
+  std::vector<TimePoint> crashes;
+  int sound_calls = 0;
+  int sound_refused = 0;
+  int late_deadly_calls = 0;
+  const TimePoint start = clock.Now();
+  for (int step = 0; step < 2500; ++step) {
+    clock.Advance(milliseconds(10));
+    const TimePoint now = clock.Now();
+    if (below(100) < 17) {
+      const bool is_deadly = below(100) < deadly_percent;
+      const auto topic = static_cast<std::uint64_t>(10 + below(20));
+      Prompt prompt = is_deadly ? MakePrompt({kBeginning, kDeadly, topic})
+                                : MakePrompt({kBeginning, topic});
+      const auto entry = static_cast<std::size_t>(below(5));
+      if (entries[entry]->Judge(prompt) == PromptVerdict::kQuarantined) {
+        sound_refused += is_deadly ? 0 : 1;
+        sound_calls += is_deadly ? 0 : 1;
+        continue;
+      }
+      sound_calls += is_deadly ? 0 : 1;
+      auto engine = static_cast<std::size_t>(below(18));
+      for (int i = 0; i < 18 && engines[engine].back_at > now; ++i) {
+        engine = (engine + 1) % engines.size();
+      }
+      if (is_deadly && crashes.size() >= 5 && now - crashes[4] > seconds(3)) {
+        ++late_deadly_calls;
+      }
+      const TimePoint begins_at = now + milliseconds(50 + below(200));
+      calls.push_back({std::move(prompt), entry, engine, begins_at,
+                       begins_at + milliseconds(30 + below(90)), is_deadly});
+    }
+    for (std::size_t i = 0; i < calls.size();) {
+      const Call call = calls[i];
+      if (now < call.decides_at) {
+        ++i;
+        continue;
+      }
+      calls.erase(calls.begin() + static_cast<std::ptrdiff_t>(i));
+      if (!call.is_deadly) {
+        entries[call.entry]->RecordSurvival(call.prompt, call.begins_at);
+        continue;
+      }
+      // The crash breaks all calls on the engine; those that have begun are
+      // suspected too.
+      crashes.push_back(now);
+      const std::uint64_t run = engines[call.engine].run;
+      engines[call.engine] = {++last_run, now + seconds(3)};
+      entries[call.entry]->RecordCrash(call.prompt, run, call.begins_at);
+      std::erase_if(calls, [&](const Call& other) {
+        if (other.engine != call.engine) {
+          return false;
+        }
+        if (other.begins_at <= now) {
+          entries[other.entry]->RecordCrash(other.prompt, run, other.begins_at);
+        }
+        return true;
+      });
+      i = 0;
+    }
+    if (step % 15 == 0) {
+      for (const auto& sender : entries) {
+        const PromptPartReports reports = sender->MakeReports();
+        for (const auto& receiver : entries) {
+          if (receiver != sender && below(10) > 0) {
+            receiver->Merge(reports);
+          }
+        }
+      }
+    }
+  }
+  RC_ASSERT(clock.Now() - start == seconds(25));
+  RC_ASSERT(late_deadly_calls <= 3);
+  RC_ASSERT(sound_refused * 20 <= sound_calls);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace bambooquay
--- a/packages/serving/tests/upstream_set_test.cc
+++ b/packages/serving/tests/upstream_set_test.cc
@@ -43,7 +43,9 @@
 // A prompt of two parts that requests share, and one of its own.
 PromptPrefixes MakePrompt(std::uint64_t own_part) {
   return MakePrefixes(ModelName("m"), AdapterName(),
-                      {{1, 2500}, {2, 3800}, {own_part, 2900}});
+                      {{PromptPartId{1}, 2500},
+                       {PromptPartId{2}, 3800},
+                       {PromptPartId{own_part}, 2900}});
 }
 
 /// @returns the upstream sets of entries that know each other and one cold
