A stream that ends inside an event was broken off, even if its response is complete

Plain responses and whole streams were passed on already; of a stream that ended inside an event the caller got the part of the event and a regular end, and of one without any event an empty, complete response.

Now such an attempt counts as broken: the stream is resumed where the route allows it, and otherwise the caller's response doesn't look complete. Three tests failed before: path/a_stream_that_ends_inside_an_event_is_resumed, ..._does_not_look_complete and a_stream_without_an_event_does_not_look_complete; path/responses_that_end_with_their_connection_are_complete passed.

--- a/packages/serving/include/bambooquay/serving/forwarded_call.h
+++ b/packages/serving/include/bambooquay/serving/forwarded_call.h
@@ -92,8 +92,7 @@
 /// Invariants:
 /// - At most one attempt is in progress.
 /// - A call that may have run is attempted again only if its route allows it.
-/// - Of an event stream the caller gets whole events in order. An incomplete
-///   event is passed on only at the regular end of the stream.
+/// - Of an event stream the caller gets whole events in order.
 class ForwardedCall final : public HttpObserver {
  public:
   /// @param finished  called once, as the last thing that this object does.
@@ -146,6 +145,11 @@
   void RelayBody(std::string_view bytes);
   void StartRelay();
   void HandleCompleteResponse();
+  /// @returns whether the stream of the attempt ends inside an event, or has
+  /// none
+  ///   although nothing was received before. It was broken off then, even if
+  ///   the transport says that the response is complete.
+  [[nodiscard]] bool IsStreamBrokenOff() const;
   /// Chooses an upstream to repeat the call at, and charges the retry budget.
   /// @returns nothing if the call may not be repeated, no other upstream is
   ///   free, or the budget is used up.
--- a/packages/serving/src/forwarded_response.cc
+++ b/packages/serving/src/forwarded_response.cc
@@ -172,6 +172,11 @@
 void ForwardedCall::OnEnd(HttpOutcome outcome) {
   switch (outcome) {
     case HttpOutcome::kComplete:
+      if (IsStreamBrokenOff()) {
+        RecordPossibleCrash();
+        HandleFailedAttempt(AttemptResult::kBroken, true, "broken_off");
+        return;
+      }
       HandleCompleteResponse();
       return;
     case HttpOutcome::kNotSent:
@@ -187,6 +192,13 @@
   }
 }
 
+bool ForwardedCall::IsStreamBrokenOff() const {
+  const bool is_fresh =
+      m_events.last_id().empty() && m_call.last_event_id.empty();
+  return m_event_stream &&
+         (m_events.pending_bytes() > 0 || (is_fresh && m_attempt_events == 0));
+}
+
 void ForwardedCall::HandleCompleteResponse() {
   const bool failed = m_status >= ToCode(HttpStatus::kInternalError);
   const UpstreamId upstream = *m_upstream;
@@ -205,10 +217,6 @@
   if (!m_relaying) {
     m_exchange->Respond(m_status, m_response_headers, m_body);
   } else {
-    const std::string remainder = m_events.TakeRemainder();
-    if (!remainder.empty()) {
-      m_exchange->SendPart(remainder, nullptr);
-    }
     m_exchange->EndStream();
   }
   Finish(failed ? "upstream_error" : "served", std::to_string(m_status));
