--- a/packages/serving/tests/prompt_quarantine_test.cc
+++ b/packages/serving/tests/prompt_quarantine_test.cc
@@ -8,6 +8,7 @@
 #include <initializer_list>
 #include <memory>
 #include <random>
+#include <variant>
 #include <vector>
 
 namespace bambooquay {
@@ -224,6 +225,41 @@
       (other.Judge(MakePrompt({kBeginning})) == PromptVerdict::kAllowed));
 }
 
+BOOST_AUTO_TEST_CASE(reports_are_the_same_after_their_way_in_a_status) {
+  EntryStatus status;
+  status.operators_version = 41;
+  status.prompt_parts.crashes = {{{PromptPartId{kDeadly}, PromptPartId{2}},
+                                  ~std::uint64_t{0},
+                                  milliseconds(150),
+                                  milliseconds(50)}};
+  status.prompt_parts.survivals = {{PromptPartId{3}, milliseconds(7)}};
+  status.prompt_parts.quarantines = {{PromptPartId{kDeadly},
+                                      2,
+                                      seconds(9),
+                                      milliseconds(-4),
+                                      {PromptPartId{2}}}};
+  const auto message =
+      DecodeStatus(EncodeStatus({InstanceId("entry-1"), 1, status}));
+  BOOST_REQUIRE(message.has_value());
+  const auto& received = std::get<EntryStatus>(message->body);
+  BOOST_TEST(received.operators_version == 41U);
+  const PromptPartReports& reports = received.prompt_parts;
+  BOOST_REQUIRE(reports.crashes.size() == 1U);
+  BOOST_TEST(
+      (reports.crashes[0].parts == status.prompt_parts.crashes[0].parts));
+  BOOST_TEST(reports.crashes[0].upstream_run == ~std::uint64_t{0});
+  BOOST_TEST((reports.crashes[0].begun_age == milliseconds(150)));
+  BOOST_TEST((reports.crashes[0].crash_age == milliseconds(50)));
+  BOOST_REQUIRE(reports.survivals.size() == 1U);
+  BOOST_TEST((reports.survivals[0].begun_age == milliseconds(7)));
+  BOOST_REQUIRE(reports.quarantines.size() == 1U);
+  BOOST_TEST(reports.quarantines[0].round == 2);
+  BOOST_TEST((reports.quarantines[0].last_crash_age == seconds(9)));
+  BOOST_TEST((reports.quarantines[0].time_left == milliseconds(-4)));
+  BOOST_TEST(
+      (reports.quarantines[0].companions == std::vector{PromptPartId{2}}));
+}
+
 BOOST_AUTO_TEST_CASE(invented_parts_do_not_displace_a_quarantine) {
   Fixture fixture;
   fixture.CrashThrice({kDeadly});
@@ -278,7 +314,8 @@
     const TimePoint now = clock.Now();
     if (below(100) < 17) {
       const bool is_deadly = below(100) < deadly_percent;
-      const auto topic = static_cast<std::uint64_t>(10 + below(20));
+      const auto topic =
+          std::uint64_t{10} + static_cast<std::uint64_t>(below(20));
       Prompt prompt = is_deadly ? MakePrompt({kBeginning, kDeadly, topic})
                                 : MakePrompt({kBeginning, topic});
       const auto entry = static_cast<std::size_t>(below(5));
