Second reading: one place for what stood twice, and comments as they should read

Left: TakeRemainder of the event splitter is only used to clear its buffer now, but its test checks the value; three places hash entries to choose one, each over other inputs.

--- a/packages/serving/include/bambooquay/serving/expiry_grace.h
+++ b/packages/serving/include/bambooquay/serving/expiry_grace.h
@@ -31,9 +31,8 @@
   void RecordFailure(TimePoint call_started_at);
   /// Records a response of the store.
   void RecordResponse();
-  /// @returns how much longer an upstream may be used whose row is found
-  /// deleted
-  ///   now; zero if the store has not been away lately.
+  /// @returns how much longer an upstream may be used if its row is found
+  ///   deleted now; zero if the store has not been away lately.
   [[nodiscard]] Duration Remaining() const;
 
  private:
--- a/packages/serving/include/bambooquay/serving/forwarded_call.h
+++ b/packages/serving/include/bambooquay/serving/forwarded_call.h
@@ -145,10 +145,9 @@
   void RelayBody(std::string_view bytes);
   void StartRelay();
   void HandleCompleteResponse();
-  /// @returns whether the stream of the attempt ends inside an event, or has
-  /// none
-  ///   although nothing was received before. It was broken off then, even if
-  ///   the transport says that the response is complete.
+  /// @returns whether the stream of the attempt ends inside an event, or is
+  ///   empty although the caller has no events from before. It was broken off
+  ///   then, even if the transport says that the response is complete.
   [[nodiscard]] bool IsStreamBrokenOff() const;
   /// Chooses an upstream to repeat the call at, and charges the retry budget.
   /// @returns nothing if the call may not be repeated, no other upstream is
--- a/packages/serving/include/bambooquay/serving/prompt_quarantine.h
+++ b/packages/serving/include/bambooquay/serving/prompt_quarantine.h
@@ -143,6 +143,9 @@
   /// @returns whether `prompt` has all companions of a part.
   [[nodiscard]] static bool HasCompanions(
       const Quarantine& quarantine, const std::vector<PromptPart>& prompt);
+  /// @returns the quarantine of the part if it applies to `prompt`, or null.
+  [[nodiscard]] const Quarantine* FindApplicable(
+      PromptPartId id, const std::vector<PromptPart>& prompt) const;
   /// @returns whether this entry may try the prompt now: the quarantine of the
   ///   part has expired, or the prompt tells the part from a companion.
   [[nodiscard]] bool IsTrialDue(PromptPartId id, const Quarantine& quarantine,
--- a/packages/serving/include/bambooquay/serving/table_mirror.h
+++ b/packages/serving/include/bambooquay/serving/table_mirror.h
@@ -135,7 +135,8 @@
   /// retry.
   bool m_pausing = false;
   bool m_watching = false;
-  /// Number of watches so far. Only the response to the last one counts.
+  /// Number of watches so far. After a response to the last one the next watch
+  /// follows; of late responses to others only the changes are applied.
   std::uint64_t m_watch_count = 0;
   /// Failed calls to the store in a row.
   int m_failures = 0;
--- a/packages/serving/src/prompt_quarantine.cc
+++ b/packages/serving/src/prompt_quarantine.cc
@@ -134,13 +134,19 @@
   return !m_makes_trial || m_makes_trial(id, turn);
 }
 
+const PromptQuarantine::Quarantine* PromptQuarantine::FindApplicable(
+    PromptPartId id, const std::vector<PromptPart>& prompt) const {
+  const Part* part = Find(id);
+  const bool applies = part != nullptr && part->quarantine.has_value() &&
+                       HasCompanions(*part->quarantine, prompt);
+  return applies ? &*part->quarantine : nullptr;
+}
+
 bool PromptQuarantine::IsQuarantined(
     const std::vector<PromptPart>& prompt) const {
   return !m_parts.empty() &&
          std::ranges::any_of(SharedParts(prompt), [&](const auto& item) {
-           const Part* part = Find(item.id);
-           return part != nullptr && part->quarantine.has_value() &&
-                  HasCompanions(*part->quarantine, prompt);
+           return FindApplicable(item.id, prompt) != nullptr;
          });
 }
 
@@ -158,10 +164,8 @@
     const std::vector<PromptPart>& prompt) const {
   Duration left{};
   for (const PromptPart& item : SharedParts(prompt)) {
-    const Part* part = Find(item.id);
-    if (part != nullptr && part->quarantine.has_value() &&
-        HasCompanions(*part->quarantine, prompt)) {
-      left = std::max(left, part->quarantine->until - m_clock.Now());
+    if (const auto* quarantine = FindApplicable(item.id, prompt)) {
+      left = std::max(left, quarantine->until - m_clock.Now());
     }
   }
   return left;
--- a/testing/support/fake_table.h
+++ b/testing/support/fake_table.h
@@ -54,7 +54,7 @@
     watch.done = std::move(done);
     watch.is_lost = is_silent;
     watch.timer = m_loop.After(watch.is_lost ? wait + kAnswerLimit : wait,
-                               [this, &watch] { EndWatch(watch); });
+                               [this, &watch] { AnswerWatch(watch, true); });
     NotifyWatches();
   }
   /// Responds to the oldest watch now, in spite of `is_silent`.
@@ -63,7 +63,7 @@
         m_watches,
         [](const PendingWatch& watch) { return watch.done != nullptr; });
     oldest->is_lost = false;
-    EndWatch(*oldest);
+    AnswerWatch(*oldest, true);
   }
 
   void Write(const TableWrite& write,
@@ -150,44 +150,31 @@
 
   void NotifyWatches() {
     for (PendingWatch& watch : m_watches) {
-      if (watch.done && !watch.is_lost) {
-        NotifyWatch(watch);
+      if (!watch.is_lost) {
+        AnswerWatch(watch, false);
       }
     }
   }
 
-  void NotifyWatch(PendingWatch& watch) {
+  /// @param is_over  whether to respond without a change, too: the wait, or the
+  ///   time limit of a lost watch, is over.
+  void AnswerWatch(PendingWatch& watch, bool is_over) {
+    if (!watch.done) {
+      return;
+    }
     TableResult result = TableFailure::kUnavailable;
-    if (!is_down && watch.after < m_oldest_watchable_version) {
-      result = TableFailure::kHistoryGone;
-    } else if (!is_down) {
+    if (!is_down && !watch.is_lost) {
       TablePage page;
       page.version = version;
       page.rows = ChangesAfter(watch.table, watch.after);
-      if (page.rows.empty()) {
+      if (watch.after < m_oldest_watchable_version) {
+        result = TableFailure::kHistoryGone;
+      } else if (is_over || !page.rows.empty()) {
+        result = std::move(page);
+      } else {
         return;
       }
-      result = std::move(page);
-    }
-    Complete(watch, std::move(result));
-  }
-
-  /// Ends a watch at the end of its wait, or of its time limit if it is lost.
-  void EndWatch(PendingWatch& watch) {
-    if (!watch.done) {
-      return;
-    }
-    if (watch.is_lost || is_down) {
-      Complete(watch, TableFailure::kUnavailable);
-      return;
     }
-    TablePage page;
-    page.version = version;
-    page.rows = ChangesAfter(watch.table, watch.after);
-    Complete(watch, std::move(page));
-  }
-
-  void Complete(PendingWatch& watch, TableResult result) {
     m_loop.Post([done = std::exchange(watch.done, nullptr),
                  result = std::move(result)] { done(result); });
   }
