Upstreams get no more calls than the limit that they name

What callers saw: a server in need names in its responses how many requests a second it takes from all machines together (Server-Limit), and got far more (LIMIT).

Cause: nothing read the header. Class of fault: a bound on what all entries send together that each of them has to keep without knowing what the others send.

Change: UpstreamNotices keeps what an upstream's newest response said; entries report changes to each other. A call to a limited upstream needs a permit, as calls to a cold engine do: PermitIssuer at the engine's agent, and for plain services at the live entry that rendezvous hashing chooses (EntryPermits). So the whole limit is there for whichever entry has calls, and no entry keeps a part that it does not use. A denied call goes to another upstream; one that no upstream will take in time is refused at once with the time until the next permit. Retries and resumed streams need permits as well.

Ruled out: an equal part for each entry (1.2 calls a second over 21 entries is a call every 17 s, and most of it unused); exchanged totals as for allowances (each of 27 or 103 entries may send one call before it hears of the others); permits only when nothing else is free, as for cold engines (limited upstreams would be idle while the others are crowded).

--- a/packages/core/include/bambooquay/core/units.h
+++ b/packages/core/include/bambooquay/core/units.h
@@ -35,6 +35,13 @@
                           const TokensPerSecond&) = default;
 };
 
+/// A rate of calls per second.
+struct CallsPerSecond {
+  double value = 0.0;
+  friend auto operator<=>(const CallsPerSecond&,
+                          const CallsPerSecond&) = default;
+};
+
 /// An amount of accelerator memory in MiB.
 struct MebiBytes {
   std::int64_t count = 0;
--- a/packages/peers/include/bambooquay/peers/status_messages.h
+++ b/packages/peers/include/bambooquay/peers/status_messages.h
@@ -13,6 +13,7 @@
 #include "bambooquay/core/engine_report.h"
 #include "bambooquay/core/ids.h"
 #include "bambooquay/core/units.h"
+#include "bambooquay/core/upstream_run.h"
 
 namespace bambooquay {
 
@@ -57,6 +58,15 @@
   std::vector<PartQuarantine> quarantines;
 };
 
+/// What a response of an upstream has said about its call limit.
+struct CallLimitReport {
+  UpstreamRun run;
+  /// Calls per second that it takes from all entries together; nothing if it
+  /// has stopped to name a limit.
+  std::optional<CallsPerSecond> limit;
+  Duration age{};  ///< Age of the response at the time of sending.
+};
+
 /// Sent by each entry to the other entries.
 struct EntryStatus {
   bool leaving = false;  ///< Whether the entry is draining before it stops.
@@ -67,6 +77,7 @@
   std::uint64_t operators_version = 0;
   Duration uptime{};
   PromptPartReports prompt_parts;
+  std::vector<CallLimitReport> call_limits;
   DataCentreId data_centre;  ///< Empty if the sender does not say.
   /// Tokens spent since the entry started. An organisation whose total has not
   /// changed since the last messages may be omitted.
@@ -114,12 +125,22 @@
   bool loaded = false;
 };
 
-/// Sent by an entry to an agent to get a cold permit: permission to send one
-/// request to the engine while that is cold. The message is not sent again;
-/// without a reply the permit counts as denied.
+/// The bounds on the rate of an upstream that a permit has to be within.
+struct PermitBounds {
+  bool is_cold = false;  ///< The service's cold rate applies.
+  /// Calls per second that the upstream takes from all entries together, more
+  /// than zero; nothing if it names no limit.
+  std::optional<CallsPerSecond> call_limit;
+};
+
+/// Sent by an entry to get permission to send one request to an upstream: to
+/// the agent of an engine, or to the entry that issues the permits for a plain
+/// service. The message is not sent again; without a reply the permit counts as
+/// denied.
 struct PermitRequest {
   std::uint64_t request_id = 0;
   UpstreamId upstream;
+  PermitBounds bounds;
 };
 
 /// Reply to the PermitRequest with the same request id.
--- a/packages/peers/src/status_messages.cc
+++ b/packages/peers/src/status_messages.cc
@@ -7,6 +7,7 @@
 #include <kj/io.h>
 
 #include <algorithm>
+#include <cmath>
 #include <type_traits>
 
 #include "status.capnp.h"
@@ -114,8 +115,39 @@
   return to;
 }
 
+void Write(status::EntryStatus::Builder to,
+           const std::vector<CallLimitReport>& from) {
+  auto limits = to.initCallLimits(static_cast<unsigned>(from.size()));
+  unsigned index = 0;
+  for (const CallLimitReport& item : from) {
+    auto out = limits[index++];
+    out.setUpstream(item.run.id.value().c_str());
+    out.setBornMs(item.run.started_at_ms);
+    out.setPerSecond(item.limit.value_or(CallsPerSecond{}).value);
+    out.setAgeMs(ToMs(item.age));
+  }
+}
+
+/// @returns the limit; nothing for 0, and for values that are none.
+std::optional<CallsPerSecond> ReadCallLimit(double per_second) {
+  return per_second > 0.0 && std::isfinite(per_second)
+             ? std::optional(CallsPerSecond{per_second})
+             : std::nullopt;
+}
+
+std::vector<CallLimitReport> ReadCallLimits(status::EntryStatus::Reader from) {
+  std::vector<CallLimitReport> to;
+  for (const auto item : from.getCallLimits()) {
+    to.push_back({{UpstreamId(ToString(item.getUpstream())), item.getBornMs()},
+                  ReadCallLimit(item.getPerSecond()),
+                  std::chrono::milliseconds(item.getAgeMs())});
+  }
+  return to;
+}
+
 void Write(status::EntryStatus::Builder to, const EntryStatus& from) {
   Write(to, from.prompt_parts);
+  Write(to, from.call_limits);
   to.setLeaving(from.leaving);
   to.setConfiguration(from.configuration);
   to.setOperatorsVersion(from.operators_version);
@@ -145,6 +177,7 @@
   to.configuration = from.getConfiguration();
   to.operators_version = from.getOperatorsVersion();
   to.prompt_parts = ReadPromptParts(from);
+  to.call_limits = ReadCallLimits(from);
   to.uptime = FromSeconds(from.getUptimeSeconds());
   to.data_centre = DataCentreId(ToString(from.getDataCentre()));
   for (const auto item : from.getSpending()) {
@@ -257,10 +290,14 @@
 void Write(status::PermitRequest::Builder to, const PermitRequest& from) {
   to.setNumber(from.request_id);
   to.setUpstream(from.upstream.value().c_str());
+  to.setWarm(!from.bounds.is_cold);
+  to.setCallLimit(from.bounds.call_limit.value_or(CallsPerSecond{}).value);
 }
 
 PermitRequest Read(status::PermitRequest::Reader from) {
-  return {from.getNumber(), UpstreamId(ToString(from.getUpstream()))};
+  return {from.getNumber(),
+          UpstreamId(ToString(from.getUpstream())),
+          {!from.getWarm(), ReadCallLimit(from.getCallLimit())}};
 }
 
 void Write(status::PermitReply::Builder to, const PermitReply& from) {
--- a/packages/peers/status.capnp
+++ b/packages/peers/status.capnp
@@ -45,6 +45,15 @@
   companions @4 :List(UInt64);
 }
 
+# Calls per second that an upstream takes from all entries together, by one of
+# its responses.
+struct CallLimit {
+  upstream @0 :Text;
+  bornMs @1 :Int64;     # start of the upstream's run, Unix time in ms
+  perSecond @2 :Float64;  # 0: the upstream has stopped to name a limit
+  ageMs @3 :UInt32;     # age of the response at the time of sending
+}
+
 # Sent by each entry to the other entries.
 struct EntryStatus {
   leaving @0 :Bool;          # the entry is draining before it stops
@@ -59,6 +68,7 @@
   partCrashes @7 :List(PartCrash);
   partSurvivals @8 :List(PartSurvival);
   partQuarantines @9 :List(PartQuarantine);
+  callLimits @10 :List(CallLimit);
 }
 
 # Sent by each entry to each agent. `models` is valid only if `planned` is set,
@@ -109,11 +119,14 @@
   loaded @1 :Bool;
 }
 
-# Asks an agent for permission to send one request to its engine while that is
-# cold. The reply has the same number.
+# Asks for permission to send one request to an upstream that is cold or names a
+# call limit: the agent of an engine, or the entry that issues the permits for a
+# plain service. The reply has the same number.
 struct PermitRequest {
   number @0 :UInt64;
   upstream @1 :Text;
+  warm @2 :Bool;         # the upstream is not cold
+  callLimit @3 :Float64; # calls per second; 0: none
 }
 
 struct PermitReply {
--- a/packages/serving/include/bambooquay/serving/call_codec.h
+++ b/packages/serving/include/bambooquay/serving/call_codec.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include "bambooquay/core/clock.h"
@@ -49,6 +50,15 @@
   std::string last_event_id;
 };
 
+/// The response names no call limit, so an earlier one has ended.
+struct NoCallLimit {};
+/// The response names a call limit that cannot be read.
+struct UnreadableCallLimit {};
+/// What a response says about the calls per second that its upstream takes from
+/// all entries together.
+using CallLimitNotice =
+    std::variant<NoCallLimit, CallsPerSecond, UnreadableCallLimit>;
+
 /// What the status line and headers of a response say.
 struct ResponseInfo {
   /// The response carries the upstream's signature, so that it comes from the
@@ -60,6 +70,7 @@
   bool misdirected = false;
   /// Set if `misdirected` and another instance answered.
   UpstreamId answered_by;
+  CallLimitNotice call_limit;
 };
 
 /// Translates between a wire protocol and the types of the serving path. Makes
--- a/packages/serving/include/bambooquay/serving/forwarded_call.h
+++ b/packages/serving/include/bambooquay/serving/forwarded_call.h
@@ -51,10 +51,12 @@
                                   const ModelName& model,
                                   const AdapterName& adapter,
                                   std::function<void(bool)> done) = 0;
-  /// Asks the agent for a permit to send one request to its cold engine.
+  /// Asks for a permit to send one request to an upstream that is cold or names
+  /// a call limit. The agent issues it, or one of the entries if there is none.
   /// @param done  gets whether the permit is granted and, if not, the time
   ///   after which to ask again. May run before this function returns.
   virtual void RequestPermit(const UpstreamId& upstream,
+                             const PermitBounds& bounds,
                              std::function<void(bool, Duration)> done) = 0;
 };
 
@@ -137,11 +139,13 @@
   ///   take its call now.
   [[nodiscard]] Duration RetryDelay(PickFailure failure);
   void LoadAdapter();
-  /// Asks for a permit if a cold engine could take the call.
-  /// @returns whether a permit was asked for.
-  [[nodiscard]] bool RequestColdPermit();
+  /// Asks for a permit for an upstream and tries again with the reply.
+  void RequestPermit(const UpstreamId& upstream);
   void StartAttempt(const UpstreamId& upstream);
   void HandleNoUpstream(PickFailure failure);
+  /// Records what a response of the present upstream says about the calls that
+  /// it takes.
+  void RecordNotices(const ResponseInfo& info);
   void RelayBody(std::string_view bytes);
   void StartRelay();
   void HandleCompleteResponse();
--- a/packages/serving/include/bambooquay/serving/peer_exchange.h
+++ b/packages/serving/include/bambooquay/serving/peer_exchange.h
@@ -11,6 +11,7 @@
 
 #include "bambooquay/peers/status_messages.h"
 #include "bambooquay/runtime/datagram_socket.h"
+#include "bambooquay/serving/entry_permits.h"
 #include "bambooquay/serving/forwarded_call.h"
 #include "bambooquay/serving/placement_planner.h"
 #include "bambooquay/serving/report_pace.h"
@@ -57,6 +58,11 @@
   void OnPromptParts(std::function<void(const PromptPartReports&)> handler) {
     m_on_prompt_parts = std::move(handler);
   }
+  /// Sets the handler for what another entry reports of upstreams' call limits.
+  void OnCallLimits(
+      std::function<void(const std::vector<CallLimitReport>&)> handler) {
+    m_on_call_limits = std::move(handler);
+  }
   void OnEngineStatus(EngineStatusHandler handler) {
     m_on_engine_status = std::move(handler);
   }
@@ -72,13 +78,15 @@
   void RequestAdapterLoad(const UpstreamId& upstream, const ModelName& model,
                           const AdapterName& adapter,
                           std::function<void(bool)> done) override;
-  void RequestPermit(const UpstreamId& upstream,
+  void RequestPermit(const UpstreamId& upstream, const PermitBounds& bounds,
                      std::function<void(bool, Duration)> done) override;
 
   /// @returns the number of entries that may be serving, this one included.
   [[nodiscard]] std::size_t member_count() const;
   /// @returns the entries that may be serving, this one included.
   [[nodiscard]] std::vector<InstanceId> Members() const;
+  /// @returns those of them that are not silent.
+  [[nodiscard]] std::vector<InstanceId> LiveMembers() const;
   /// @returns whether this entry plans placement: its id is lower than those of
   ///   all peers that are neither silent nor draining.
   [[nodiscard]] bool IsPlanner() const;
@@ -103,7 +111,7 @@
     Duration report_period{};
   };
 
-  /// A request for a cold permit that has had no reply yet.
+  /// A request for a permit that has had no reply yet.
   struct PendingPermit {
     TimePoint sent_at{};
     std::function<void(bool, Duration)> done;
@@ -124,6 +132,10 @@
   [[nodiscard]] std::optional<Endpoint> AgentAddress(
       const UpstreamId& id) const;
   [[nodiscard]] Endpoint AgentAddress(const Upstream& upstream) const;
+  /// @returns where to request permits for an upstream: its agent, or the entry
+  ///   that issues them. Nothing if that is this entry.
+  [[nodiscard]] std::optional<Endpoint> PermitIssuerAddress(
+      const Upstream& upstream) const;
   [[nodiscard]] static std::string IncarnationKey(const InstanceId& id,
                                                   std::uint64_t incarnation);
 
@@ -138,6 +150,7 @@
   std::function<EntryStatus()> m_make_status;
   std::function<void()> m_on_peer_found;
   std::function<void(const PromptPartReports&)> m_on_prompt_parts;
+  std::function<void(const std::vector<CallLimitReport>&)> m_on_call_limits;
   EngineStatusHandler m_on_engine_status;
   /// Ordered by id, because the live entry with the lowest id plans placement.
   std::map<InstanceId, PeerEntry> m_peers;
@@ -147,6 +160,7 @@
   std::uint64_t m_next_request_id = 1;
   std::map<std::uint64_t, PendingLoad> m_pending_loads;
   std::map<std::uint64_t, PendingPermit> m_pending_permits;
+  EntryPermits m_entry_permits;
   std::unique_ptr<Timer> m_status_timer;
   std::unique_ptr<Timer> m_request_timer;
 };
--- a/packages/serving/include/bambooquay/serving/serving_agent.h
+++ b/packages/serving/include/bambooquay/serving/serving_agent.h
@@ -13,11 +13,11 @@
 #include "bambooquay/peers/status_messages.h"
 #include "bambooquay/runtime/datagram_socket.h"
 #include "bambooquay/runtime/metrics.h"
-#include "bambooquay/serving/cold_permits.h"
 #include "bambooquay/serving/document_codec.h"
 #include "bambooquay/serving/engine_memory_plan.h"
 #include "bambooquay/serving/model_load_limiter.h"
 #include "bambooquay/serving/order_count.h"
+#include "bambooquay/serving/permit_issuer.h"
 #include "bambooquay/serving/report_subscribers.h"
 #include "bambooquay/serving/serving_settings.h"
 #include "bambooquay/serving/table_mirror.h"
@@ -117,7 +117,7 @@
   DatagramSocket m_socket;
   TableMirror m_operator_rows;
   ModelLoadLimiter m_load_limiter;
-  ColdPermits m_cold_permits;
+  PermitIssuer m_permits;
   std::optional<FleetConfiguration> m_configuration;
   ReportSubscribers m_subscribers;
   UpstreamId m_upstream;
--- a/packages/serving/include/bambooquay/serving/upstream_set.h
+++ b/packages/serving/include/bambooquay/serving/upstream_set.h
@@ -16,6 +16,7 @@
 #include "bambooquay/core/random.h"
 #include "bambooquay/serving/call_codec.h"
 #include "bambooquay/serving/prompt_cache_view.h"
+#include "bambooquay/serving/upstream_notices.h"
 #include "bambooquay/serving/upstream_record.h"
 
 namespace bambooquay {
@@ -42,6 +43,10 @@
   std::size_t body_bytes = 0;
   /// Whether the call can wait until its adapter is loaded on another engine.
   bool may_load_adapter = false;
+  /// Whether the call can wait for a permit.
+  bool may_request_permit = false;
+  /// The upstream for which a permit was granted to this call.
+  std::optional<UpstreamId> permitted;
   std::set<UpstreamId> excluded;  ///< Upstreams that were tried already.
 };
 
@@ -53,9 +58,16 @@
   /// The upstreams with the adapter are so busy that another one would serve
   /// the call sooner, even after loading the adapter.
   kAdapterCrowded,
-  kFull,  ///< All that could serve it are full, cold or failing.
+  kFull,  ///< All that could serve it are full, cold, limited or failing.
 };
 
+/// The best upstream names a call limit. A permit is needed to send to it.
+struct PermitNeeded {
+  UpstreamId upstream;
+};
+
+using PickResult = std::variant<UpstreamId, PickFailure, PermitNeeded>;
+
 /// How many upstreams of a service passed or failed each filter of one choice.
 struct PickCounts {
   int usable = 0;        ///< May get calls at all, see UpstreamSet::IsUsable().
@@ -63,6 +75,7 @@
   int with_adapter = 0;  ///< Of those with the model, those with the adapter.
   int avoided = 0;       ///< Of these, those that were tried or are avoided.
   int full = 0;          ///< Of the others, those with too many calls.
+  int limited = 0;       ///< Of the remaining ones, those that denied a permit.
   int cold = 0;          ///< Of the remaining ones, those that are cold.
 };
 
@@ -85,10 +98,12 @@
   /// Token bucket for requests without a permit while the upstream is cold.
   double cold_bucket_level = 0.0;
   TimePoint cold_bucket_refilled_at{};
-  /// Expiry times of the unused permits from its agent.
-  std::vector<TimePoint> cold_permit_expiries;
-  /// Its agent is not asked for a permit before this time.
-  TimePoint cold_denied_until{};
+  /// Expiry times of the unused permits to send to it.
+  std::vector<TimePoint> permit_expiries;
+  /// No permit is requested for it before this time.
+  TimePoint permit_denied_until{};
+  /// When the next permit should be available, by the last denial.
+  TimePoint permit_expected_at{};
 
   std::optional<EngineReport> report;
   TimePoint reported_at{};
@@ -155,8 +170,7 @@
 
   /// Chooses an upstream. RecordAttemptStart() must be called for it before the
   /// next choice.
-  [[nodiscard]] std::variant<UpstreamId, PickFailure> Pick(
-      const PickQuery& query);
+  [[nodiscard]] PickResult Pick(const PickQuery& query);
   /// @returns the counts of the last choice.
   [[nodiscard]] const PickCounts& last_counts() const noexcept {
     return m_last_counts;
@@ -168,11 +182,19 @@
   /// Chooses a cold engine whose agent is worth asking for a permit.
   [[nodiscard]] std::optional<UpstreamId> PickForColdPermit(
       const PickQuery& query);
-  /// Records that its agent permits one request now.
-  void AddColdPermit(const UpstreamId& id);
-  /// Records that its agent has denied a permit, with `wait` as the time until
-  /// the next one.
-  void RecordColdDenial(const UpstreamId& id, Duration wait);
+  /// @returns the bounds that a permit for the upstream has to be within.
+  [[nodiscard]] PermitBounds BoundsOf(const UpstreamId& id) const;
+  /// Records that one request may be sent to the upstream now.
+  void AddPermit(const UpstreamId& id);
+  /// Records that a permit was denied, with `wait` as the time until the next
+  /// one.
+  void RecordPermitDenial(const UpstreamId& id, Duration wait);
+  /// @returns the time until an upstream is expected to take the query: zero if
+  ///   that may be at any moment, nothing if no upstream can serve it.
+  [[nodiscard]] std::optional<Duration> TimeUntilOffer(
+      const PickQuery& query) const;
+  /// @returns what upstreams have said of the calls that they take.
+  [[nodiscard]] UpstreamNotices& notices() noexcept { return m_notices; }
   /// @returns the time until the first upstream that can serve the query but
   ///   is cold has warmed up; nothing if there is no such upstream.
   [[nodiscard]] std::optional<Duration> TimeUntilWarm(const PickQuery& query);
@@ -204,6 +226,21 @@
   [[nodiscard]] double EstimateLoad(const Upstream& upstream) const;
 
  private:
+  /// Limits what entries send to an upstream without a permit.
+  struct UnpermittedShare {
+    /// Share of the rate that all entries use together.
+    double rate_share = 0.0;
+    /// Number of entries that may send. Each can save up one request and send
+    /// it at any moment, so more entries could exceed the rate together.
+    std::size_t max_senders = 0;
+  };
+  // Less than the whole rate, so that entries that disagree on the number of
+  // entries stay within it.
+  static constexpr UnpermittedShare kShareWithoutAgent{0.9, 5};
+  // For entries that cannot reach the agent, in addition to the permits that
+  // the agent gives to others.
+  static constexpr UnpermittedShare kShareWithUnreachableAgent{0.2, 2};
+
   struct Candidate {
     Upstream* upstream = nullptr;
     double cost = 0.0;  ///< Expected delay in milliseconds.
@@ -247,11 +284,30 @@
   [[nodiscard]] double EstimateUnreportedLoad(const Upstream& upstream) const;
   [[nodiscard]] double Cost(const Upstream& upstream,
                             const PickQuery& query) const;
-  /// Charges a call to the cold upstream's permits, or to this entry's share
-  /// of its cold rate. Always succeeds if the upstream is not cold or its
-  /// service has no cold rate.
+  /// Charges a call to the permits of an upstream that is cold or names a call
+  /// limit, or to this entry's share of its rate. Always succeeds for others.
   [[nodiscard]] bool TryAdmit(Upstream& upstream);
-  [[nodiscard]] bool TryUseColdPermit(Upstream& upstream) const;
+  [[nodiscard]] bool TryUsePermit(Upstream& upstream) const;
+  /// Charges a call to this entry's share of `rate`, for an upstream whose
+  /// permits are not available.
+  [[nodiscard]] bool TryUseShare(Upstream& upstream, CallsPerSecond rate,
+                                 const UnpermittedShare& share) const;
+  [[nodiscard]] static UpstreamRun RunOf(const Upstream& upstream) {
+    return {upstream.record.id, upstream.record.started_at_ms};
+  }
+  [[nodiscard]] std::optional<CallsPerSecond> CallLimitOf(
+      const Upstream& upstream) const {
+    return m_notices.CallLimit(RunOf(upstream));
+  }
+  /// @returns whether the upstream names a call limit and a process issues
+  ///   permits for it that can be reached.
+  [[nodiscard]] bool IsLimitedByPermits(const Upstream& upstream) const;
+  /// @returns whether a permit is needed and none is expected yet.
+  [[nodiscard]] bool IsPermitDenied(const Upstream& upstream) const;
+  /// @returns whether the upstream has what the query asks for and may get
+  ///   calls.
+  [[nodiscard]] bool CanServe(const Upstream& upstream,
+                              const PickQuery& query) const;
   /// @returns whether the upstream is cold and its service has a cold rate.
   [[nodiscard]] bool IsColdLimited(const Upstream& upstream) const;
   /// @param max_senders  number of entries that may send to the upstream.
@@ -271,6 +327,7 @@
   PickCounts m_last_counts;
   std::unordered_map<ServiceName, double> m_cold_rates;
   std::set<ServiceName> m_engine_services;
+  UpstreamNotices m_notices;
 };
 
 }  // namespace bambooquay
--- a/packages/serving/src/forwarded_call.cc
+++ b/packages/serving/src/forwarded_call.cc
@@ -202,12 +202,17 @@
 }
 
 void ForwardedCall::TryUpstream() {
+  m_query.may_request_permit = true;
   const auto picked = m_context.upstreams.Pick(m_query);
+  m_query.permitted.reset();
+  m_query.may_request_permit = false;
   if (const auto* upstream = std::get_if<UpstreamId>(&picked)) {
     StartAttempt(*upstream);
-    return;
+  } else if (const auto* needed = std::get_if<PermitNeeded>(&picked)) {
+    RequestPermit(needed->upstream);
+  } else {
+    HandleNoUpstream(std::get<PickFailure>(picked));
   }
-  HandleNoUpstream(std::get<PickFailure>(picked));
 }
 
 void ForwardedCall::HandleNoUpstream(PickFailure failure) {
@@ -221,15 +226,22 @@
     LoadAdapter();
     return;
   }
-  if (failure == PickFailure::kFull && RequestColdPermit()) {
-    return;
+  if (failure == PickFailure::kFull) {
+    if (const auto cold = m_context.upstreams.PickForColdPermit(m_query)) {
+      RequestPermit(*cold);
+      return;
+    }
   }
   // A caller that has received part of a stream waits for the rest.
   const Duration max_wait =
       m_relaying ? m_last_event + MakeStallPolicy().CallerPatience()
                  : std::chrono::duration_cast<Duration>(
                        m_route->target_latency * kMaxWaitShare);
-  if (Elapsed() + kPickRetryInterval < std::min(max_wait, m_time_limit)) {
+  // A call that no upstream will take in time is refused at once.
+  const Duration wait = std::max(
+      m_context.upstreams.TimeUntilOffer(m_query).value_or(Duration::zero()),
+      kPickRetryInterval);
+  if (Elapsed() + wait < std::min(max_wait, m_time_limit)) {
     m_wait_timer =
         m_context.loop.After(kPickRetryInterval, [this] { TryUpstream(); });
     return;
@@ -243,6 +255,7 @@
       .With("with_adapter", counts.with_adapter)
       .With("avoided", counts.avoided)
       .With("full", counts.full)
+      .With("limited", counts.limited)
       .With("cold", counts.cold)
       .With("waited_ms", Elapsed() / milliseconds(1));
   constexpr std::array kReasons = {"no_upstream", "model_missing",
@@ -267,11 +280,11 @@
   }
   // Cold upstreams are a bottleneck until they are warm. A caller whose time
   // limit ends before that may as well retry earlier.
-  const Duration until_warm =
-      m_context.upstreams.TimeUntilWarm(m_query).value_or(Duration::zero());
-  return until_warm + kRetryAfterSpread < TimeLeft()
-             ? std::max(until_warm, kRetryAfter)
-             : kRetryAfter;
+  const Duration wait = std::max(
+      m_context.upstreams.TimeUntilWarm(m_query).value_or(Duration::zero()),
+      m_context.upstreams.TimeUntilOffer(m_query).value_or(Duration::zero()));
+  return wait + kRetryAfterSpread < TimeLeft() ? std::max(wait, kRetryAfter)
+                                               : kRetryAfter;
 }
 
 void ForwardedCall::LoadAdapter() {
@@ -300,28 +313,26 @@
       });
 }
 
-bool ForwardedCall::RequestColdPermit() {
-  const auto upstream = m_context.upstreams.PickForColdPermit(m_query);
-  if (!upstream.has_value()) {
-    return false;
-  }
+void ForwardedCall::RequestPermit(const UpstreamId& upstream) {
   m_wait_timer = nullptr;
   // The reply is recorded even if this call has ended meanwhile, as other calls
   // can use the permit.
   m_context.agents.RequestPermit(
-      *upstream,
+      upstream, m_context.upstreams.BoundsOf(upstream),
       [this, alive = std::weak_ptr(m_alive), &upstreams = m_context.upstreams,
-       id = *upstream](bool granted, Duration wait) {
+       id = upstream](bool granted, Duration wait) {
         if (granted) {
-          upstreams.AddColdPermit(id);
+          upstreams.AddPermit(id);
         } else {
-          upstreams.RecordColdDenial(id, wait);
+          upstreams.RecordPermitDenial(id, wait);
         }
         if (!alive.expired() && !m_done) {
+          if (granted) {
+            m_query.permitted = id;
+          }
           TryUpstream();
         }
       });
-  return true;
 }
 
 void ForwardedCall::StartAttempt(const UpstreamId& id) {
--- a/packages/serving/src/forwarded_response.cc
+++ b/packages/serving/src/forwarded_response.cc
@@ -86,6 +86,7 @@
 void ForwardedCall::OnHead(int status, const HttpHeaders& headers) {
   m_status = status;
   const ResponseInfo info = m_context.codec.InspectResponse(status, headers);
+  RecordNotices(info);
   if (info.not_run || info.misdirected) {
     if (!info.answered_by.empty() && info.answered_by != *m_upstream) {
       m_context.upstreams.MarkReplaced(*m_upstream);
@@ -113,6 +114,18 @@
   }
 }
 
+void ForwardedCall::RecordNotices(const ResponseInfo& info) {
+  const Upstream* upstream = m_context.upstreams.Find(*m_upstream);
+  const bool is_own = info.authentic || info.not_run || info.misdirected;
+  const bool is_other_instance =
+      !info.answered_by.empty() && info.answered_by != *m_upstream;
+  if (upstream == nullptr || !is_own || is_other_instance) {
+    return;
+  }
+  m_context.upstreams.notices().RecordCallLimit(
+      {*m_upstream, upstream->record.started_at_ms}, info.call_limit);
+}
+
 void ForwardedCall::StartRelay() {
   m_relaying = true;
   m_exchange->StartStream(m_status, m_response_headers);
--- a/packages/serving/src/peer_exchange.cc
+++ b/packages/serving/src/peer_exchange.cc
@@ -43,7 +43,8 @@
       m_socket(loop,
                [this](const Endpoint& sender_address, std::string_view bytes) {
                  Receive(sender_address, bytes);
-               }) {}
+               }),
+      m_entry_permits(loop.clock(), m_self) {}
 
 bool PeerExchange::Bind(const Endpoint& endpoint) {
   m_port = endpoint.port;
@@ -101,6 +102,14 @@
   return members;
 }
 
+std::vector<InstanceId> PeerExchange::LiveMembers() const {
+  std::vector<InstanceId> members = Members();
+  std::erase_if(members, [this](const InstanceId& id) {
+    return id != m_self && IsSilent(m_peers.at(id));
+  });
+  return members;
+}
+
 bool PeerExchange::IsPlanner() const {
   return std::ranges::none_of(m_peers, [this](const auto& item) {
     return item.first < m_self && !IsSilent(item.second) &&
@@ -127,6 +136,8 @@
     RemovePeer(id);
   }
   m_allowance.SetMemberCount(member_count());
+  m_entry_permits.SetEntries(LiveMembers(), member_count());
+  m_entry_permits.RemoveUnused();
   SendStatus();
 }
 
@@ -286,16 +297,35 @@
   }
 }
 
-void PeerExchange::RequestPermit(const UpstreamId& upstream,
+std::optional<Endpoint> PeerExchange::PermitIssuerAddress(
+    const Upstream& upstream) const {
+  if (upstream.has_engine) {
+    return AgentAddress(upstream);
+  }
+  const auto issuer =
+      m_peers.find(m_entry_permits.IssuerOf(upstream.record.id));
+  return issuer == m_peers.end() ? std::nullopt
+                                 : std::optional(issuer->second.address);
+}
+
+void PeerExchange::RequestPermit(const UpstreamId& id,
+                                 const PermitBounds& bounds,
                                  std::function<void(bool, Duration)> done) {
-  const auto agent = AgentAddress(upstream);
-  if (!agent.has_value()) {
+  const Upstream* upstream = m_upstreams.Find(id);
+  if (upstream == nullptr) {
     done(false, kPermitRetryDelay);
     return;
   }
-  const std::uint64_t request_id = m_next_request_id++;
-  m_pending_permits[request_id] = {m_loop.clock().Now(), std::move(done)};
-  Send(*agent, {m_self, m_incarnation, PermitRequest{request_id, upstream}});
+  const PermitRequest request{m_next_request_id++, id, bounds};
+  const auto issuer = PermitIssuerAddress(*upstream);
+  if (!issuer.has_value()) {
+    const PermitReply reply = m_entry_permits.Issue(request);
+    done(reply.granted, reply.wait);
+    return;
+  }
+  m_pending_permits[request.request_id] = {m_loop.clock().Now(),
+                                           std::move(done)};
+  Send(*issuer, {m_self, m_incarnation, request});
 }
 
 void PeerExchange::ExpirePermitRequests() {
@@ -339,6 +369,9 @@
     HandleReply(*reply);
   } else if (const auto* permit = std::get_if<PermitReply>(&message->body)) {
     HandleReply(*permit);
+  } else if (const auto* request = std::get_if<PermitRequest>(&message->body)) {
+    Send(sender_address,
+         {m_self, m_incarnation, m_entry_permits.Issue(*request)});
   }
 }
 
@@ -363,6 +396,9 @@
   if (m_on_prompt_parts) {
     m_on_prompt_parts(status.prompt_parts);
   }
+  if (m_on_call_limits) {
+    m_on_call_limits(status.call_limits);
+  }
   const std::string incarnation =
       IncarnationKey(message.sender, message.incarnation);
   const bool started_earlier =
--- a/packages/serving/src/serving_agent.cc
+++ b/packages/serving/src/serving_agent.cc
@@ -45,7 +45,7 @@
            kConfigurationPollPause, kConfigurationPollPause},
           [this](const TableRow& row) { HandleOperatorRow(row); }),
       m_load_limiter(deps.loop, deps.table),
-      m_cold_permits(deps.loop.clock()),
+      m_permits(deps.loop.clock()),
       m_subscribers(deps.loop.clock()),
       m_order_count(deps.loop.clock()) {}
 
@@ -148,11 +148,14 @@
                                        const PermitRequest& request) {
   // Without a configuration the cold rate of the engine is unknown.
   const bool granted = request.upstream == m_upstream &&
-                       FindService() != nullptr && m_cold_permits.TryAcquire();
+                       FindService() != nullptr &&
+                       m_permits.TryIssue(request.bounds);
   const PermitReply reply{request.request_id, granted,
-                          m_cold_permits.TimeUntilNext()};
-  m_deps.metrics.Increment(std::string("cold_permits_total{granted=\"") +
-                           (granted ? "yes" : "no") + "\"}");
+                          m_permits.TimeUntilNext(request.bounds)};
+  m_deps.metrics.Increment(std::string(request.bounds.is_cold
+                                           ? "cold_permits_total"
+                                           : "limit_permits_total") +
+                           "{granted=\"" + (granted ? "yes" : "no") + "\"}");
   m_socket.Send(sender_address,
                 EncodeStatus({m_settings.id, m_incarnation, reply}));
 }
@@ -170,7 +173,7 @@
   }
   m_configuration = std::move(std::get<FleetConfiguration>(decoded));
   if (const ServingService* service = FindService()) {
-    m_cold_permits.SetRate(service->cold_requests_per_second);
+    m_permits.SetColdRate({service->cold_requests_per_second});
   }
 }
 
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -131,6 +131,9 @@
   m_peers.OnPromptParts([this](const PromptPartReports& reports) {
     m_quarantine.Merge(reports);
   });
+  m_peers.OnCallLimits([this](const std::vector<CallLimitReport>& reports) {
+    m_upstreams.notices().Merge(reports);
+  });
   m_quarantine.SetTrialChooser([this](PromptPartId part, std::uint64_t turn) {
     return MakesTrial(part, turn);
   });
@@ -338,6 +341,7 @@
                              : m_active_configuration->configuration.version;
   status.operators_version = m_operator_rows.last_change();
   status.prompt_parts = m_quarantine.MakeReports();
+  status.call_limits = m_upstreams.notices().MakeReports();
   status.spent = m_allowance.SpentByOrganisation();
   // Leaves out totals that have not changed for a while: all peers have them.
   std::erase_if(status.spent, [this](const auto& item) {
--- a/packages/serving/src/upstream_choice.cc
+++ b/packages/serving/src/upstream_choice.cc
@@ -25,6 +25,8 @@
 constexpr double kOtherDataCentreMsPerKb = 0.5;
 // Cost of a new connection: its round trips, and the upstream's work for it.
 constexpr double kNewConnectionMs = 4.0;
+// Cost of a permit: a message to the process that issues it, and the reply.
+constexpr double kPermitMs = 2.0;
 // Delay of the load of an adapter while the engine carries out another order.
 constexpr double kBusyEngineMs = 1000.0;
 // Other entries that are assumed to choose the same engine between two of its
@@ -45,29 +47,14 @@
 // Time constant with which the cost of failures decays after the last failure,
 // so that an upstream that got no calls since then is tried again.
 constexpr Duration kFailureDecayTime = std::chrono::seconds(3);
-/// Limits what entries send to a cold upstream without a permit of its agent.
-struct ColdShare {
-  /// Share of the service's cold rate that all entries use together.
-  double rate_share;
-  /// Number of entries that may send. Each can save up one request and send it
-  /// at any moment, so more entries could exceed the cold rate together.
-  std::size_t max_senders;
-};
-
-// For upstreams without an agent. Less than the whole rate, so that entries
-// that disagree on the number of entries stay within it.
-constexpr ColdShare kShareWithoutAgent{0.9, 5};
-// For entries that cannot reach the agent, in addition to the permits that the
-// agent gives to others.
-constexpr ColdShare kShareWithUnreachableAgent{0.2, 2};
 // Time after which an unused permit expires. A permit is meant for a request
 // that is waiting for it, and must not be used much later.
 constexpr Duration kPermitLifetime = std::chrono::milliseconds(50);
-// Bounds on the time for which an agent is not asked after it has denied a
-// permit. The lower bound is for agents that do not know their engine's cold
-// rate yet and deny without a time, as asking at once would be useless. The
-// upper bound is there because a permit may be available sooner than the agent
-// says, if other entries do not use theirs.
+// Bounds on the time for which no permit is requested after a denial. The lower
+// bound is for agents that do not know their engine's cold rate yet and deny
+// without a time, as asking at once would be useless. The upper bound is there
+// because a permit may be available sooner than the denial says, if other
+// entries do not use theirs.
 constexpr Duration kMinDenialTime = std::chrono::milliseconds(20);
 constexpr Duration kMaxDenialTime = std::chrono::milliseconds(500);
 
@@ -143,6 +130,9 @@
   if (!m_is_connected(upstream.record.address)) {
     cost += kNewConnectionMs;
   }
+  if (IsLimitedByPermits(upstream)) {
+    cost += kPermitMs;
+  }
   const double load = EstimateLoad(upstream);
   if (query.model.empty()) {
     const double slots = std::max(1, upstream.record.slots);
@@ -186,6 +176,10 @@
       ++counts.full;
       continue;
     }
+    if (IsPermitDenied(upstream)) {
+      ++counts.limited;
+      continue;
+    }
     counts.cold += IsColdLimited(upstream) ? 1 : 0;
     candidates.push_back({&upstream, Cost(upstream, query)});
   }
@@ -210,8 +204,7 @@
   }
 }
 
-std::variant<UpstreamId, PickFailure> UpstreamSet::Pick(
-    const PickQuery& query) {
+PickResult UpstreamSet::Pick(const PickQuery& query) {
   std::vector<Candidate> candidates = FindCandidates(query);
   if (m_last_counts.usable == 0) {
     return PickFailure::kNoUpstream;
@@ -222,6 +215,14 @@
   if (m_last_counts.with_adapter == 0) {
     return PickFailure::kAdapterMissing;
   }
+  const auto permitted =
+      std::ranges::find_if(candidates, [&](const Candidate& candidate) {
+        return candidate.upstream->record.id == query.permitted &&
+               TryAdmit(*candidate.upstream);
+      });
+  if (permitted != candidates.end()) {
+    return permitted->upstream->record.id;
+  }
   if (IsAdapterCrowded(query, candidates)) {
     return PickFailure::kAdapterCrowded;
   }
@@ -232,14 +233,18 @@
     candidate.cost += static_cast<double>(m_random.UniformBelow(1000)) / 1000.0;
   });
   std::ranges::sort(candidates, {}, &Candidate::cost);
+  bool is_admitted = false;
   const auto chosen =
-      std::ranges::find_if(candidates, [this](const Candidate& candidate) {
-        return TryAdmit(*candidate.upstream);
+      std::ranges::find_if(candidates, [&](const Candidate& candidate) {
+        is_admitted = TryAdmit(*candidate.upstream);
+        return is_admitted || (query.may_request_permit &&
+                               IsLimitedByPermits(*candidate.upstream));
       });
   if (chosen == candidates.end()) {
     return PickFailure::kFull;
   }
-  return chosen->upstream->record.id;
+  const UpstreamId& id = chosen->upstream->record.id;
+  return is_admitted ? PickResult(id) : PermitNeeded{id};
 }
 
 std::optional<UpstreamSet::AdapterHost> UpstreamSet::FindAdapterHost(
@@ -249,7 +254,7 @@
   for (const auto& [id, upstream] : m_upstreams) {
     if (upstream.record.service != query.service || !IsUsable(upstream) ||
         query.excluded.contains(id) || upstream.avoid_until > m_clock.Now() ||
-        !HasModel(upstream, query.model) ||
+        IsPermitDenied(upstream) || !HasModel(upstream, query.model) ||
         HasAdapter(upstream, query.model, query.adapter)) {
       continue;
     }
@@ -289,7 +294,7 @@
   std::erase_if(candidates, [&](const Candidate& candidate) {
     const Upstream& upstream = *candidate.upstream;
     return !IsColdLimited(upstream) || !HasFreshReport(upstream) ||
-           upstream.cold_denied_until > now;
+           upstream.permit_denied_until > now;
   });
   const auto best = std::ranges::min_element(candidates, {}, &Candidate::cost);
   return best == candidates.end()
@@ -308,55 +313,123 @@
   return shortest;
 }
 
-void UpstreamSet::AddColdPermit(const UpstreamId& id) {
+bool UpstreamSet::CanServe(const Upstream& upstream,
+                           const PickQuery& query) const {
+  return upstream.record.service == query.service && IsUsable(upstream) &&
+         !query.excluded.contains(upstream.record.id) &&
+         (query.model.empty() || HasModel(upstream, query.model)) &&
+         (query.adapter.empty() ||
+          HasAdapter(upstream, query.model, query.adapter));
+}
+
+std::optional<Duration> UpstreamSet::TimeUntilOffer(
+    const PickQuery& query) const {
+  std::optional<Duration> shortest;
+  for (const auto& [id, upstream] : m_upstreams) {
+    if (CanServe(upstream, query)) {
+      const Duration wait =
+          IsPermitDenied(upstream)
+              ? std::max(Duration::zero(),
+                         upstream.permit_expected_at - m_clock.Now())
+              : Duration::zero();
+      shortest = std::min(shortest.value_or(wait), wait);
+    }
+  }
+  return shortest;
+}
+
+PermitBounds UpstreamSet::BoundsOf(const UpstreamId& id) const {
+  const Upstream* upstream = Find(id);
+  if (upstream == nullptr) {
+    return {};
+  }
+  PermitBounds bounds{IsColdLimited(*upstream), CallLimitOf(*upstream)};
+  if (bounds.is_cold && !upstream->has_engine) {
+    // Entries that issue permits do not know the cold rate.
+    const CallsPerSecond cold_rate{m_cold_rates.at(upstream->record.service)};
+    bounds = {false,
+              std::min(bounds.call_limit.value_or(cold_rate), cold_rate)};
+  }
+  return bounds;
+}
+
+void UpstreamSet::AddPermit(const UpstreamId& id) {
   const auto found = m_upstreams.find(id);
   if (found != m_upstreams.end()) {
-    found->second.cold_permit_expiries.push_back(m_clock.Now() +
-                                                 kPermitLifetime);
+    found->second.permit_expiries.push_back(m_clock.Now() + kPermitLifetime);
   }
 }
 
-void UpstreamSet::RecordColdDenial(const UpstreamId& id, Duration wait) {
+void UpstreamSet::RecordPermitDenial(const UpstreamId& id, Duration wait) {
   const auto found = m_upstreams.find(id);
   if (found != m_upstreams.end()) {
-    found->second.cold_denied_until =
+    Upstream& upstream = found->second;
+    upstream.permit_denied_until =
         m_clock.Now() + std::clamp(wait, kMinDenialTime, kMaxDenialTime);
+    upstream.permit_expected_at = m_clock.Now() + wait;
   }
 }
 
+bool UpstreamSet::IsLimitedByPermits(const Upstream& upstream) const {
+  return CallLimitOf(upstream).has_value() &&
+         (!upstream.has_engine || HasFreshReport(upstream));
+}
+
+bool UpstreamSet::IsPermitDenied(const Upstream& upstream) const {
+  const TimePoint now = m_clock.Now();
+  return upstream.permit_denied_until > now &&
+         std::ranges::none_of(
+             upstream.permit_expiries,
+             [now](TimePoint expiry) { return expiry > now; }) &&
+         IsLimitedByPermits(upstream);
+}
+
 bool UpstreamSet::IsColdLimited(const Upstream& upstream) const {
   const auto rate = m_cold_rates.find(upstream.record.service);
   return upstream.cold_until > m_clock.Now() && rate != m_cold_rates.end() &&
          rate->second > 0.0;
 }
 
-bool UpstreamSet::TryUseColdPermit(Upstream& upstream) const {
+bool UpstreamSet::TryUsePermit(Upstream& upstream) const {
   std::erase_if(
-      upstream.cold_permit_expiries,
+      upstream.permit_expiries,
       [now = m_clock.Now()](TimePoint expiry) { return expiry <= now; });
-  if (upstream.cold_permit_expiries.empty()) {
+  if (upstream.permit_expiries.empty()) {
     return false;
   }
-  upstream.cold_permit_expiries.pop_back();
+  upstream.permit_expiries.pop_back();
   return true;
 }
 
 bool UpstreamSet::TryAdmit(Upstream& upstream) {
-  if (!IsColdLimited(upstream) || TryUseColdPermit(upstream)) {
+  const bool is_cold = IsColdLimited(upstream);
+  const auto limit = CallLimitOf(upstream);
+  if ((!is_cold && !limit.has_value()) || TryUsePermit(upstream)) {
     return true;
   }
-  if (upstream.has_engine && HasFreshReport(upstream)) {
+  if (upstream.has_engine ? HasFreshReport(upstream) : limit.has_value()) {
     return false;
   }
-  const ColdShare& share =
-      upstream.has_engine ? kShareWithUnreachableAgent : kShareWithoutAgent;
+  CallsPerSecond rate =
+      is_cold ? CallsPerSecond{m_cold_rates.at(upstream.record.service)}
+              : *limit;
+  if (limit.has_value()) {
+    rate = std::min(rate, *limit);
+  }
+  return TryUseShare(
+      upstream, rate,
+      upstream.has_engine ? kShareWithUnreachableAgent : kShareWithoutAgent);
+}
+
+bool UpstreamSet::TryUseShare(Upstream& upstream, CallsPerSecond rate,
+                              const UnpermittedShare& share) const {
   const auto senders = CountColdSenders(upstream.record.id, share.max_senders);
   if (!senders.has_value()) {
     return false;
   }
   const TimePoint now = m_clock.Now();
-  const double entry_rate = m_cold_rates.at(upstream.record.service) *
-                            share.rate_share / static_cast<double>(*senders);
+  const double entry_rate =
+      rate.value * share.rate_share / static_cast<double>(*senders);
   const double seconds = ToSeconds(now - upstream.cold_bucket_refilled_at);
   upstream.cold_bucket_refilled_at = now;
   upstream.cold_bucket_level = std::min(
--- a/packages/serving/src/upstream_set.cc
+++ b/packages/serving/src/upstream_set.cc
@@ -34,7 +34,8 @@
     : m_clock(clock),
       m_random(random),
       m_own_data_centre(std::move(own_data_centre)),
-      m_is_connected(std::move(is_connected)) {}
+      m_is_connected(std::move(is_connected)),
+      m_notices(clock) {}
 
 void UpstreamSet::Put(const UpstreamRecord& record) {
   const TimePoint now = m_clock.Now();
@@ -97,6 +98,10 @@
   std::erase_if(m_upstreams, [](const auto& item) {
     return !item.second.listed && item.second.in_flight == 0;
   });
+  m_notices.RemoveExpired([this](const UpstreamRun& run) {
+    const Upstream* upstream = Find(run.id);
+    return upstream != nullptr && RunOf(*upstream) == run;
+  });
 }
 
 void UpstreamSet::SetReport(const UpstreamId& id, const EngineReport& report) {
--- a/packages/serving/tests/upstream_set_test.cc
+++ b/packages/serving/tests/upstream_set_test.cc
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "bambooquay/serving/cold_permits.h"
+#include "bambooquay/serving/permit_issuer.h"
 
 namespace bambooquay {
 namespace {
@@ -374,8 +374,8 @@
   for (const std::uint32_t seed : {1, 2, 3, 4, 5}) {
     ManualClock clock;
     SeededRandom random{seed};
-    ColdPermits permits(clock);
-    permits.SetRate(kColdRate);
+    PermitIssuer permits(clock);
+    permits.SetColdRate({kColdRate});
     const UpstreamId engine("a");
     const auto entries =
         MakeEntriesWithColdUpstream(21, clock, random, {ServiceName("s")});
@@ -401,10 +401,11 @@
           continue;
         }
         if (const auto asked = entry.PickForColdPermit(MakeQuery("s", "m"))) {
-          if (permits.TryAcquire()) {
-            entry.AddColdPermit(*asked);
+          const PermitBounds bounds = entry.BoundsOf(*asked);
+          if (permits.TryIssue(bounds)) {
+            entry.AddPermit(*asked);
           } else {
-            entry.RecordColdDenial(*asked, permits.TimeUntilNext());
+            entry.RecordPermitDenial(*asked, permits.TimeUntilNext(bounds));
           }
         }
         if (std::holds_alternative<UpstreamId>(
@@ -452,19 +453,19 @@
   report.models = {{ModelName("m"), {}}};
   set.upstreams.SetReport(UpstreamId("a"), report);
   BOOST_TEST(!set.Pick(MakeQuery("s", "m")).has_value());
-  set.upstreams.AddColdPermit(UpstreamId("a"));
+  set.upstreams.AddPermit(UpstreamId("a"));
   BOOST_TEST(set.Pick(MakeQuery("s", "m")).has_value());
   BOOST_TEST(!set.Pick(MakeQuery("s", "m")).has_value());
-  set.upstreams.AddColdPermit(UpstreamId("a"));
+  set.upstreams.AddPermit(UpstreamId("a"));
   set.clock.Advance(milliseconds(100));
   BOOST_TEST(!set.Pick(MakeQuery("s", "m")).has_value());
   // After a denial without a time, the agent is not asked again at once.
-  set.upstreams.RecordColdDenial(UpstreamId("a"), Duration::zero());
+  set.upstreams.RecordPermitDenial(UpstreamId("a"), Duration::zero());
   BOOST_TEST(!set.upstreams.PickForColdPermit(MakeQuery("s", "m")).has_value());
   set.clock.Advance(milliseconds(20));
   BOOST_TEST(set.upstreams.PickForColdPermit(MakeQuery("s", "m")).has_value());
   // After a denial with a time, it is not asked until then.
-  set.upstreams.RecordColdDenial(UpstreamId("a"), milliseconds(100));
+  set.upstreams.RecordPermitDenial(UpstreamId("a"), milliseconds(100));
   BOOST_TEST(!set.upstreams.PickForColdPermit(MakeQuery("s", "m")).has_value());
   set.clock.Advance(milliseconds(110));
   BOOST_TEST(set.upstreams.PickForColdPermit(MakeQuery("s", "m")).has_value());
