A response without an id is not taken for the answer to a later request

What callers could see: an upstream writes a response once more, without the id of the request, on a connection in use again. A refusal among them told the caller that its request had not run, while it was running; a success gave it another's body.

Cause: IsResponseTo() passed responses without an id, as it could not know whether anything else had arrived on the connection. Class of fault: a missing field taken as agreement.

Change: a codec says own, other or unidentified; the connection takes an unidentified response only as the first one on it, and otherwise ends the call as broken: a call that may have run gets 502, a repeatable one goes elsewhere. With another's id a response was skipped before and is now.

Ruled out: the same id twice, as a call is not sent to one upstream again, and a refused attempt closes its connection. Not looked at: the agent's orders to its engine carry no id; a repeated reply there could be taken for the next one's.

--- a/packages/runtime/include/bambooquay/runtime/http_client.h
+++ b/packages/runtime/include/bambooquay/runtime/http_client.h
@@ -31,6 +31,17 @@
   kTimedOut,  ///< Reading or writing made no progress for the idle timeout.
 };
 
+/// Whether a response belongs to the call that is waiting on its connection.
+enum class ResponseMatch : std::uint8_t {
+  kOwn,
+  /// It belongs to another call, such as a late second response to an earlier
+  /// one. The client discards it.
+  kOther,
+  /// It does not say which call it belongs to. It is the call's own if it is
+  /// the first response on its connection; if not, the call is broken.
+  kUnidentified,
+};
+
 /// Receives one response as it arrives.
 class HttpObserver {
  public:
@@ -39,11 +50,9 @@
   HttpObserver& operator=(const HttpObserver&) = delete;
   virtual ~HttpObserver() = default;
 
-  /// @returns whether a response with these headers belongs to this call. The
-  ///   client discards a response that does not, such as a late second response
-  ///   to an earlier call on the same connection.
-  [[nodiscard]] virtual bool Accepts(const HttpHeaders& /*headers*/) {
-    return true;
+  /// @returns whether a response with these headers belongs to this call.
+  [[nodiscard]] virtual ResponseMatch Match(const HttpHeaders& /*headers*/) {
+    return ResponseMatch::kOwn;
   }
   /// Called with the status code and headers, before any part of the body.
   virtual void OnHead(int status, const HttpHeaders& headers) = 0;
--- a/packages/runtime/src/http_client_connection.cc
+++ b/packages/runtime/src/http_client_connection.cc
@@ -254,7 +254,14 @@
     }
     if (m_head_complete && !had_head && !is_interim) {
       const HttpHeaders headers = m_headers.headers();
-      m_is_skipping_response = !m_observer->Accepts(headers);
+      const ResponseMatch match = m_observer->Match(headers);
+      if (match == ResponseMatch::kUnidentified && m_had_response) {
+        m_failed = true;
+        End(HttpOutcome::kBroken);
+        return;
+      }
+      m_had_response = true;
+      m_is_skipping_response = match == ResponseMatch::kOther;
       if (!m_is_skipping_response) {
         ParseKeepAlive(headers);
         m_observer->OnHead(m_parser.status_code, headers);
--- a/packages/runtime/tests/http_client_test.cc
+++ b/packages/runtime/tests/http_client_test.cc
@@ -23,8 +23,13 @@
 /// Records a response. If `id` is set, accepts only responses with this `Id`
 /// header.
 struct RecordingObserver final : HttpObserver {
-  bool Accepts(const HttpHeaders& headers) override {
-    return id.empty() || headers.Get("Id") == id;
+  ResponseMatch Match(const HttpHeaders& headers) override {
+    const std::string_view response_id = headers.Get("Id");
+    if (id.empty() || response_id == id) {
+      return ResponseMatch::kOwn;
+    }
+    return response_id.empty() ? ResponseMatch::kUnidentified
+                               : ResponseMatch::kOther;
   }
   void OnHead(int code, const HttpHeaders& /*headers*/) override {
     status = code;
@@ -133,6 +138,45 @@
   BOOST_TEST(observer.body == "new");
 }
 
+// A response without an id may be a late second one to an earlier call.
+BOOST_AUTO_TEST_CASE(
+    an_unidentified_response_counts_only_as_the_first_on_its_connection) {
+  ClientAndServer fixture(AlwaysRespond(Ok("a")));
+  RecordingObserver first;
+  first.id = "1";
+  BOOST_TEST((fixture.Run(first) == HttpOutcome::kComplete));
+  BOOST_TEST(first.body == "a");
+  RecordingObserver second;
+  second.id = "2";
+  BOOST_TEST((fixture.Run(second) == HttpOutcome::kBroken));
+  BOOST_TEST(second.status == 0);
+  RecordingObserver third;
+  third.id = "3";
+  BOOST_TEST((fixture.Run(third) == HttpOutcome::kComplete));
+  BOOST_TEST(fixture.server.connection_count() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(
+    an_unidentified_response_after_a_skipped_one_breaks_the_call) {
+  ClientAndServer fixture(
+      AlwaysRespond(Ok("other", "Id: 7\r\n") + Ok("unidentified")));
+  RecordingObserver observer;
+  observer.id = "1";
+  BOOST_TEST((fixture.Run(observer) == HttpOutcome::kBroken));
+  BOOST_TEST(observer.status == 0);
+}
+
+BOOST_AUTO_TEST_CASE(a_response_whose_head_is_cut_breaks_the_call) {
+  const std::string whole = Ok("", "Id: 1\r\n");
+  for (std::size_t size = 0; size < whole.size(); ++size) {
+    ClientAndServer fixture(AlwaysRespond(
+        whole.substr(0, size), ScriptedResponse::ConnectionAction::kClose));
+    RecordingObserver observer;
+    BOOST_TEST((fixture.Run(observer) == HttpOutcome::kBroken), size);
+    BOOST_TEST(observer.status == 0);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(interim_responses_are_skipped) {
   ClientAndServer fixture(
       AlwaysRespond("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n"
--- a/packages/serving/include/bambooquay/serving/call_codec.h
+++ b/packages/serving/include/bambooquay/serving/call_codec.h
@@ -11,6 +11,7 @@
 #include "bambooquay/core/clock.h"
 #include "bambooquay/core/ids.h"
 #include "bambooquay/core/units.h"
+#include "bambooquay/runtime/http_client.h"
 #include "bambooquay/runtime/http_types.h"
 
 namespace bambooquay {
@@ -87,8 +88,9 @@
   [[nodiscard]] virtual HttpRequest EncodeAttempt(
       const ServingCall& call, const AttemptMetadata& metadata) const = 0;
   /// @returns whether a response with these headers belongs to request `id`.
-  [[nodiscard]] virtual bool IsResponseTo(const HttpHeaders& headers,
-                                          const RequestId& id) const = 0;
+  ///   One without an id is unidentified.
+  [[nodiscard]] virtual ResponseMatch MatchResponse(
+      const HttpHeaders& headers, const RequestId& id) const = 0;
   [[nodiscard]] virtual ResponseInfo InspectResponse(
       int status, const HttpHeaders& headers) const = 0;
   /// @returns the headers of an upstream's response that are passed on to the
--- a/packages/serving/include/bambooquay/serving/forwarded_call.h
+++ b/packages/serving/include/bambooquay/serving/forwarded_call.h
@@ -117,7 +117,7 @@
   /// is known.
   static constexpr Duration kRetryAfter = std::chrono::milliseconds(250);
 
-  [[nodiscard]] bool Accepts(const HttpHeaders& headers) override;
+  [[nodiscard]] ResponseMatch Match(const HttpHeaders& headers) override;
   void OnHead(int status, const HttpHeaders& headers) override;
   void OnPart(std::string_view bytes) override;
   void OnEnd(HttpOutcome outcome) override;
--- a/packages/serving/src/forwarded_response.cc
+++ b/packages/serving/src/forwarded_response.cc
@@ -79,8 +79,8 @@
   StartAttempt(next);
 }
 
-bool ForwardedCall::Accepts(const HttpHeaders& headers) {
-  return m_context.codec.IsResponseTo(headers, m_call.id);
+ResponseMatch ForwardedCall::Match(const HttpHeaders& headers) {
+  return m_context.codec.MatchResponse(headers, m_call.id);
 }
 
 void ForwardedCall::OnHead(int status, const HttpHeaders& headers) {
