A stream goes on only with a response that is a stream

What callers could see: a stream breaks, the next upstream answers with status 200 and an error in another content type, and the error's text gets into the stream, or the stream ends as if it were complete.

Cause: a response to a resumed stream was checked for its status only.

Change: its content type has to be that of the stream's first response; otherwise the attempt has failed, and the stream goes on elsewhere or is cut.

Test: path/an_error_does_not_get_into_a_stream_or_complete_it, with eight kinds of answer.

--- a/packages/serving/src/forwarded_response.cc
+++ b/packages/serving/src/forwarded_response.cc
@@ -109,7 +109,10 @@
     if (m_event_stream) {
       StartRelay();
     }
-  } else if (status != ToCode(HttpStatus::kOk)) {
+  } else if (status != ToCode(HttpStatus::kOk) ||
+             headers.Get("Content-Type") !=
+                 m_response_headers.Get("Content-Type")) {
+    // An error, perhaps with the status of a success, is no part of the stream.
     HandleFailedAttempt(AttemptResult::kFailed, true, "resume_refused");
   }
 }
