An upstream that says that it is leaving gets no more calls

Before: nothing read the header; an entry learned of a departure from the store's list and from agents' reports only, which may be late or missing.

Change: UpstreamNotices keeps it for the run of the upstream, also if its row is ready, or expires and is listed again; a new run starts without it. Responses without a signature and those of another instance at the address say nothing. Each entry learns it from its own responses: it is not passed on to others.

--- a/packages/serving/include/bambooquay/serving/call_codec.h
+++ b/packages/serving/include/bambooquay/serving/call_codec.h
@@ -72,6 +72,8 @@
   /// Set if `misdirected` and another instance answered.
   UpstreamId answered_by;
   CallLimitNotice call_limit;
+  /// The upstream is leaving and wants no further calls.
+  bool is_leaving = false;
 };
 
 /// Translates between a wire protocol and the types of the serving path. Makes
--- a/packages/serving/include/bambooquay/serving/upstream_notices.h
+++ b/packages/serving/include/bambooquay/serving/upstream_notices.h
@@ -29,6 +29,10 @@
  public:
   explicit UpstreamNotices(const Clock& clock) noexcept : m_clock(clock) {}
 
+  /// Records that a response says that the upstream is leaving. It gets no
+  /// calls until it starts anew, whatever the store's list says.
+  void RecordLeaving(const UpstreamRun& run);
+  [[nodiscard]] bool IsLeaving(const UpstreamRun& run) const;
   /// Records what a response that has just arrived says about a call limit.
   void RecordCallLimit(const UpstreamRun& run, const CallLimitNotice& notice);
   /// @returns the calls per second that the upstream takes from all entries
@@ -51,6 +55,7 @@
     /// When a response to this entry changed the limit; nothing if another
     /// entry was the first to hear of it.
     std::optional<TimePoint> call_limit_changed_at;
+    bool is_leaving = false;
     TimePoint last_listed_at{};
   };
 
--- a/packages/serving/src/forwarded_response.cc
+++ b/packages/serving/src/forwarded_response.cc
@@ -125,8 +125,12 @@
   if (upstream == nullptr || !is_own || is_other_instance) {
     return;
   }
-  m_context.upstreams.notices().RecordCallLimit(
-      {*m_upstream, upstream->record.started_at_ms}, info.call_limit);
+  const UpstreamRun run{*m_upstream, upstream->record.started_at_ms};
+  UpstreamNotices& notices = m_context.upstreams.notices();
+  notices.RecordCallLimit(run, info.call_limit);
+  if (info.is_leaving) {
+    notices.RecordLeaving(run);
+  }
 }
 
 void ForwardedCall::StartRelay() {
--- a/packages/serving/src/upstream_notices.cc
+++ b/packages/serving/src/upstream_notices.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <string_view>
+#include <utility>
 
 #include "bambooquay/runtime/log.h"
 
@@ -31,6 +32,18 @@
   return found->second;
 }
 
+void UpstreamNotices::RecordLeaving(const UpstreamRun& run) {
+  if (!std::exchange(Add(run).is_leaving, true)) {
+    LogEvent(LogLevel::kInfo, "upstream_leaving")
+        .With("upstream", run.id.value());
+  }
+}
+
+bool UpstreamNotices::IsLeaving(const UpstreamRun& run) const {
+  const auto found = m_notices.find(run);
+  return found != m_notices.end() && found->second.is_leaving;
+}
+
 bool UpstreamNotices::SetCallLimit(const UpstreamRun& run,
                                    std::optional<CallsPerSecond> limit,
                                    TimePoint stated_at,
--- a/packages/serving/src/upstream_set.cc
+++ b/packages/serving/src/upstream_set.cc
@@ -203,6 +203,7 @@
       upstream.report.has_value() && upstream.report->draining;
   return upstream.listed && !upstream.superseded && !upstream.replaced &&
          !upstream.record.draining && !reported_draining &&
+         !m_notices.IsLeaving(RunOf(upstream)) &&
          !IsDataCentreDisabled(upstream.record.data_centre);
 }
 
--- a/packages/serving/tests/upstream_set_test.cc
+++ b/packages/serving/tests/upstream_set_test.cc
@@ -134,6 +134,23 @@
   BOOST_TEST(reversed.Pick()->value() == "new");
 }
 
+BOOST_AUTO_TEST_CASE(a_leaving_upstream_is_usable_only_once_it_has_restarted) {
+  UpstreamSetFixture set;
+  set.upstreams.Put(MakeRecord("a", 1, 5));
+  set.upstreams.notices().RecordLeaving({UpstreamId("a"), 5});
+  BOOST_TEST(!set.Pick().has_value());
+  set.upstreams.Put(MakeRecord("a", 1, 5));
+  BOOST_TEST(!set.Pick().has_value());
+  // Its row expires and comes back.
+  set.upstreams.Remove(UpstreamId("a"), Duration::zero());
+  set.clock.Advance(seconds(30));
+  set.upstreams.Tick();
+  set.upstreams.Put(MakeRecord("a", 1, 5));
+  BOOST_TEST(!set.Pick().has_value());
+  set.upstreams.Put(MakeRecord("a", 1, 6));
+  BOOST_TEST(set.Pick().has_value());
+}
+
 BOOST_AUTO_TEST_CASE(a_removed_upstream_stays_usable_during_its_grace_period) {
   UpstreamSetFixture set;
   set.upstreams.Put(MakeRecord("a", 1));
