An upstream that turns an entry away gets nothing from it for the time it names

Before: a refusal kept calls away for 50 ms, whatever the upstream said, and a call that all upstreams had turned away was told to return in 0.25 to 0.75 s.

Change: UpstreamNotices keeps the time for the entry that was turned away; retries, resumed streams, adapter loads and permits leave the upstream alone as well. A call that all of them turn away is refused at once with the time until the first takes calls again.

--- a/packages/serving/include/bambooquay/serving/call_codec.h
+++ b/packages/serving/include/bambooquay/serving/call_codec.h
@@ -74,6 +74,9 @@
   CallLimitNotice call_limit;
   /// The upstream is leaving and wants no further calls.
   bool is_leaving = false;
+  /// The upstream has turned the request away and wants none from this entry
+  /// for so long; zero if it does not say.
+  Duration turned_away_for{};
 };
 
 /// Translates between a wire protocol and the types of the serving path. Makes
--- a/packages/serving/include/bambooquay/serving/upstream_notices.h
+++ b/packages/serving/include/bambooquay/serving/upstream_notices.h
@@ -33,6 +33,11 @@
   /// calls until it starts anew, whatever the store's list says.
   void RecordLeaving(const UpstreamRun& run);
   [[nodiscard]] bool IsLeaving(const UpstreamRun& run) const;
+  /// Records that the upstream wants no calls from this entry for `time`. A
+  /// later response does not shorten it.
+  void RecordTurnedAway(const UpstreamRun& run, Duration time);
+  /// @returns how much longer the upstream wants no calls from this entry.
+  [[nodiscard]] Duration TurnedAwayFor(const UpstreamRun& run) const;
   /// Records what a response that has just arrived says about a call limit.
   void RecordCallLimit(const UpstreamRun& run, const CallLimitNotice& notice);
   /// @returns the calls per second that the upstream takes from all entries
@@ -56,6 +61,7 @@
     /// entry was the first to hear of it.
     std::optional<TimePoint> call_limit_changed_at;
     bool is_leaving = false;
+    TimePoint turned_away_until{};
     TimePoint last_listed_at{};
   };
 
--- a/packages/serving/include/bambooquay/serving/upstream_set.h
+++ b/packages/serving/include/bambooquay/serving/upstream_set.h
@@ -73,10 +73,11 @@
   int usable = 0;        ///< May get calls at all, see UpstreamSet::IsUsable().
   int with_model = 0;    ///< Of the usable ones, those with the model.
   int with_adapter = 0;  ///< Of those with the model, those with the adapter.
-  int avoided = 0;       ///< Of these, those that were tried or are avoided.
-  int full = 0;          ///< Of the others, those with too many calls.
-  int limited = 0;       ///< Of the remaining ones, those that denied a permit.
-  int cold = 0;          ///< Of the remaining ones, those that are cold.
+  /// Of these, those that were tried, are avoided, or want no calls.
+  int avoided = 0;
+  int full = 0;     ///< Of the others, those with too many calls.
+  int limited = 0;  ///< Of the remaining ones, those that denied a permit.
+  int cold = 0;     ///< Of the remaining ones, those that are cold.
 };
 
 /// What an entry knows of one upstream.
@@ -299,6 +300,10 @@
       const Upstream& upstream) const {
     return m_notices.CallLimit(RunOf(upstream));
   }
+  /// @returns whether the upstream wants no calls from this entry now.
+  [[nodiscard]] bool IsTurnedAway(const Upstream& upstream) const {
+    return m_notices.TurnedAwayFor(RunOf(upstream)) > Duration::zero();
+  }
   /// @returns whether the upstream names a call limit and a process issues
   ///   permits for it that can be reached.
   [[nodiscard]] bool IsLimitedByPermits(const Upstream& upstream) const;
--- a/packages/serving/src/forwarded_response.cc
+++ b/packages/serving/src/forwarded_response.cc
@@ -131,6 +131,9 @@
   if (info.is_leaving) {
     notices.RecordLeaving(run);
   }
+  if (info.turned_away_for > Duration::zero()) {
+    notices.RecordTurnedAway(run, info.turned_away_for);
+  }
 }
 
 void ForwardedCall::StartRelay() {
--- a/packages/serving/src/upstream_choice.cc
+++ b/packages/serving/src/upstream_choice.cc
@@ -167,7 +167,8 @@
       continue;
     }
     ++counts.with_adapter;
-    if (query.excluded.contains(id) || upstream.avoid_until > now) {
+    if (query.excluded.contains(id) || upstream.avoid_until > now ||
+        IsTurnedAway(upstream)) {
       ++counts.avoided;
       continue;
     }
@@ -254,7 +255,8 @@
   for (const auto& [id, upstream] : m_upstreams) {
     if (upstream.record.service != query.service || !IsUsable(upstream) ||
         query.excluded.contains(id) || upstream.avoid_until > m_clock.Now() ||
-        IsPermitDenied(upstream) || !HasModel(upstream, query.model) ||
+        IsTurnedAway(upstream) || IsPermitDenied(upstream) ||
+        !HasModel(upstream, query.model) ||
         HasAdapter(upstream, query.model, query.adapter)) {
       continue;
     }
@@ -327,11 +329,13 @@
   std::optional<Duration> shortest;
   for (const auto& [id, upstream] : m_upstreams) {
     if (CanServe(upstream, query)) {
-      const Duration wait =
+      const Duration until_permit =
           IsPermitDenied(upstream)
               ? std::max(Duration::zero(),
                          upstream.permit_expected_at - m_clock.Now())
               : Duration::zero();
+      const Duration wait =
+          std::max(until_permit, m_notices.TurnedAwayFor(RunOf(upstream)));
       shortest = std::min(shortest.value_or(wait), wait);
     }
   }
--- a/packages/serving/src/upstream_notices.cc
+++ b/packages/serving/src/upstream_notices.cc
@@ -44,6 +44,22 @@
   return found != m_notices.end() && found->second.is_leaving;
 }
 
+void UpstreamNotices::RecordTurnedAway(const UpstreamRun& run, Duration time) {
+  TimePoint& until = Add(run).turned_away_until;
+  until = std::max(until, m_clock.Now() + time);
+  LogEvent(LogLevel::kInfo, "turned_away")
+      .With("upstream", run.id.value())
+      .With("time_ms", time / std::chrono::milliseconds(1));
+}
+
+Duration UpstreamNotices::TurnedAwayFor(const UpstreamRun& run) const {
+  const auto found = m_notices.find(run);
+  return found == m_notices.end()
+             ? Duration::zero()
+             : std::max(Duration::zero(),
+                        found->second.turned_away_until - m_clock.Now());
+}
+
 bool UpstreamNotices::SetCallLimit(const UpstreamRun& run,
                                    std::optional<CallsPerSecond> limit,
                                    TimePoint stated_at,
