One function for choices by hash; names that no longer say cold only

The entry that reads the store, the one that makes a trial and the one that issues permits are chosen by the same function now. The share of a rate without permits applies to call limits as well, so its names don't say cold. What a 503 with Retry-After says counts also without the mark that it was not run.

--- a/packages/core/include/bambooquay/core/rendezvous.h
+++ b/packages/core/include/bambooquay/core/rendezvous.h
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <boost/container_hash/hash.hpp>
 #include <cstddef>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -15,7 +16,7 @@
 /// one, and when a member leaves only what it was chosen for moves.
 /// @param seed  hash of what a member is chosen for.
 /// @param members  not empty.
-[[nodiscard]] inline const InstanceId& ChooseByRendezvous(
+[[nodiscard]] inline InstanceId ChooseByRendezvous(
     std::size_t seed, const std::vector<InstanceId>& members) {
   return *std::ranges::max_element(members, {}, [seed](const InstanceId& id) {
     std::size_t hash = boost::hash<std::string>()(id.value());
--- a/packages/serving/include/bambooquay/serving/entry_permits.h
+++ b/packages/serving/include/bambooquay/serving/entry_permits.h
@@ -39,7 +39,7 @@
   void SetEntries(std::vector<InstanceId> live_entries,
                   std::size_t member_count);
   /// @returns the entry that issues the permits for `upstream`.
-  [[nodiscard]] const InstanceId& IssuerOf(const UpstreamId& upstream) const;
+  [[nodiscard]] InstanceId IssuerOf(const UpstreamId& upstream) const;
   /// Issues a permit if the bounds leave one. A part of the limit is left to
   /// silent entries, which may issue permits among themselves.
   [[nodiscard]] PermitReply Issue(const PermitRequest& request);
--- a/packages/serving/include/bambooquay/serving/upstream_set.h
+++ b/packages/serving/include/bambooquay/serving/upstream_set.h
@@ -96,9 +96,10 @@
   /// A response from its address came from another instance.
   bool replaced = false;
   TimePoint cold_until{};
-  /// Token bucket for requests without a permit while the upstream is cold.
-  double cold_bucket_level = 0.0;
-  TimePoint cold_bucket_refilled_at{};
+  /// Token bucket for requests without a permit while the upstream's rate is
+  /// limited.
+  double unpermitted_level = 0.0;
+  TimePoint unpermitted_refilled_at{};
   /// Expiry times of the unused permits to send to it.
   std::vector<TimePoint> permit_expiries;
   /// No permit is requested for it before this time.
@@ -318,7 +319,7 @@
   /// @param max_senders  number of entries that may send to the upstream.
   /// @returns the number of entries that may send to this cold upstream, or
   ///   nothing if this entry is not one of them.
-  [[nodiscard]] std::optional<std::size_t> CountColdSenders(
+  [[nodiscard]] std::optional<std::size_t> CountUnpermittedSenders(
       const UpstreamId& id, std::size_t max_senders) const;
 
   const Clock& m_clock;
--- a/packages/serving/src/entry_permits.cc
+++ b/packages/serving/src/entry_permits.cc
@@ -23,7 +23,7 @@
   m_member_count = std::max(member_count, m_live_entries.size());
 }
 
-const InstanceId& EntryPermits::IssuerOf(const UpstreamId& upstream) const {
+InstanceId EntryPermits::IssuerOf(const UpstreamId& upstream) const {
   return ChooseByRendezvous(boost::hash<std::string>()(upstream.value()),
                             m_live_entries);
 }
--- a/packages/serving/src/forwarded_response.cc
+++ b/packages/serving/src/forwarded_response.cc
@@ -119,7 +119,8 @@
 
 void ForwardedCall::RecordNotices(const ResponseInfo& info) {
   const Upstream* upstream = m_context.upstreams.Find(*m_upstream);
-  const bool is_own = info.authentic || info.not_run || info.misdirected;
+  const bool is_own = info.authentic || info.not_run || info.misdirected ||
+                      info.turned_away_for > Duration::zero();
   const bool is_other_instance =
       !info.answered_by.empty() && info.answered_by != *m_upstream;
   if (upstream == nullptr || !is_own || is_other_instance) {
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "bambooquay/core/rendezvous.h"
 #include "bambooquay/runtime/log.h"
 
 namespace bambooquay {
@@ -357,14 +358,10 @@
 }
 
 bool ServingEntry::MakesTrial(PromptPartId part, std::uint64_t turn) const {
-  const std::vector<InstanceId> members = m_peers.Members();
-  const auto rank = [&](const InstanceId& id) {
-    std::size_t hash = boost::hash<std::string>()(id.value());
-    boost::hash_combine(hash, static_cast<std::uint64_t>(part));
-    boost::hash_combine(hash, turn);
-    return std::pair(hash, id);
-  };
-  return *std::ranges::max_element(members, {}, rank) == m_settings.id;
+  std::size_t seed = 0;
+  boost::hash_combine(seed, static_cast<std::uint64_t>(part));
+  boost::hash_combine(seed, turn);
+  return ChooseByRendezvous(seed, m_peers.Members()) == m_settings.id;
 }
 
 void ServingEntry::Tick() {
--- a/packages/serving/src/shared_table.cc
+++ b/packages/serving/src/shared_table.cc
@@ -1,10 +1,10 @@
 // Reads the store's tables through one entry of each data centre.
 #include "bambooquay/serving/shared_table.h"
 
-#include <algorithm>
-#include <boost/container_hash/hash.hpp>
 #include <utility>
 
+#include "bambooquay/core/rendezvous.h"
+
 namespace bambooquay {
 namespace {
 
@@ -23,9 +23,7 @@
   }
   // By hash, so that it is not the entry that plans placement, which is the
   // one with the lowest id.
-  return *std::ranges::max_element(live_members, {}, [](const InstanceId& id) {
-    return std::pair(boost::hash<std::string>()(id.value()), id);
-  });
+  return ChooseByRendezvous(0, live_members);
 }
 
 SharedTable::SharedTable(const Clock& clock, FleetTable& store,
--- a/packages/serving/src/upstream_choice.cc
+++ b/packages/serving/src/upstream_choice.cc
@@ -427,25 +427,26 @@
 
 bool UpstreamSet::TryUseShare(Upstream& upstream, CallsPerSecond rate,
                               const UnpermittedShare& share) const {
-  const auto senders = CountColdSenders(upstream.record.id, share.max_senders);
+  const auto senders =
+      CountUnpermittedSenders(upstream.record.id, share.max_senders);
   if (!senders.has_value()) {
     return false;
   }
   const TimePoint now = m_clock.Now();
   const double entry_rate =
       rate.value * share.rate_share / static_cast<double>(*senders);
-  const double seconds = ToSeconds(now - upstream.cold_bucket_refilled_at);
-  upstream.cold_bucket_refilled_at = now;
-  upstream.cold_bucket_level = std::min(
-      1.0, upstream.cold_bucket_level + entry_rate * std::min(seconds, 10.0));
-  if (upstream.cold_bucket_level < 1.0) {
+  const double seconds = ToSeconds(now - upstream.unpermitted_refilled_at);
+  upstream.unpermitted_refilled_at = now;
+  upstream.unpermitted_level = std::min(
+      1.0, upstream.unpermitted_level + entry_rate * std::min(seconds, 10.0));
+  if (upstream.unpermitted_level < 1.0) {
     return false;
   }
-  upstream.cold_bucket_level -= 1.0;
+  upstream.unpermitted_level -= 1.0;
   return true;
 }
 
-std::optional<std::size_t> UpstreamSet::CountColdSenders(
+std::optional<std::size_t> UpstreamSet::CountUnpermittedSenders(
     const UpstreamId& id, std::size_t max_senders) const {
   if (m_entries.size() <= max_senders) {
     return std::max<std::size_t>(1, m_entries.size());
--- a/packages/serving/tests/call_limit_test.cc
+++ b/packages/serving/tests/call_limit_test.cc
@@ -91,7 +91,7 @@
   }
   /// @returns the index of the entry that issues the permits.
   [[nodiscard]] std::size_t IssuerIndex() const {
-    const InstanceId& issuer = m_entries.front().permits->IssuerOf(kUpstream);
+    const InstanceId issuer = m_entries.front().permits->IssuerOf(kUpstream);
     return static_cast<std::size_t>(std::ranges::find(m_ids, issuer) -
                                     m_ids.begin());
   }
@@ -140,7 +140,7 @@
       const bool granted = m_agent.TryIssue(bounds);
       return {0, granted, m_agent.TimeUntilNext(bounds)};
     }
-    const InstanceId& issuer = entry.permits->IssuerOf(kUpstream);
+    const InstanceId issuer = entry.permits->IssuerOf(kUpstream);
     const auto index = static_cast<std::size_t>(
         std::ranges::find(m_ids, issuer) - m_ids.begin());
     return m_entries[index].permits->Issue({0, kUpstream, bounds});
