Only a response to a request that has run ends a call limit

A refusal without Server-Limit ended the limit, and a 421 of another instance at the address, without its id, counted as the upstream's own: it could say that the upstream is leaving.

--- a/packages/serving/include/bambooquay/serving/entry_permits.h
+++ b/packages/serving/include/bambooquay/serving/entry_permits.h
@@ -18,9 +18,10 @@
 /// Load it answers: a plain service in need names a call limit, and its calls
 /// arrive at some entries only, or at other ones a moment later.
 ///
-/// Invariant: the shares of a limit that entries issue sum to at most one, plus
-/// one part for each entry that is asked although it should not be, as another
-/// one cannot hear its peers.
+/// Invariant: the issuer of an upstream uses the parts of the limit of the
+/// entries that it hears, and an entry that is asked without being the issuer
+/// uses its own part only. So entries that cannot hear each other stay near the
+/// limit together.
 ///
 /// @code
 /// EntryPermits permits(clock, self);
--- a/packages/serving/src/forwarded_response.cc
+++ b/packages/serving/src/forwarded_response.cc
@@ -119,16 +119,21 @@
 
 void ForwardedCall::RecordNotices(const ResponseInfo& info) {
   const Upstream* upstream = m_context.upstreams.Find(*m_upstream);
-  const bool is_own = info.authentic || info.not_run || info.misdirected ||
-                      info.turned_away_for > Duration::zero();
-  const bool is_other_instance =
-      !info.answered_by.empty() && info.answered_by != *m_upstream;
-  if (upstream == nullptr || !is_own || is_other_instance) {
+  const bool is_own = info.misdirected
+                          ? info.answered_by == *m_upstream
+                          : info.authentic || info.not_run ||
+                                info.turned_away_for > Duration::zero();
+  if (upstream == nullptr || !is_own) {
     return;
   }
   const UpstreamRun run{*m_upstream, upstream->record.started_at_ms};
   UpstreamNotices& notices = m_context.upstreams.notices();
-  notices.RecordCallLimit(run, info.call_limit);
+  // A refusal that names no limit does not end one: it may come from a part of
+  // the upstream that knows nothing of it.
+  const bool has_run = info.authentic && !info.not_run;
+  if (has_run || !std::holds_alternative<NoCallLimit>(info.call_limit)) {
+    notices.RecordCallLimit(run, info.call_limit);
+  }
   if (info.is_leaving) {
     notices.RecordLeaving(run);
   }
