--- a/review/harness/fleet.cc
+++ b/review/harness/fleet.cc
@@ -116,7 +116,7 @@
         rows.push_back(row);
       }
     }
-    Reply(*exchange, 200, Page(std::move(rows)));
+    Reply(*exchange, 200, Page(rows));
   } else if (target.starts_with("/-/rows-feed")) {
     const auto query = ParseQuery(target);
     m_watches.push_back(
@@ -143,7 +143,7 @@
       if (stored != m_rows.end()) {
         rows.push_back(stored->second);
       }
-      Reply(exchange, 412, Page(std::move(rows)));
+      Reply(exchange, 412, Page(rows));
       return;
     }
   }
@@ -184,22 +184,23 @@
     if (rows.empty() && now < watch.until) {
       return false;
     }
-    Reply(*watch.exchange, 200, Page(std::move(rows)));
+    Reply(*watch.exchange, 200, Page(rows));
     return true;
   });
 }
 
-Json StoreStandin::Page(Json rows) const {
-  return {{"rows", std::move(rows)},
+Json StoreStandin::Page(const Json& rows) const {
+  return {{"rows", rows},
           {"ver", m_version},
           {"hasMore", false},
           {"nowMs", m_loop.clock().Now().time_since_epoch() / milliseconds(1)}};
 }
 
-ServerStandin::ServerStandin(EventLoop& loop, Record& record, Options options)
+ServerStandin::ServerStandin(EventLoop& loop, Record& record,
+                             const Options& options)
     : m_loop(loop),
       m_record(record),
-      m_options(std::move(options)),
+      m_options(options),
       m_server(loop, HttpServerLimits{},
                [this](const Exchange& exchange) { Handle(exchange); }) {}
 
@@ -473,12 +474,15 @@
       continue;
     }
     process.pid = 0;
-    const std::string end = WIFEXITED(status)
+    const std::string how = WIFEXITED(status)
                                 ? "exit " + std::to_string(WEXITSTATUS(status))
                                 : "signal " + std::to_string(WTERMSIG(status));
     const bool is_own = m_signalled.erase(name) == 0;
     m_own_ends[name] += is_own ? 1 : 0;
-    m_record.Add("end " + name + (is_own ? " by itself: " : ": ") + end);
+    std::string line = "end " + name;
+    line += is_own ? " by itself: " : ": ";
+    line += how;
+    m_record.Add(line);
     m_restart_timers.push_back(m_loop.After(
         kRestartDelay, [this, name = name] { StartProcess(name); }));
   }
--- a/review/harness/fleet.h
+++ b/review/harness/fleet.h
@@ -65,7 +65,7 @@
   void Handle(const Exchange& exchange);
   void Transact(HttpExchange& exchange);
   void AnswerWatches();
-  [[nodiscard]] Json Page(Json rows) const;
+  [[nodiscard]] Json Page(const Json& rows) const;
 
   EventLoop& m_loop;
   HttpServer m_server;
@@ -92,7 +92,7 @@
   /// for the usual answer.
   using Handler = std::function<bool(const Exchange&)>;
 
-  ServerStandin(EventLoop& loop, Record& record, Options options);
+  ServerStandin(EventLoop& loop, Record& record, const Options& options);
   [[nodiscard]] bool Listen();
   void SetHandler(Handler handler) { m_handler = std::move(handler); }
   [[nodiscard]] const Options& options() const noexcept { return m_options; }
