Review case 3: a departure that the reading entry does not hear of

The store gives one entry of 12 no response; the others rely on its list of servers and send to a leaving server later than drainMs.

--- a/review/harness/fleet.h
+++ b/review/harness/fleet.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -44,32 +45,46 @@
 class StoreStandin {
  public:
   explicit StoreStandin(EventLoop& loop);
-  [[nodiscard]] bool Listen(const Endpoint& endpoint);
+  /// Listens on one more address.
+  /// @param caller  the machine that calls the store at this address.
+  [[nodiscard]] bool Listen(const Endpoint& endpoint,
+                            const std::string& caller);
   /// Writes a row as the platform does.
   void Put(const std::string& table, const std::string& key,
            const std::string& value);
   /// Removes a row as the platform does.
   void Remove(const std::string& table, const std::string& key);
-  /// While set, all calls are answered with 503 and nothing is done.
-  void SetDown(bool down);
+  /// From now on the calls of one machine get no response, those that wait
+  /// included; the store serves the others.
+  void TurnAway(const std::string& caller);
+  /// @returns when a machine's last watch of a table was answered; nothing if
+  ///   none was.
+  [[nodiscard]] std::optional<TimePoint> WatchAnsweredAt(
+      const std::string& caller, const std::string& table) const;
 
  private:
   using Key = std::pair<std::string, std::string>;
   struct Watch {
+    std::string caller;
     std::string table;
     std::uint64_t after = 0;
     Exchange exchange;
     TimePoint until;
   };
 
-  void Handle(const Exchange& exchange);
+  void Handle(const Exchange& exchange, const std::string& caller);
   void Transact(HttpExchange& exchange);
   void AnswerWatches();
   [[nodiscard]] Json Page(const Json& rows) const;
 
   EventLoop& m_loop;
-  HttpServer m_server;
-  bool m_down = false;
+  std::list<HttpServer> m_servers;
+  std::set<std::string> m_turned_away;
+  /// Calls that get no response. They are kept, as their connections would be
+  /// closed otherwise.
+  std::vector<Exchange> m_unanswered;
+  /// By caller and table.
+  std::map<Key, TimePoint> m_watch_answers;
   std::uint64_t m_version = 1;
   std::map<Key, Json> m_rows;
   std::vector<Json> m_changes;
@@ -95,6 +110,8 @@
   ServerStandin(EventLoop& loop, Record& record, const Options& options);
   [[nodiscard]] bool Listen();
   void SetHandler(Handler handler) { m_handler = std::move(handler); }
+  /// From now on all its answers say that the server leaves.
+  void SetLeaving() noexcept { m_leaving = true; }
   [[nodiscard]] const Options& options() const noexcept { return m_options; }
   /// @returns the headers of the server's own answer to a request.
   [[nodiscard]] HttpHeaders AnswerHeaders(const HttpRequest& request) const;
@@ -115,6 +132,7 @@
   Options m_options;
   HttpServer m_server;
   Handler m_handler;
+  bool m_leaving = false;
   std::uint64_t m_accepted_orders = 0;
   /// Adapters by model.
   std::map<std::string, std::set<std::string>> m_adapters;
@@ -153,10 +171,10 @@
   Fleet& operator=(const Fleet&) = delete;
   ~Fleet();
 
-  /// @param group  1 entries, 2 servers and their agents, 4 the store.
+  /// @param group  1 entries, 2 servers and their agents, 5 the store as agents
+  ///   reach it, 6 the store as entries reach it.
   [[nodiscard]] Endpoint Address(int group, int index, int port) const;
   [[nodiscard]] StoreStandin& store() noexcept { return m_store; }
-  [[nodiscard]] bool Start();
   void StartEntry(int index);
   void StartAgent(int index, const std::string& service);
   void Signal(const std::string& name, int signal);
