--- a/review/3/unheard_departure.cc
+++ b/review/2/unheard_departure.cc
@@ -13,22 +13,22 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr int kEntries = 12;
+constexpr int kEntries = 20;
 constexpr int kServers = 3;
 constexpr int kLeavingServer = 2;
 // Bounds of the site.
 constexpr Duration kDrainTime = milliseconds(4000);
 constexpr Duration kStabilityWindow = milliseconds(5000);
 // The clients are quiet from the report on, and send again after this time.
-constexpr Duration kQuietTime = milliseconds(4120);
-constexpr int kRounds = 6;
-constexpr Duration kRoundPeriod = milliseconds(150);
+constexpr Duration kQuietTime = milliseconds(4060);
+constexpr int kRounds = 7;
+constexpr Duration kRoundPeriod = milliseconds(120);
 // Time after the last answer to a watch until the store turns the entry away:
 // the entry pauses for a second between two watches.
 constexpr Duration kTimeInPause = milliseconds(100);
 // The entries start one after the other, as in a rolling restart, so that their
 // periods do not coincide.
-constexpr Duration kStartGap = milliseconds(170);
+constexpr Duration kStartGap = milliseconds(105);
 const std::string kServerTable = "servers";
 
 Json Configuration() {
@@ -60,7 +60,7 @@
 class Deployment {
  public:
   Deployment(const std::string& directory, bool trouble)
-      : m_record(m_loop.clock(), "review/3/record.txt"),
+      : m_record(m_loop.clock(), "review/2/record.txt"),
         m_fleet(m_loop, m_record, directory),
         m_trouble(trouble) {
     m_record.Add(trouble ? "TROUBLE=1" : "TROUBLE=0");
--- a/review/harness/fleet.cc
+++ b/review/harness/fleet.cc
@@ -1,13 +1,16 @@
 // A small hosted deployment for the review's scripts.
 #include "fleet.h"
 
+#include <arpa/inet.h>
 #include <fcntl.h>
 #include <sodium.h>
 #include <spawn.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <cstdlib>
 #include <sstream>
@@ -25,6 +28,9 @@
 constexpr Duration kEventPeriod = milliseconds(20);
 constexpr Duration kRequestTimeout = std::chrono::seconds(5);
 constexpr int kEvents = 10;
+constexpr std::size_t kMaxProcesses = 64;
+constexpr int kCouldNotRun = 2;
+constexpr int kAddressPrefixes = 200;
 
 std::map<std::string, std::string> ParseQuery(const std::string& target) {
   std::map<std::string, std::string> query;
@@ -50,6 +56,33 @@
   return text;
 }
 
+/// Processes to end if the script itself is told to end.
+std::array<volatile std::sig_atomic_t, kMaxProcesses> g_started{};
+
+void EndProcesses(int /*signal*/) {
+  for (const std::sig_atomic_t pid : g_started) {
+    if (pid > 0) {
+      kill(pid, SIGKILL);
+    }
+  }
+  _exit(kCouldNotRun);
+}
+
+/// @returns whether nothing listens at the address yet.
+bool IsFree(const Endpoint& endpoint) {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(endpoint.port);
+  inet_pton(AF_INET, endpoint.host.c_str(), &address.sin_addr);
+  const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const int reuse = 1;
+  setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
+  const bool is_free = bind(descriptor, reinterpret_cast<sockaddr*>(&address),
+                            sizeof(address)) == 0;
+  close(descriptor);
+  return is_free;
+}
+
 void Reply(HttpExchange& exchange, int status, const Json& body) {
   HttpHeaders headers;
   headers.Add("Content-Type", "application/json");
@@ -378,11 +411,22 @@
     : m_loop(loop),
       m_record(record),
       m_directory(std::move(directory)),
-      m_address_prefix("127." + std::to_string(20 + getpid() % 200) + "."),
       m_store(loop),
       m_check_timer(
           loop.Every(kProcessCheckPeriod, [this] { CheckProcesses(); })),
-      m_client(loop, {}) {}
+      m_client(loop, {}) {
+  std::signal(SIGTERM, &EndProcesses);
+  std::signal(SIGINT, &EndProcesses);
+  // Another fleet may use the addresses that follow from the process id.
+  for (int i = 0; i < kAddressPrefixes; ++i) {
+    m_address_prefix =
+        "127." + std::to_string(20 + (getpid() + i) % kAddressPrefixes) + ".";
+    if (IsFree(Address(1, 1, 8221)) && IsFree(Address(2, 1, 8080)) &&
+        IsFree(Address(6, 1, 8225))) {
+      return;
+    }
+  }
+}
 
 Fleet::~Fleet() {
   for (const auto& [name, process] : m_processes) {
@@ -473,6 +517,16 @@
     throw std::runtime_error("cannot start " + process.command.front());
   }
   m_record.Add("start " + name);
+  RememberProcesses();
+}
+
+void Fleet::RememberProcesses() const {
+  std::size_t position = 0;
+  for (const auto& [name, process] : m_processes) {
+    if (position < kMaxProcesses) {
+      g_started[position++] = process.pid;
+    }
+  }
 }
 
 void Fleet::Signal(const std::string& name, int signal) {
@@ -492,6 +546,7 @@
       continue;
     }
     process.pid = 0;
+    RememberProcesses();
     const std::string how = WIFEXITED(status)
                                 ? "exit " + std::to_string(WEXITSTATUS(status))
                                 : "signal " + std::to_string(WTERMSIG(status));
--- a/review/harness/fleet.h
+++ b/review/harness/fleet.h
@@ -201,6 +201,8 @@
              const std::string& settings);
   void StartProcess(const std::string& name);
   void CheckProcesses();
+  /// Notes the processes that run, so that they are ended with the script.
+  void RememberProcesses() const;
 
   EventLoop& m_loop;
   Record& m_record;
