--- a/packages/serving/include/bambooquay/serving/retry_budget.h
+++ b/packages/serving/include/bambooquay/serving/retry_budget.h
@@ -28,6 +28,8 @@
   /// Takes one retry out of the budget.
   /// @returns whether the budget allows it.
   [[nodiscard]] bool TryAcquire() noexcept;
+  /// @returns how many retries the budget allows now.
+  [[nodiscard]] double RetriesLeft() noexcept;
 
  private:
   void Refill() noexcept;
--- a/packages/serving/src/forwarded_response.cc
+++ b/packages/serving/src/forwarded_response.cc
@@ -304,8 +304,9 @@
   const bool adds_load = result != AttemptResult::kUnreachable;
   const bool granted =
       !adds_load || m_context.retry_budget_for(m_service->name).TryAcquire();
-  m_context.metrics.Increment(granted ? "retries_total{granted=\"yes\"}"
-                                      : "retries_total{granted=\"no\"}");
+  m_context.metrics.Increment(
+      "retries_total{service=\"" + m_service->name.value() + "\",granted=\"" +
+      (!adds_load ? "uncharged" : (granted ? "yes" : "no")) + "\"}");
   return granted;
 }
 
@@ -347,6 +348,8 @@
       .With("reason", reason)
       .With("may_have_run", may_have_run ? "yes" : "no")
       .With("retry", retry)
+      .With("retries_left",
+            m_context.retry_budget_for(m_service->name).RetriesLeft())
       .With("begun_ms",
             m_attempt_begun_at.has_value()
                 ? (m_context.loop.clock().Now() - *m_attempt_begun_at) /
--- a/packages/serving/src/retry_budget.cc
+++ b/packages/serving/src/retry_budget.cc
@@ -49,4 +49,9 @@
   return true;
 }
 
+double RetryBudget::RetriesLeft() noexcept {
+  Refill();
+  return m_level;
+}
+
 }  // namespace bambooquay
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -329,8 +329,12 @@
   }
   const auto added = m_budgets.emplace(
       service, RetryBudget(m_deps.loop.clock(), m_settings.retries));
-  added.first->second.SetEntryCount(m_peers.member_count());
-  return added.first->second;
+  RetryBudget& budget = added.first->second;
+  budget.SetEntryCount(m_peers.member_count());
+  m_deps.metrics.RegisterGauge(
+      "retries_left{service=\"" + service.value() + "\"}",
+      [&budget] { return budget.RetriesLeft(); });
+  return budget;
 }
 
 EntryStatus ServingEntry::MakeStatus() {
