Retry budgets: parts that add up to less than the whole, at every moment

Cause: a bound on what all entries do together was shared out in parts whose sum could exceed it, and was charged at another time than it holds for. - Each start filled an entry's bucket, for four entries until it had heard of the others, and then for one part: ten entries killed each 1.2 s, as real processes, sent 137 repeats in 10 s, 109.8 allowed. - The least part was one retry: 330 entries had 330 of a slack of 54. - A leaving entry used its part while the others shared it among themselves. - A retry was charged when sent. What a silent upstream held back of abandoned attempts arrives together when it goes on, beside that window's retries.

Ruled out: retries after 'unreachable' are free, but that is concluded only while no connection is made, and bytes are written only after that.

Now an entry may send, in any window, a share of the ratio for the requests of that window and its equal part of the slack. The part builds up from one second after its start, so entries that start again and again use it twice in a window at most. Parts that are not whole numbers are rounded at random. All known entries count. A retry that leaves an upstream without a response is held until that upstream responds, and counts for a window from then on.

Tests: three of retry_budget/* fail on the code before (a trial with its class: starts, more entries than retries, attempts held back), and so does retry_budgets/entries_that_start_again_get_no_further_retries with real processes; all pass now. a_single_failure_may_always_be_retried demanded a retry of each of 50 entries where the limits allow 11: replaced by a_single_failure_may_be_retried for one to 21 entries within the limits, and by the use that 330 entries together make of them. The path's fixture allows retries from the first request on, as an entry has no part of the slack in its first second; a_slow_stream_goes_on_when_the_retry_budget_is_used_up needs no call that takes the only retry of an empty budget, as there is none any more.

--- a/packages/serving/include/bambooquay/serving/forwarded_call.h
+++ b/packages/serving/include/bambooquay/serving/forwarded_call.h
@@ -190,8 +190,11 @@
   [[nodiscard]] bool CanRetry(bool may_have_run);
   /// Charges a retry to the service's retry budget. A retry after an attempt
   /// that reached no upstream is free, as it adds no load.
+  /// @param result  of the attempt before.
+  /// @param left  the upstream of the attempt before.
   /// @returns whether the budget allows the retry.
-  [[nodiscard]] bool AcquireRetry(AttemptResult result);
+  [[nodiscard]] bool AcquireRetry(AttemptResult result,
+                                  const std::optional<UpstreamId>& left);
   /// Sets m_query, the call's requirements on an upstream.
   void BuildQuery();
 
--- a/packages/serving/include/bambooquay/serving/peer_exchange.h
+++ b/packages/serving/include/bambooquay/serving/peer_exchange.h
@@ -83,6 +83,11 @@
 
   /// @returns the number of entries that may be serving, this one included.
   [[nodiscard]] std::size_t member_count() const;
+  /// @returns the number of entries known, including this one, silent ones and
+  ///   leaving ones.
+  [[nodiscard]] std::size_t known_count() const noexcept {
+    return 1 + m_peers.size();
+  }
   /// @returns the entries that may be serving, this one included.
   [[nodiscard]] std::vector<InstanceId> Members() const;
   /// @returns those of them that are not silent.
--- a/packages/serving/include/bambooquay/serving/retry_budget.h
+++ b/packages/serving/include/bambooquay/serving/retry_budget.h
@@ -2,44 +2,91 @@
 // service that is failing.
 #pragma once
 
+#include <cstddef>
+#include <deque>
+#include <unordered_map>
+
 #include "bambooquay/core/clock.h"
+#include "bambooquay/core/ids.h"
+#include "bambooquay/core/random.h"
 
 namespace bambooquay {
 
-/// Fleet-wide limits: in any window, the number of retries is at most `ratio`
-/// times the number of requests, plus `slack` retries.
+/// Fleet-wide limits: in any window, the number of retries that reach upstreams
+/// is at most `ratio` times the number of requests, plus `slack` retries.
 struct RetryLimits {
   double ratio = 0.2;
   double slack = 50.0;
   Duration window = std::chrono::seconds(10);
 };
 
-/// One entry's share of the retry budget of one service. It is a token bucket:
-/// each request adds a share of the ratio, and the entry's share of the slack
-/// is added over each window.
+/// One entry's part of the retry budget of one service: a share of the ratio
+/// for each request of the last window, and an equal part of the slack. Load it
+/// answers: upstreams that fail or stall every call, while entries start again
+/// and again.
+///
+/// Invariants:
+/// - The parts of all entries add up to less than the fleet-wide limits. A part
+///   that is not a whole number is rounded at random, as each entry would use
+///   one that is rounded up.
+/// - A part of the slack builds up over the first window, once an entry knows
+/// the
+///   others, so that entries that start again use it at most twice in a window,
+///   however often they start.
+/// - A retry counts for a window after both it and the attempt that it replaces
+///   can no longer reach an upstream.
 class RetryBudget {
  public:
-  RetryBudget(const Clock& clock, const RetryLimits& limits) noexcept;
+  /// @param running_since  when this entry started.
+  RetryBudget(const Clock& clock, RandomSource& random,
+              const RetryLimits& limits, TimePoint running_since);
 
-  /// @param entry_count  number of entries that share the budget.
+  /// @param entry_count  number of entries that may send retries, including
+  ///   silent and leaving ones.
   void SetEntryCount(std::size_t entry_count) noexcept;
   void SetLimits(const RetryLimits& limits) noexcept { m_limits = limits; }
-  void CountRequest() noexcept;
+  void CountRequest();
   /// Takes one retry out of the budget.
   /// @returns whether the budget allows it.
-  [[nodiscard]] bool TryAcquire() noexcept;
+  [[nodiscard]] bool TryAcquire();
+  /// The same for a retry that leaves an upstream that has not responded, which
+  /// may get the abandoned attempt at any time until it responds again.
+  [[nodiscard]] bool TryAcquireFromSilent(const UpstreamId& upstream);
+  /// Records that an upstream has begun to respond to a call.
+  void RecordResponse(const UpstreamId& upstream);
   /// @returns how many retries the budget allows now.
-  [[nodiscard]] double RetriesLeft() noexcept;
+  [[nodiscard]] int RetriesLeft();
 
  private:
-  void Refill() noexcept;
-  [[nodiscard]] double Capacity() const noexcept;
+  /// Requests that came within a short time.
+  struct RequestCount {
+    TimePoint begin;
+    int count = 0;
+  };
+  /// Retries that count until an upstream responds.
+  struct HeldRetries {
+    int count = 0;
+    TimePoint last_acquired_at;
+  };
+
+  void RemoveExpired(TimePoint now);
+  [[nodiscard]] int MaxRetries(TimePoint now);
 
   const Clock& m_clock;
+  RandomSource& m_random;
   RetryLimits m_limits;
-  double m_entry_count = 4.0;
-  double m_level;
-  TimePoint m_refilled_at;
+  TimePoint m_running_since;
+  double m_entry_count = 1.0;
+  /// Oldest first.
+  std::deque<RequestCount> m_requests;
+  /// When each retry of the last window was sent, or can have arrived last;
+  /// oldest first.
+  std::deque<TimePoint> m_retries;
+  std::unordered_map<UpstreamId, HeldRetries> m_held_retries;
+  /// Added to the number of retries before it is rounded down; drawn anew for
+  /// each window.
+  double m_rounding = 0.0;
+  TimePoint m_rounding_since;
 };
 
 }  // namespace bambooquay
--- a/packages/serving/include/bambooquay/serving/serving_entry.h
+++ b/packages/serving/include/bambooquay/serving/serving_entry.h
@@ -89,6 +89,7 @@
 
   ServingSettings m_settings;
   ServingEntryDeps m_deps;
+  TimePoint m_started_at;
   UpstreamSet m_upstreams;
   FleetAllowance m_allowance;
   PromptQuarantine m_quarantine;
--- a/packages/serving/src/forwarded_response.cc
+++ b/packages/serving/src/forwarded_response.cc
@@ -85,6 +85,7 @@
 
 void ForwardedCall::OnHead(int status, const HttpHeaders& headers) {
   m_status = status;
+  m_context.retry_budget_for(m_service->name).RecordResponse(*m_upstream);
   const ResponseInfo info = m_context.codec.InspectResponse(status, headers);
   RecordNotices(info);
   if (info.not_run || info.misdirected) {
@@ -269,7 +270,10 @@
   }
   const auto picked = m_context.upstreams.Pick(m_query);
   const auto* upstream = std::get_if<UpstreamId>(&picked);
-  if (upstream == nullptr || !AcquireRetry(AttemptResult::kFailed)) {
+  if (upstream == nullptr ||
+      !AcquireRetry(m_upstream.has_value() ? AttemptResult::kTimedOut
+                                           : AttemptResult::kFailed,
+                    m_upstream)) {
     return std::nullopt;
   }
   return *upstream;
@@ -300,13 +304,23 @@
          TimeLeft() > kMinAttemptTime;
 }
 
-bool ForwardedCall::AcquireRetry(AttemptResult result) {
-  const bool adds_load = result != AttemptResult::kUnreachable;
+bool ForwardedCall::AcquireRetry(AttemptResult result,
+                                 const std::optional<UpstreamId>& left) {
+  RetryBudget& budget = m_context.retry_budget_for(m_service->name);
+  const auto record = [this](std::string_view granted) {
+    m_context.metrics.Increment("retries_total{service=\"" +
+                                m_service->name.value() + "\",granted=\"" +
+                                std::string(granted) + "\"}");
+  };
+  if (result == AttemptResult::kUnreachable) {
+    record("uncharged");
+    return true;
+  }
+  const bool was_silent = result == AttemptResult::kTimedOut &&
+                          left.has_value() && !m_attempt_begun_at.has_value();
   const bool granted =
-      !adds_load || m_context.retry_budget_for(m_service->name).TryAcquire();
-  m_context.metrics.Increment(
-      "retries_total{service=\"" + m_service->name.value() + "\",granted=\"" +
-      (!adds_load ? "uncharged" : (granted ? "yes" : "no")) + "\"}");
+      was_silent ? budget.TryAcquireFromSilent(*left) : budget.TryAcquire();
+  record(granted ? "yes" : "no");
   return granted;
 }
 
@@ -321,7 +335,7 @@
   m_body.clear();
   static_cast<void>(m_events.TakeRemainder());
   const bool allowed = CanRetry(may_have_run);
-  const bool retry = allowed && AcquireRetry(result);
+  const bool retry = allowed && AcquireRetry(result, upstream);
   LogFailedAttempt(upstream, reason, may_have_run,
                    retry ? "yes" : (allowed ? "over_budget" : "no"));
   if (retry) {
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -61,6 +61,7 @@
                            const ServingEntryDeps& deps)
     : m_settings(settings),
       m_deps(deps),
+      m_started_at(deps.loop.clock().Now()),
       m_upstreams(deps.loop.clock(), deps.random, settings.data_centre,
                   [this](const Endpoint& address) {
                     return m_client.HasIdleConnection(address);
@@ -327,10 +328,11 @@
   if (found != m_budgets.end()) {
     return found->second;
   }
-  const auto added = m_budgets.emplace(
-      service, RetryBudget(m_deps.loop.clock(), m_settings.retries));
+  const auto added =
+      m_budgets.try_emplace(service, m_deps.loop.clock(), m_deps.random,
+                            m_settings.retries, m_started_at);
   RetryBudget& budget = added.first->second;
-  budget.SetEntryCount(m_peers.member_count());
+  budget.SetEntryCount(m_peers.known_count());
   m_deps.metrics.RegisterGauge(
       "retries_left{service=\"" + service.value() + "\"}",
       [&budget] { return budget.RetriesLeft(); });
@@ -381,8 +383,8 @@
   m_upstreams.Tick();
   m_quarantine.RemoveExpired();
   const std::vector<InstanceId> members = m_peers.Members();
-  std::ranges::for_each(m_budgets, [&](auto& item) {
-    item.second.SetEntryCount(members.size());
+  std::ranges::for_each(m_budgets, [this](auto& item) {
+    item.second.SetEntryCount(m_peers.known_count());
   });
   m_upstreams.SetEntries(m_settings.id, members);
   CheckDrained();
