Calls whose responses have arrived are not repeated after a pause

After an entry had stood still, it repeated calls that had been answered meanwhile: it used the retry budget and sent upstreams more requests, as on any machine whose processor is busy. A call at its time limit was answered 504 although its response was there.

Cause: when the event loop runs again, timers that are due run before what has arrived is read: bufferevents defer their callbacks, and a poll that a signal interrupts reports nothing to read at all.

Now the timers ask whether the attempt's connection has input that the call has not received (HttpCall::HasUnreadInput). If so, the call stays, and one at its time limit reads it first.

--- a/packages/runtime/include/bambooquay/runtime/http_client.h
+++ b/packages/runtime/include/bambooquay/runtime/http_client.h
@@ -73,6 +73,9 @@
 
   /// Pauses or resumes reading the response, to apply back-pressure.
   virtual void SetPaused(bool paused) = 0;
+  /// @returns whether bytes or the end of the connection have arrived that the
+  ///   observer has not heard of yet, as after a pause of the event loop.
+  [[nodiscard]] virtual bool HasUnreadInput() const = 0;
 };
 
 /// Timeouts and limits of the connections of one client.
--- a/packages/runtime/src/http_client.cc
+++ b/packages/runtime/src/http_client.cc
@@ -37,6 +37,9 @@
   }
 
   void SetPaused(bool paused) override { m_call->SetPaused(paused); }
+  [[nodiscard]] bool HasUnreadInput() const override {
+    return m_call->HasUnreadInput();
+  }
 
  private:
   void OnHead(int status, const HttpHeaders& headers) override {
@@ -101,6 +104,9 @@
       m_connection->SetPaused(paused);
     }
   }
+  [[nodiscard]] bool HasUnreadInput() const override {
+    return m_connection != nullptr && m_connection->HasUnreadInput();
+  }
 
  private:
   // Called from a callback of the connection, which must not be destroyed
--- a/packages/runtime/src/http_client_connection.cc
+++ b/packages/runtime/src/http_client_connection.cc
@@ -4,6 +4,7 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <poll.h>
 
 #include <algorithm>
 #include <charconv>
@@ -122,6 +123,14 @@
   }
 }
 
+bool HttpClientConnection::HasUnreadInput() const {
+  if (evbuffer_get_length(bufferevent_get_input(m_stream)) > 0) {
+    return true;
+  }
+  pollfd readable{bufferevent_getfd(m_stream), POLLIN, 0};
+  return m_connected && poll(&readable, 1, 0) > 0;
+}
+
 bool HttpClientConnection::IsReusable(TimePoint now) const {
   return m_observer == nullptr && !m_failed &&
          evbuffer_get_length(bufferevent_get_input(m_stream)) == 0 &&
--- a/packages/runtime/src/http_client_connection.h
+++ b/packages/runtime/src/http_client_connection.h
@@ -25,6 +25,7 @@
   void Send(const HttpRequest& request, Duration idle_timeout, bool keep_alive,
             HttpObserver& observer);
   void SetPaused(bool paused);
+  [[nodiscard]] bool HasUnreadInput() const;
   /// @returns whether the connection can carry another call: it is idle, has
   ///   not failed, has received no unexpected bytes and has not expired.
   [[nodiscard]] bool IsReusable(TimePoint now) const;
--- a/packages/serving/include/bambooquay/serving/forwarded_call.h
+++ b/packages/serving/include/bambooquay/serving/forwarded_call.h
@@ -232,6 +232,8 @@
   /// Bytes relayed that the caller has not taken yet.
   std::size_t m_unsent_response_bytes = 0;
   bool m_done = false;
+  /// Whether the time limit has passed, and what has arrived by then is read.
+  bool m_reads_before_limit = false;
   /// Times of the first and the last event, since the call arrived.
   std::optional<Duration> m_first_event;
   Duration m_last_event{};
--- a/packages/serving/src/forwarded_call.cc
+++ b/packages/serving/src/forwarded_call.cc
@@ -377,6 +377,15 @@
 }
 
 void ForwardedCall::HandleTimeLimit() {
+  if (!m_reads_before_limit && m_attempt != nullptr &&
+      m_attempt->HasUnreadInput()) {
+    // The response may be complete: after a pause of the event loop, timers run
+    // before what has arrived meanwhile is read.
+    m_reads_before_limit = true;
+    m_limit_timer =
+        m_context.loop.After(Duration::zero(), [this] { HandleTimeLimit(); });
+    return;
+  }
   const bool attempt_in_progress = m_upstream.has_value();
   EndAttempt(AttemptResult::kTimedOut);
   if (m_relaying) {
--- a/packages/serving/src/forwarded_response.cc
+++ b/packages/serving/src/forwarded_response.cc
@@ -59,7 +59,7 @@
 
 void ForwardedCall::HandleStall() {
   const Duration wait = MakeStallPolicy().TimeUntilMove(DescribeSilence());
-  if (wait == Duration::zero()) {
+  if (wait == Duration::zero() && !m_attempt->HasUnreadInput()) {
     if (const auto next = PickForRepeat()) {
       MoveTo(*next);
       return;
