Planned stops: calls that are left at the end are answered

Other operators reported that in a planned stop requests that came late in the grace were taken and passed on, and cut at its end without an answer.

Here: requests are refused 2.5 s after the start of a stop.

Now calls whose callers have received nothing are ended 0.8 s before the drain limit: 504, or 503 with Retry-After if they have not run. Requests are taken for a third of the drain limit at most.

--- a/packages/serving/include/bambooquay/serving/forwarded_call.h
+++ b/packages/serving/include/bambooquay/serving/forwarded_call.h
@@ -108,6 +108,9 @@
   /// Called instead of Start() when the entry is about to stop and could not
   /// finish the call.
   void RefuseWhileDraining();
+  /// Called when the entry is about to stop and the call is still in progress.
+  /// Ends it with an error response if the caller has received nothing yet.
+  void EndWhileDraining();
   /// Called when a part of prompts was put under quarantine. Ends the call if
   /// its prompt has the part and its upstream has not begun to respond.
   void HandleQuarantine();
@@ -164,6 +167,9 @@
                         bool may_have_run, std::string_view retry);
   void EndAttempt(AttemptResult result);
   void HandleTimeLimit();
+  /// Ends the call, with an error response if the caller has received nothing
+  /// yet.
+  void GiveUp(std::string_view reason, Duration retry_after);
   /// Moves the call away from a silent upstream if that is due and another one
   /// is free. Otherwise the attempt continues and is checked again later.
   void HandleStall();
--- a/packages/serving/include/bambooquay/serving/serving_entry.h
+++ b/packages/serving/include/bambooquay/serving/serving_entry.h
@@ -61,6 +61,8 @@
 
  private:
   void HandleRequest(std::shared_ptr<HttpExchange> exchange);
+  /// Runs `action`, which may end the call, for each call in progress.
+  void ForEachCall(const std::function<void(ForwardedCall*)>& action);
   /// @returns the address of the entry that reads the store for this data
   ///   centre; nothing if this entry reads for itself.
   [[nodiscard]] std::optional<Endpoint> TableReader() const;
--- a/packages/serving/src/forwarded_call.cc
+++ b/packages/serving/src/forwarded_call.cc
@@ -386,16 +386,26 @@
         m_context.loop.After(Duration::zero(), [this] { HandleTimeLimit(); });
     return;
   }
+  GiveUp("time_limit", Duration::zero());
+}
+
+void ForwardedCall::GiveUp(std::string_view reason, Duration retry_after) {
   const bool attempt_in_progress = m_upstream.has_value();
   EndAttempt(AttemptResult::kTimedOut);
   if (m_relaying) {
-    AbortRelay("time_limit");
+    AbortRelay(reason);
     return;
   }
   const bool may_have_run = attempt_in_progress || m_may_have_run;
   Refuse(ToCode(may_have_run ? HttpStatus::kGatewayTimeout
                              : HttpStatus::kServiceUnavailable),
-         "time_limit", Duration::zero());
+         reason, may_have_run ? Duration::zero() : retry_after);
+}
+
+void ForwardedCall::EndWhileDraining() {
+  if (!m_done && !m_relaying) {
+    GiveUp("leaving", kDrainingRetryAfter);
+  }
 }
 
 void ForwardedCall::HandleCallerDisconnect() {
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -49,8 +49,13 @@
     .tcp_user_timeout = milliseconds(1500),
     .max_idle_time = std::chrono::seconds(8)};
 // New connections still arrive for this long after draining has started. Calls
-// that arrive later might not be finished in time and are refused.
+// that arrive later, or after this share of the drain limit, might not be
+// finished in time and are refused.
 constexpr Duration kDrainAcceptTime = milliseconds(2500);
+constexpr int kDrainAcceptDivisor = 3;
+// Time reserved at the end of the drain limit to tell callers that wait for the
+// first byte of a response that there will be none.
+constexpr Duration kDrainAnswerMargin = milliseconds(800);
 // Time reserved at the end of the drain limit to send the last bytes before the
 // process is killed.
 constexpr Duration kStopMargin = milliseconds(500);
@@ -142,10 +147,7 @@
   m_quarantine.OnQuarantined([this] {
     // Runs within a call that has just failed, so the others end later.
     m_deps.loop.Post([this] {
-      std::vector<ForwardedCall*> calls;
-      std::ranges::transform(m_calls, std::back_inserter(calls),
-                             [](const auto& call) { return call.get(); });
-      std::ranges::for_each(calls, &ForwardedCall::HandleQuarantine);
+      ForEachCall([](ForwardedCall* call) { call->HandleQuarantine(); });
     });
   });
   m_peers.OnEngineStatus([this](const EngineStatus& status) {
@@ -281,7 +283,9 @@
       }));
   const bool refuses_calls =
       m_draining_since.has_value() &&
-      m_deps.loop.clock().Now() - *m_draining_since > kDrainAcceptTime;
+      m_deps.loop.clock().Now() - *m_draining_since >
+          std::min(kDrainAcceptTime,
+                   m_settings.drain_limit / kDrainAcceptDivisor);
   if (refuses_calls) {
     m_calls.back()->RefuseWhileDraining();
   } else {
@@ -289,6 +293,15 @@
   }
 }
 
+void ServingEntry::ForEachCall(
+    const std::function<void(ForwardedCall*)>& action) {
+  // Copied, as calls that end are removed from the list.
+  std::vector<ForwardedCall*> calls;
+  std::ranges::transform(m_calls, std::back_inserter(calls),
+                         [](const auto& call) { return call.get(); });
+  std::ranges::for_each(calls, action);
+}
+
 std::optional<Endpoint> ServingEntry::TableReader() const {
   std::vector<InstanceId> members{m_settings.id};
   for (const auto& [id, peer] : m_peers.peers()) {
@@ -425,6 +438,9 @@
   }
   const Duration elapsed = m_deps.loop.clock().Now() - *m_draining_since;
   const bool idle = m_calls.empty() && m_server.busy_connection_count() == 0;
+  if (elapsed > m_settings.drain_limit - kDrainAnswerMargin) {
+    ForEachCall([](ForwardedCall* call) { call->EndWhileDraining(); });
+  }
   // Waits one more tick, so that the last bytes written leave the machine.
   m_idle_ticks = idle ? m_idle_ticks + 1 : 0;
   if ((m_idle_ticks > 1 && elapsed > kDrainAcceptTime) ||
