Requests that are given up are withdrawn by a reset

Cause: a connection whose call was given up was closed in order, so that bytes that had not been delivered were still sent when the path was back. Class: work that nobody waits for acts later.

Now a connection on which a response is due is closed by a reset (SO_LINGER 0), whether the call was cancelled, timed out or broke. A call that has its complete response closes in order, as before.

http_client/a_call_that_is_given_up_withdraws_its_request and http_client/a_call_that_times_out_withdraws_its_request fail without it.

What a real kernel has delivered to a process that stands still stays readable after a reset; the retry budget counts those.

--- a/packages/runtime/src/http_client_connection.cc
+++ b/packages/runtime/src/http_client_connection.cc
@@ -54,6 +54,11 @@
 
 HttpClientConnection::~HttpClientConnection() {
   *m_alive = false;
+  if (m_awaits_response) {
+    // Withdraws the request if it has not been delivered: after an orderly
+    // close it would still be sent once the path to the peer is back.
+    ResetOnClose(bufferevent_getfd(m_stream));
+  }
   bufferevent_free(m_stream);
 }
 
@@ -78,6 +83,7 @@
                                 Duration idle_timeout, bool keep_alive,
                                 HttpObserver& observer) {
   m_observer = &observer;
+  m_awaits_response = true;
   m_keep_alive = keep_alive;
   m_is_head_request = request.method == "HEAD";
   m_head_complete = false;
@@ -318,6 +324,7 @@
 
 void HttpClientConnection::End(HttpOutcome outcome) {
   HttpObserver* observer = std::exchange(m_observer, nullptr);
+  m_awaits_response = outcome != HttpOutcome::kComplete;
   const bool is_reusable =
       outcome == HttpOutcome::kComplete && !m_failed && m_keep_alive &&
       http_should_keep_alive(&m_parser) != 0 &&
--- a/packages/runtime/src/http_client_connection.h
+++ b/packages/runtime/src/http_client_connection.h
@@ -73,6 +73,8 @@
   bool m_message_complete = false;
   /// Whether the current response belongs to an earlier call and is discarded.
   bool m_is_skipping_response = false;
+  /// Whether a request has been sent whose response is not complete.
+  bool m_awaits_response = false;
   /// Whether a response has arrived on this connection, to whichever call.
   bool m_had_response = false;
   /// Bytes of interim responses and of others' responses during this call.
--- a/packages/runtime/src/http_framing.cc
+++ b/packages/runtime/src/http_framing.cc
@@ -112,4 +112,9 @@
   }
 }
 
+void ResetOnClose(int socket) noexcept {
+  const linger reset{1, 0};
+  setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+}
+
 }  // namespace bambooquay
--- a/packages/runtime/src/http_framing.h
+++ b/packages/runtime/src/http_framing.h
@@ -58,4 +58,7 @@
 ///   unacknowledged for this long; zero keeps the system's default.
 void SetSocketOptions(int socket, Duration tcp_user_timeout) noexcept;
 
+/// Makes the close of `socket` reset its connection and drop unsent bytes.
+void ResetOnClose(int socket) noexcept;
+
 }  // namespace bambooquay
--- a/packages/runtime/tests/http_client_test.cc
+++ b/packages/runtime/tests/http_client_test.cc
@@ -1,9 +1,14 @@
 // Tests of the HTTP client against servers that misbehave.
 #include "bambooquay/runtime/http_client.h"
 
+#include <netinet/in.h>
 #include <rapidcheck/boost_test.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include <array>
 #include <boost/test/unit_test.hpp>
+#include <cerrno>
 #include <memory>
 #include <optional>
 #include <string>
@@ -83,6 +88,47 @@
   };
 }
 
+/// A listening socket that accepts nothing by itself, as that of a process that
+/// stands still.
+class StandingServer {
+ public:
+  StandingServer() : m_listener(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    BOOST_REQUIRE(bind(m_listener, reinterpret_cast<sockaddr*>(&address),
+                       sizeof(address)) == 0);
+    BOOST_REQUIRE(listen(m_listener, 1) == 0);
+    socklen_t length = sizeof(address);
+    getsockname(m_listener, reinterpret_cast<sockaddr*>(&address), &length);
+    m_endpoint = {"127.0.0.1", ntohs(address.sin_port)};
+  }
+  StandingServer(const StandingServer&) = delete;
+  StandingServer& operator=(const StandingServer&) = delete;
+  ~StandingServer() { close(m_listener); }
+
+  [[nodiscard]] const Endpoint& endpoint() const { return m_endpoint; }
+  /// Accepts a connection and reads from it until its end.
+  /// @returns whether it ended with a reset.
+  [[nodiscard]] bool ReadUntilReset() const {
+    const int connection = accept(m_listener, nullptr, nullptr);
+    const timeval limit{5, 0};
+    setsockopt(connection, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+    std::array<char, 4096> buffer{};
+    ssize_t size = 0;
+    do {
+      size = recv(connection, buffer.data(), buffer.size(), 0);
+    } while (size > 0);
+    const bool is_reset = size < 0 && errno == ECONNRESET;
+    close(connection);
+    return is_reset;
+  }
+
+ private:
+  int m_listener;
+  Endpoint m_endpoint;
+};
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(http_client)
@@ -322,6 +368,38 @@
 
 // A server in trouble sends bytes without end. Each case must end although the
 // connection is never silent.
+BOOST_AUTO_TEST_CASE(a_call_that_is_given_up_withdraws_its_request) {
+  EventLoop loop;
+  const StandingServer server;
+  HttpClient client(loop, {});
+  RecordingObserver observer;
+  HttpRequest request;
+  request.method = "POST";
+  request.target = "/";
+  request.body = std::string(4096, 'x');
+  auto call = client.Start(server.endpoint(), request, kTestTimeout,
+                           ConnectionReuse::kAllowed, observer);
+  loop.RunUntil([] { return false; }, milliseconds(100));
+  call = nullptr;
+  loop.RunUntil([] { return false; }, milliseconds(50));
+  BOOST_TEST(server.ReadUntilReset());
+}
+
+BOOST_AUTO_TEST_CASE(a_call_that_times_out_withdraws_its_request) {
+  EventLoop loop;
+  const StandingServer server;
+  HttpClient client(loop, {});
+  RecordingObserver observer;
+  HttpRequest request;
+  request.target = "/";
+  const auto call = client.Start(server.endpoint(), request, milliseconds(200),
+                                 ConnectionReuse::kAllowed, observer);
+  BOOST_REQUIRE(loop.RunUntil([&] { return observer.outcome.has_value(); },
+                              kTestTimeout));
+  loop.RunUntil([] { return false; }, milliseconds(50));
+  BOOST_TEST(server.ReadUntilReset());
+}
+
 BOOST_AUTO_TEST_CASE(a_head_without_end_breaks_the_call) {
   ClientAndServer fixture(
       AlwaysRespond("HTTP/1.1 200 OK\r\nA: " + std::string(4 << 20, 'x')));
