A reader for a data centre notices in time that the store does not answer it

Cause: its pause (1 s), its watch (2 s), the time limit of the watch beyond that (1 s) and the pause of the others (1 s) are 5 s together. Class: a bound that depends on the age of a copy that is passed on, where each part of the way adds to it.

The reader now pauses for 0.2 s and its watches last 1 s, so that it notices after 2.2 s, and the others within 3.2 s. One entry of ten or more makes these calls.

--- a/packages/serving/include/bambooquay/serving/serving_entry.h
+++ b/packages/serving/include/bambooquay/serving/serving_entry.h
@@ -63,6 +63,9 @@
   void HandleRequest(std::shared_ptr<HttpExchange> exchange);
   /// Runs `action`, which may end the call, for each call in progress.
   void ForEachCall(const std::function<void(ForwardedCall*)>& action);
+  /// @returns the entry that reads the store for this data centre; nothing if
+  ///   each reads for itself.
+  [[nodiscard]] std::optional<InstanceId> ReaderOfDataCentre() const;
   /// @returns the address of the entry that reads the store for this data
   ///   centre; nothing if this entry reads for itself.
   [[nodiscard]] std::optional<Endpoint> TableReader() const;
--- a/packages/serving/include/bambooquay/serving/table_mirror.h
+++ b/packages/serving/include/bambooquay/serving/table_mirror.h
@@ -53,6 +53,8 @@
   void SetMaxWatchTime(Duration time) noexcept {
     m_settings.max_watch_time = time;
   }
+  /// Changes MirrorSettings::pause.
+  void SetPause(Duration pause) noexcept { m_settings.pause = pause; }
   /// Sets where the table is listed while the store is unreachable.
   void SetFallback(FleetTable& fallback) { m_fallback = &fallback; }
   /// @returns all rows of the copy as one page.
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -20,6 +20,9 @@
 // it take effect, within the time that the store needs to count as stable again
 // and the time that upstreams serve after their departure, 5 s together.
 constexpr Duration kWatchTime = std::chrono::seconds(2);
+// The same for the list of upstreams in an entry that reads it for others: they
+// learn of a lost response only when this entry does, and pause themselves.
+constexpr Duration kReaderWatchTime = std::chrono::seconds(1);
 // The same for the operators' rows in an entry behind a reader. The versions in
 // the statuses of others tell it that a response was lost.
 constexpr Duration kFollowerWatchTime = std::chrono::seconds(25);
@@ -302,7 +305,7 @@
   std::ranges::for_each(calls, action);
 }
 
-std::optional<Endpoint> ServingEntry::TableReader() const {
+std::optional<InstanceId> ServingEntry::ReaderOfDataCentre() const {
   std::vector<InstanceId> members{m_settings.id};
   for (const auto& [id, peer] : m_peers.peers()) {
     if (peer.status.data_centre == m_settings.data_centre &&
@@ -310,7 +313,11 @@
       members.push_back(id);
     }
   }
-  const auto reader = ChooseTableReader(members);
+  return ChooseTableReader(members);
+}
+
+std::optional<Endpoint> ServingEntry::TableReader() const {
+  const auto reader = ReaderOfDataCentre();
   if (!reader.has_value() || *reader == m_settings.id) {
     return std::nullopt;
   }
@@ -318,7 +325,11 @@
 }
 
 void ServingEntry::UpdateWatchTimes() {
-  const bool has_reader = TableReader().has_value();
+  const auto reader = ReaderOfDataCentre();
+  const bool is_reader = reader == m_settings.id;
+  m_upstream_rows.SetMaxWatchTime(is_reader ? kReaderWatchTime : kWatchTime);
+  m_upstream_rows.SetPause(is_reader ? kUpstreamShortPause : kUpstreamPause);
+  const bool has_reader = reader.has_value() && !is_reader;
   if (std::exchange(m_has_reader, has_reader) == has_reader) {
     return;
   }
