A name that is not UTF-8 ends no agent

Cause: the agent's order is JSON, and the encoder throws on such a string; nothing catches it. Class: text of callers that reaches an encoder with a precondition. The other encoders of the hosted path take ids and addresses of the system's own.

--- a/packages/serving/include/bambooquay/serving/call_codec.h
+++ b/packages/serving/include/bambooquay/serving/call_codec.h
@@ -34,6 +34,8 @@
   std::string api_key;
   ModelName model;               ///< Empty for plain services.
   AdapterName adapter;           ///< Empty for the base model.
+  /// Whether the names of the model and the adapter are valid text.
+  bool has_valid_names = true;
   std::optional<Tokens> tokens;  ///< Prompt plus the largest allowed output.
   double prompt_tokens = 0.0;
   /// In order. The last part is specific to this request, the ones before it
--- a/packages/serving/src/forwarded_call.cc
+++ b/packages/serving/src/forwarded_call.cc
@@ -83,6 +83,10 @@
   if (!Authenticate()) {
     return;
   }
+  if (!m_call.has_valid_names) {
+    Refuse(ToCode(HttpStatus::kBadRequest), "bad_model", Duration::zero());
+    return;
+  }
   ChooseService();
   if (m_service == nullptr) {
     Refuse(ToCode(HttpStatus::kServiceUnavailable), "unknown_service",
