--- a/packages/serving/include/bambooquay/serving/retry_budget.h
+++ b/packages/serving/include/bambooquay/serving/retry_budget.h
@@ -27,14 +27,14 @@
 ///
 /// Invariants:
 /// - The parts of all entries add up to less than the fleet-wide limits. A part
-///   that is not a whole number is rounded at random, as each entry would use
-///   one that is rounded up.
-/// - A part of the slack builds up over the first window, once an entry knows
-/// the
-///   others, so that entries that start again use it at most twice in a window,
-///   however often they start.
-/// - A retry counts for a window after both it and the attempt that it replaces
-///   can no longer reach an upstream.
+///   that is not a whole number is rounded at random: if all entries rounded
+///   up, many of them would exceed the limits together.
+/// - A part of the slack builds up over a window, once the entry has had time
+/// to
+///   hear of the others. So entries that start again and again use it at most
+///   twice in a window.
+/// - A retry that leaves a silent upstream counts until a window after that
+///   upstream has responded, as the abandoned attempt may arrive until then.
 class RetryBudget {
  public:
   /// @param running_since  when this entry started.
--- a/packages/serving/include/bambooquay/serving/serving_entry.h
+++ b/packages/serving/include/bambooquay/serving/serving_entry.h
@@ -62,7 +62,7 @@
  private:
   void HandleRequest(std::shared_ptr<HttpExchange> exchange);
   /// Runs `action`, which may end the call, for each call in progress.
-  void ForEachCall(const std::function<void(ForwardedCall*)>& action);
+  void ForEachCall(const std::function<void(ForwardedCall&)>& action);
   /// @returns the entry that reads the store for this data centre; nothing if
   ///   each reads for itself.
   [[nodiscard]] std::optional<InstanceId> ReaderOfDataCentre() const;
--- a/packages/serving/src/forwarded_response.cc
+++ b/packages/serving/src/forwarded_response.cc
@@ -270,10 +270,10 @@
   }
   const auto picked = m_context.upstreams.Pick(m_query);
   const auto* upstream = std::get_if<UpstreamId>(&picked);
-  if (upstream == nullptr ||
-      !AcquireRetry(m_upstream.has_value() ? AttemptResult::kTimedOut
-                                           : AttemptResult::kFailed,
-                    m_upstream)) {
+  // An attempt that is still in progress is left because it is silent.
+  const AttemptResult result = m_upstream.has_value() ? AttemptResult::kTimedOut
+                                                      : AttemptResult::kFailed;
+  if (upstream == nullptr || !AcquireRetry(result, m_upstream)) {
     return std::nullopt;
   }
   return *upstream;
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -150,7 +150,7 @@
   m_quarantine.OnQuarantined([this] {
     // Runs within a call that has just failed, so the others end later.
     m_deps.loop.Post([this] {
-      ForEachCall([](ForwardedCall* call) { call->HandleQuarantine(); });
+      ForEachCall([](ForwardedCall& call) { call.HandleQuarantine(); });
     });
   });
   m_peers.OnEngineStatus([this](const EngineStatus& status) {
@@ -297,12 +297,12 @@
 }
 
 void ServingEntry::ForEachCall(
-    const std::function<void(ForwardedCall*)>& action) {
+    const std::function<void(ForwardedCall&)>& action) {
   // Copied, as calls that end are removed from the list.
   std::vector<ForwardedCall*> calls;
   std::ranges::transform(m_calls, std::back_inserter(calls),
                          [](const auto& call) { return call.get(); });
-  std::ranges::for_each(calls, action);
+  std::ranges::for_each(calls, [&](ForwardedCall* call) { action(*call); });
 }
 
 std::optional<InstanceId> ServingEntry::ReaderOfDataCentre() const {
@@ -450,7 +450,7 @@
   const Duration elapsed = m_deps.loop.clock().Now() - *m_draining_since;
   const bool idle = m_calls.empty() && m_server.busy_connection_count() == 0;
   if (elapsed > m_settings.drain_limit - kDrainAnswerMargin) {
-    ForEachCall([](ForwardedCall* call) { call->EndWhileDraining(); });
+    ForEachCall([](ForwardedCall& call) { call.EndWhileDraining(); });
   }
   // Waits one more tick, so that the last bytes written leave the machine.
   m_idle_ticks = idle ? m_idle_ticks + 1 : 0;
