--- a/packages/serving/include/bambooquay/serving/call_codec.h
+++ b/packages/serving/include/bambooquay/serving/call_codec.h
@@ -32,8 +32,8 @@
   /// Set by the caller; the route's timeout applies as well.
   std::optional<Duration> time_limit;
   std::string api_key;
-  ModelName model;               ///< Empty for plain services.
-  AdapterName adapter;           ///< Empty for the base model.
+  ModelName model;      ///< Empty for plain services.
+  AdapterName adapter;  ///< Empty for the base model.
   /// Whether the names of the model and the adapter are valid text.
   bool has_valid_names = true;
   std::optional<Tokens> tokens;  ///< Prompt plus the largest allowed output.
