Logs say why a call stays at a silent upstream

Ruled out: nothing; no decision is changed. Change: call_held with the obstacle, the age of the report and the silence of all calls there; held_by in call_ended; calls_held_total. CanRetry names its obstacle.

--- a/packages/runtime/include/bambooquay/runtime/log.h
+++ b/packages/runtime/include/bambooquay/runtime/log.h
@@ -2,10 +2,13 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <type_traits>
 
+#include "bambooquay/core/clock.h"
+
 namespace bambooquay {
 
 enum class LogLevel : std::uint8_t { kDebug, kInfo, kWarning, kError, kOff };
@@ -59,6 +62,9 @@
       return With(key, std::string_view(std::to_string(value)));
     }
   }
+  /// Adds a time in whole milliseconds; -1 for none.
+  LogEvent& WithMilliseconds(std::string_view key,
+                             std::optional<Duration> time);
 
  private:
   LogEvent& WithDecimal(std::string_view key, double value);
--- a/packages/runtime/src/log.cc
+++ b/packages/runtime/src/log.cc
@@ -126,6 +126,12 @@
   logger->forcedLog(ToLevel(m_level), m_line);
 }
 
+LogEvent& LogEvent::WithMilliseconds(std::string_view key,
+                                     std::optional<Duration> time) {
+  return With(key,
+              time.has_value() ? *time / std::chrono::milliseconds(1) : -1);
+}
+
 LogEvent& LogEvent::WithDecimal(std::string_view key, double value) {
   if (!m_enabled) {
     return *this;
--- a/packages/serving/include/bambooquay/serving/forwarded_call.h
+++ b/packages/serving/include/bambooquay/serving/forwarded_call.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <variant>
 
 #include "bambooquay/core/random.h"
 #include "bambooquay/runtime/event_loop.h"
@@ -18,6 +19,7 @@
 #include "bambooquay/serving/event_stream.h"
 #include "bambooquay/serving/fleet_allowance.h"
 #include "bambooquay/serving/prompt_quarantine.h"
+#include "bambooquay/serving/repeat_obstacle.h"
 #include "bambooquay/serving/retry_budget.h"
 #include "bambooquay/serving/route_table.h"
 #include "bambooquay/serving/stall_policy.h"
@@ -157,9 +159,7 @@
   ///   then, even if the transport says that the response is complete.
   [[nodiscard]] bool IsStreamBrokenOff() const;
   /// Chooses an upstream to repeat the call at, and charges the retry budget.
-  /// @returns nothing if the call may not be repeated, no other upstream is
-  ///   free, or the budget is used up.
-  [[nodiscard]] std::optional<UpstreamId> PickForRepeat();
+  [[nodiscard]] std::variant<UpstreamId, RepeatObstacle> PickForRepeat();
   /// Retries, or ends the call, after an attempt without a usable response.
   void HandleFailedAttempt(AttemptResult result, bool may_have_run,
                            std::string_view reason);
@@ -173,6 +173,8 @@
   /// Moves the call away from a silent upstream if that is due and another one
   /// is free. Otherwise the attempt continues and is checked again later.
   void HandleStall();
+  /// Logs, once an attempt, why the call stays at a silent upstream.
+  void LogHeldCall(RepeatObstacle obstacle);
   /// Moves the call from its present upstream, which has sent nothing for too
   /// long, to another one.
   void MoveTo(const UpstreamId& next);
@@ -191,9 +193,8 @@
 
   [[nodiscard]] Duration Elapsed() const;
   [[nodiscard]] Duration TimeLeft() const;
-  /// @returns whether the route and the remaining time allow another attempt,
-  ///   and what the caller has received so far can be continued.
-  [[nodiscard]] bool CanRetry(bool may_have_run);
+  /// @returns why the call may not be sent to any further upstream, if so.
+  [[nodiscard]] std::optional<RepeatObstacle> FindObstacle(bool may_have_run);
   /// Charges a retry to the service's retry budget. A retry after an attempt
   /// that reached no upstream is free, as it adds no load.
   /// @param result  of the attempt before.
@@ -250,6 +251,8 @@
   std::optional<TimePoint> m_attempt_begun_at;
   /// Events that the current attempt has sent.
   int m_attempt_events = 0;
+  /// What keeps the current attempt at its silent upstream, if it was logged.
+  std::optional<RepeatObstacle> m_held_by;
 
   /// Callbacks that may run after the call was destroyed hold a weak pointer
   /// to this.
--- a/packages/serving/include/bambooquay/serving/upstream_set.h
+++ b/packages/serving/include/bambooquay/serving/upstream_set.h
@@ -113,6 +113,9 @@
   int in_flight = 0;
   /// When this entry last sent a call to it.
   TimePoint last_attempt_at{};
+  /// When one of the calls in progress last got a part of its response, or the
+  /// first of them was sent. Meaningless without calls in progress.
+  TimePoint last_progress_at{};
   /// Calls sent from this entry since the last report.
   int sent_since_report = 0;
   /// Exponentially weighted share of failed attempts.
@@ -201,6 +204,8 @@
   ///   is cold has warmed up; nothing if there is no such upstream.
   [[nodiscard]] std::optional<Duration> TimeUntilWarm(const PickQuery& query);
   void RecordAttemptStart(const UpstreamId& id, const PickQuery& query);
+  /// Records that a call in progress has got a part of its response.
+  void RecordProgress(const UpstreamId& id);
   void RecordAttemptResult(const UpstreamId& id, const PickQuery& query,
                            AttemptResult result);
 
@@ -220,6 +225,10 @@
   /// @returns the time since its last report, if there is one.
   [[nodiscard]] std::optional<Duration> ReportAge(
       const Upstream& upstream) const;
+  /// @returns the time for which all calls in progress from this entry have
+  ///   got nothing; nothing if there is no call.
+  [[nodiscard]] std::optional<Duration> SilentFor(
+      const Upstream& upstream) const;
   /// @returns the models that it has: from its report if that is fresh, else
   ///   from its record in the store.
   [[nodiscard]] const std::vector<LoadedModel>& Models(
--- a/packages/serving/src/forwarded_call.cc
+++ b/packages/serving/src/forwarded_call.cc
@@ -32,11 +32,6 @@
   return text.data();
 }
 
-/// @returns the time in milliseconds for a log line; -1 for none.
-std::int64_t ToMilliseconds(std::optional<Duration> time) {
-  return time.has_value() ? *time / milliseconds(1) : -1;
-}
-
 }  // namespace
 
 ForwardedCall::ForwardedCall(ServingContext& context,
@@ -348,6 +343,7 @@
   m_status = 0;
   m_attempt_begun_at.reset();
   m_attempt_events = 0;
+  m_held_by.reset();
   AttemptMetadata metadata;
   metadata.upstream = id;
   metadata.time_left = TimeLeft();
@@ -364,8 +360,8 @@
       .With("number", m_attempt_count)
       .With("upstream", id.value())
       .With("load", m_context.upstreams.EstimateLoad(*upstream))
-      .With("report_age_ms",
-            ToMilliseconds(m_context.upstreams.ReportAge(*upstream)))
+      .WithMilliseconds("report_age_ms",
+                        m_context.upstreams.ReportAge(*upstream))
       .With("failure_share", upstream->failure_share)
       .With("kept_tokens", upstream->prompt_cache.CachedTokens(m_query.prompt))
       .With("prompt_tokens", m_call.prompt_tokens)
@@ -462,11 +458,12 @@
             m_organisation == nullptr ? "" : m_organisation->name.value())
       .With("model", AdapterKey(m_call.model, m_call.adapter))
       .With("attempts", m_attempt_count)
+      .With("held_by", m_held_by.has_value() ? ToString(*m_held_by) : "")
       .With("configuration",
             m_active_configuration == nullptr
                 ? 0
                 : m_active_configuration->configuration.version)
-      .With("first_event_ms", ToMilliseconds(m_first_event))
+      .WithMilliseconds("first_event_ms", m_first_event)
       .With("longest_pause_ms", m_longest_pause / milliseconds(1))
       .With("elapsed_ms", Elapsed() / milliseconds(1));
 }
--- a/packages/serving/src/forwarded_response.cc
+++ b/packages/serving/src/forwarded_response.cc
@@ -60,15 +60,41 @@
 void ForwardedCall::HandleStall() {
   const Duration wait = MakeStallPolicy().TimeUntilMove(DescribeSilence());
   if (wait == Duration::zero() && !m_attempt->HasUnreadInput()) {
-    if (const auto next = PickForRepeat()) {
-      MoveTo(*next);
+    const auto next = PickForRepeat();
+    if (const auto* upstream = std::get_if<UpstreamId>(&next)) {
+      MoveTo(*upstream);
       return;
     }
+    LogHeldCall(std::get<RepeatObstacle>(next));
   }
   m_stall_timer = m_context.loop.After(std::max(wait, kStallRecheckInterval),
                                        [this] { HandleStall(); });
 }
 
+void ForwardedCall::LogHeldCall(RepeatObstacle obstacle) {
+  if (m_held_by == obstacle) {
+    return;
+  }
+  m_held_by = obstacle;
+  m_context.metrics.Increment("calls_held_total{reason=\"" +
+                              std::string(ToString(obstacle)) + "\"}");
+  LogEvent event(LogLevel::kInfo, "call_held");
+  event.With("request", m_call.id.value())
+      .With("upstream", m_upstream->value())
+      .With("reason", ToString(obstacle))
+      .With("attempts", m_attempt_count)
+      .With("events", m_attempt_events)
+      .WithMilliseconds("silent_ms", DescribeSilence().silent_for);
+  if (const Upstream* upstream = m_context.upstreams.Find(*m_upstream)) {
+    event
+        .WithMilliseconds("report_age_ms",
+                          m_context.upstreams.ReportAge(*upstream))
+        .With("upstream_calls", upstream->in_flight)
+        .WithMilliseconds("upstream_silent_ms",
+                          m_context.upstreams.SilentFor(*upstream));
+  }
+}
+
 void ForwardedCall::MoveTo(const UpstreamId& next) {
   LogFailedAttempt(*m_upstream, "too_slow", true, "yes");
   m_context.metrics.Increment("attempts_failed_total{reason=\"too_slow\"}");
@@ -86,6 +112,7 @@
 void ForwardedCall::OnHead(int status, const HttpHeaders& headers) {
   m_status = status;
   m_context.retry_budget_for(m_service->name).RecordResponse(*m_upstream);
+  m_context.upstreams.RecordProgress(*m_upstream);
   const ResponseInfo info = m_context.codec.InspectResponse(status, headers);
   RecordNotices(info);
   if (info.not_run || info.misdirected) {
@@ -149,6 +176,7 @@
 }
 
 void ForwardedCall::OnPart(std::string_view bytes) {
+  m_context.upstreams.RecordProgress(*m_upstream);
   if (m_event_stream) {
     const std::string events = m_events.Append(bytes);
     if (!events.empty()) {
@@ -235,10 +263,11 @@
   EndAttempt(failed ? AttemptResult::kFailed : AttemptResult::kServed);
   if (failed && !m_relaying) {
     m_may_have_run = true;
-    const auto next = PickForRepeat();
+    const auto picked = PickForRepeat();
+    const auto* next = std::get_if<UpstreamId>(&picked);
     LogFailedAttempt(upstream, std::to_string(m_status), true,
-                     next.has_value() ? "yes" : "no");
-    if (next.has_value()) {
+                     next != nullptr ? "yes" : "no");
+    if (next != nullptr) {
       m_body.clear();
       StartAttempt(*next);
       return;
@@ -264,17 +293,20 @@
   m_context.quarantine.RecordCrash(m_call.prompt, run, *m_attempt_begun_at);
 }
 
-std::optional<UpstreamId> ForwardedCall::PickForRepeat() {
-  if (!CanRetry(true)) {
-    return std::nullopt;
+std::variant<UpstreamId, RepeatObstacle> ForwardedCall::PickForRepeat() {
+  if (const auto obstacle = FindObstacle(true)) {
+    return *obstacle;
   }
   const auto picked = m_context.upstreams.Pick(m_query);
   const auto* upstream = std::get_if<UpstreamId>(&picked);
   // An attempt that is still in progress is left because it is silent.
   const AttemptResult result = m_upstream.has_value() ? AttemptResult::kTimedOut
                                                       : AttemptResult::kFailed;
-  if (upstream == nullptr || !AcquireRetry(result, m_upstream)) {
-    return std::nullopt;
+  if (upstream == nullptr) {
+    return RepeatObstacle::kNoUpstreamFree;
+  }
+  if (!AcquireRetry(result, m_upstream)) {
+    return RepeatObstacle::kOverBudget;
   }
   return *upstream;
 }
@@ -288,20 +320,25 @@
   }
 }
 
-bool ForwardedCall::CanRetry(bool may_have_run) {
+std::optional<RepeatObstacle> ForwardedCall::FindObstacle(bool may_have_run) {
   if (may_have_run && !m_route->repeatable()) {
-    return false;
+    return RepeatObstacle::kNotRepeatable;
   }
   if (!m_context.quarantine.MayRepeat(m_call.prompt)) {
-    return false;
+    return RepeatObstacle::kQuarantined;
   }
   if (m_relaying && !m_event_stream) {
     // The caller has bytes of a response that another run may not repeat.
-    return false;
+    return RepeatObstacle::kPartialResponse;
+  }
+  if (m_attempt_count - m_unreachable_attempts >= m_route->max_attempts ||
+      m_unreachable_attempts > kMaxUnreachableAttempts) {
+    return RepeatObstacle::kNoAttemptLeft;
+  }
+  if (TimeLeft() <= kMinAttemptTime) {
+    return RepeatObstacle::kNoTimeLeft;
   }
-  return m_attempt_count - m_unreachable_attempts < m_route->max_attempts &&
-         m_unreachable_attempts <= kMaxUnreachableAttempts &&
-         TimeLeft() > kMinAttemptTime;
+  return std::nullopt;
 }
 
 bool ForwardedCall::AcquireRetry(AttemptResult result,
@@ -334,7 +371,7 @@
   m_may_have_run = m_may_have_run || may_have_run;
   m_body.clear();
   static_cast<void>(m_events.TakeRemainder());
-  const bool allowed = CanRetry(may_have_run);
+  const bool allowed = !FindObstacle(may_have_run).has_value();
   const bool retry = allowed && AcquireRetry(result, upstream);
   LogFailedAttempt(upstream, reason, may_have_run,
                    retry ? "yes" : (allowed ? "over_budget" : "no"));
--- a/packages/serving/src/upstream_set.cc
+++ b/packages/serving/src/upstream_set.cc
@@ -218,6 +218,12 @@
              : std::nullopt;
 }
 
+std::optional<Duration> UpstreamSet::SilentFor(const Upstream& upstream) const {
+  return upstream.in_flight > 0
+             ? std::optional(m_clock.Now() - upstream.last_progress_at)
+             : std::nullopt;
+}
+
 const std::vector<LoadedModel>& UpstreamSet::Models(
     const Upstream& upstream) const {
   return HasFreshReport(upstream) ? upstream.report->models
@@ -231,12 +237,22 @@
     return;
   }
   Upstream& upstream = found->second;
-  ++upstream.in_flight;
+  const TimePoint now = m_clock.Now();
+  if (upstream.in_flight++ == 0) {
+    upstream.last_progress_at = now;
+  }
   ++upstream.sent_since_report;
-  upstream.last_attempt_at = m_clock.Now();
+  upstream.last_attempt_at = now;
   upstream.prompt_cache.RecordPrompt(query.prompt);
 }
 
+void UpstreamSet::RecordProgress(const UpstreamId& id) {
+  const auto found = m_upstreams.find(id);
+  if (found != m_upstreams.end()) {
+    found->second.last_progress_at = m_clock.Now();
+  }
+}
+
 void UpstreamSet::RecordAttemptResult(const UpstreamId& id,
                                       const PickQuery& query,
                                       AttemptResult result) {
--- a/packages/serving/tests/upstream_set_test.cc
+++ b/packages/serving/tests/upstream_set_test.cc
@@ -215,6 +215,24 @@
   BOOST_TEST(sent_to_hanging <= 5);
 }
 
+BOOST_AUTO_TEST_CASE(an_upstream_is_silent_since_any_of_its_calls_had_news) {
+  UpstreamSetFixture set;
+  set.upstreams.Put(MakeRecord("a", 1));
+  const UpstreamId id("a");
+  const auto silent_for = [&] {
+    return set.upstreams.SilentFor(*set.upstreams.Find(id));
+  };
+  BOOST_TEST(!silent_for().has_value());
+  set.upstreams.RecordAttemptStart(id, MakeQuery("s"));
+  set.clock.Advance(seconds(2));
+  // A further call is no sign of life.
+  set.upstreams.RecordAttemptStart(id, MakeQuery("s"));
+  BOOST_TEST((silent_for() == seconds(2)));
+  set.upstreams.RecordProgress(id);
+  set.clock.Advance(seconds(1));
+  BOOST_TEST((silent_for() == seconds(1)));
+}
+
 // Load: a burst makes every engine with a model so slow that calls leave it.
 // They report all the while and have free slots, so callers are served there
 // rather than refused.
