Calls to engines that stand still end while their callers can come back

Seen by callers: a stream at an engine whose machine stood still got nothing for the whole of the caller's patience; then the caller left, and the engine ran the request as it woke (GONE). Half of a caller's wait would have been enough for a second request. Cause: (1) a call that nothing else could take was held until its caller left. (2) An upstream whose reports had stopped counted as one with an unknown load, mostly a low one, and was chosen on; a report after the call's last event made it look busy for 2.4 s. Change: UpstreamSet::FindSignOfLife tells from the reports and from all responses of an upstream whether it works, is lost or is unknown. A lost one is the last choice, gets one call at a time, and is left after a second. StallPolicy::ShouldGiveUp ends a call that can't move once half of the caller's patience is used up, only at a lost upstream: slow ones and those without an agent keep their calls. Conclusion: the class is a call whose upstream is lost and that nobody ends. What has reached a machine that stands still is run there still; it is not for a caller that waited in vain.

--- a/packages/serving/include/bambooquay/serving/forwarded_call.h
+++ b/packages/serving/include/bambooquay/serving/forwarded_call.h
@@ -171,7 +171,8 @@
   /// yet.
   void GiveUp(std::string_view reason, Duration retry_after);
   /// Moves the call away from a silent upstream if that is due and another one
-  /// is free. Otherwise the attempt continues and is checked again later.
+  /// is free, or ends it if its caller should have the time to come back.
+  /// Otherwise the attempt continues and is checked again later.
   void HandleStall();
   /// Logs, once an attempt, why the call stays at a silent upstream.
   void LogHeldCall(RepeatObstacle obstacle);
@@ -181,6 +182,9 @@
   /// Records that the attempt has been sent or has made progress.
   void RestartStallTimer();
   [[nodiscard]] SilentAttempt DescribeSilence() const;
+  /// @returns the time since the caller got its last event, or sent its
+  ///   request.
+  [[nodiscard]] Duration CallerWait() const;
   [[nodiscard]] StallPolicy MakeStallPolicy() const;
   /// Ends a response that has been started but can't be completed.
   void AbortRelay(std::string_view reason);
--- a/packages/serving/include/bambooquay/serving/upstream_set.h
+++ b/packages/serving/include/bambooquay/serving/upstream_set.h
@@ -16,6 +16,7 @@
 #include "bambooquay/core/random.h"
 #include "bambooquay/serving/call_codec.h"
 #include "bambooquay/serving/prompt_cache_view.h"
+#include "bambooquay/serving/stall_policy.h"
 #include "bambooquay/serving/upstream_notices.h"
 #include "bambooquay/serving/upstream_record.h"
 
@@ -75,6 +76,8 @@
   int with_adapter = 0;  ///< Of those with the model, those with the adapter.
   /// Of these, those that were tried, are avoided, or want no calls.
   int avoided = 0;
+  /// Of the avoided ones, those without a sign of life that have a call.
+  int silent = 0;
   int full = 0;     ///< Of the others, those with too many calls.
   int limited = 0;  ///< Of the remaining ones, those that denied a permit.
   int cold = 0;     ///< Of the remaining ones, those that are cold.
@@ -113,9 +116,10 @@
   int in_flight = 0;
   /// When this entry last sent a call to it.
   TimePoint last_attempt_at{};
-  /// When one of the calls in progress last got a part of its response, or the
-  /// first of them was sent. Meaningless without calls in progress.
+  /// When any call from this entry last got a part of its response.
   TimePoint last_progress_at{};
+  /// When the first of the calls in progress was sent.
+  TimePoint in_use_since{};
   /// Calls sent from this entry since the last report.
   int sent_since_report = 0;
   /// Exponentially weighted share of failed attempts.
@@ -225,6 +229,7 @@
   /// @returns the time since its last report, if there is one.
   [[nodiscard]] std::optional<Duration> ReportAge(
       const Upstream& upstream) const;
+  [[nodiscard]] SignOfLife FindSignOfLife(const Upstream& upstream) const;
   /// @returns the time for which all calls in progress from this entry have
   ///   got nothing; nothing if there is no call.
   [[nodiscard]] std::optional<Duration> SilentFor(
@@ -310,6 +315,14 @@
       const Upstream& upstream) const {
     return m_notices.CallLimit(RunOf(upstream));
   }
+  /// @returns whether the upstream gives no sign of life and a call of this
+  ///   entry already waits for one. Load it answers: a machine stands still,
+  ///   and each call sent there waits, and may still be run after its caller
+  ///   has left.
+  [[nodiscard]] bool AwaitsSignOfLife(const Upstream& upstream) const {
+    return upstream.in_flight > 0 &&
+           FindSignOfLife(upstream) == SignOfLife::kNone;
+  }
   /// @returns whether the upstream wants no calls from this entry now.
   [[nodiscard]] bool IsTurnedAway(const Upstream& upstream) const {
     return m_notices.TurnedAwayFor(RunOf(upstream)) > Duration::zero();
--- a/packages/serving/src/forwarded_call.cc
+++ b/packages/serving/src/forwarded_call.cc
@@ -253,6 +253,7 @@
       .With("holding", counts.with_model)
       .With("with_adapter", counts.with_adapter)
       .With("avoided", counts.avoided)
+      .With("silent", counts.silent)
       .With("full", counts.full)
       .With("limited", counts.limited)
       .With("cold", counts.cold)
--- a/packages/serving/src/forwarded_response.cc
+++ b/packages/serving/src/forwarded_response.cc
@@ -38,13 +38,16 @@
 }
 
 SilentAttempt ForwardedCall::DescribeSilence() const {
-  const Duration silent_for = m_context.loop.clock().Now() - m_progress_at;
   const Upstream* upstream = m_context.upstreams.Find(*m_upstream);
-  const auto report_age = upstream == nullptr
-                              ? std::nullopt
-                              : m_context.upstreams.ReportAge(*upstream);
-  return {silent_for, m_attempt_events > 0,
-          report_age.has_value() && *report_age < silent_for};
+  return {m_context.loop.clock().Now() - m_progress_at, CallerWait(),
+          m_attempt_events > 0,
+          upstream == nullptr ? SignOfLife::kUnknown
+                              : m_context.upstreams.FindSignOfLife(*upstream)};
+}
+
+Duration ForwardedCall::CallerWait() const {
+  return Elapsed() -
+         (m_first_event.has_value() ? m_last_event : Duration::zero());
 }
 
 void ForwardedCall::RestartStallTimer() {
@@ -52,13 +55,17 @@
     return;
   }
   m_progress_at = m_context.loop.clock().Now();
-  m_stall_timer =
-      m_context.loop.After(MakeStallPolicy().TimeUntilMove(DescribeSilence()),
-                           [this] { HandleStall(); });
+  // An upstream may stop to give signs of life at any moment.
+  const SilentAttempt attempt{.started = m_attempt_events > 0,
+                              .upstream = SignOfLife::kNone};
+  m_stall_timer = m_context.loop.After(MakeStallPolicy().TimeUntilMove(attempt),
+                                       [this] { HandleStall(); });
 }
 
 void ForwardedCall::HandleStall() {
-  const Duration wait = MakeStallPolicy().TimeUntilMove(DescribeSilence());
+  const StallPolicy policy = MakeStallPolicy();
+  const SilentAttempt attempt = DescribeSilence();
+  const Duration wait = policy.TimeUntilMove(attempt);
   if (wait == Duration::zero() && !m_attempt->HasUnreadInput()) {
     const auto next = PickForRepeat();
     if (const auto* upstream = std::get_if<UpstreamId>(&next)) {
@@ -66,9 +73,15 @@
       return;
     }
     LogHeldCall(std::get<RepeatObstacle>(next));
+    if (policy.ShouldGiveUp(attempt)) {
+      GiveUp("upstream_silent", Duration::zero());
+      return;
+    }
   }
-  m_stall_timer = m_context.loop.After(std::max(wait, kStallRecheckInterval),
-                                       [this] { HandleStall(); });
+  m_stall_timer = m_context.loop.After(
+      wait == Duration::zero() ? kStallRecheckInterval
+                               : std::min(wait, kStallRecheckInterval),
+      [this] { HandleStall(); });
 }
 
 void ForwardedCall::LogHeldCall(RepeatObstacle obstacle) {
--- a/packages/serving/src/stall_policy.cc
+++ b/packages/serving/src/stall_policy.cc
@@ -1,4 +1,5 @@
-// Decides when a call leaves an upstream that has sent nothing for a while.
+// Decides when a call leaves an upstream that has sent nothing for a while, and
+// when it is ended instead.
 #include "bambooquay/serving/stall_policy.h"
 
 #include <algorithm>
@@ -12,9 +13,13 @@
 constexpr double kSuspectLimitShare = 0.4;
 // Between events, the multiple of the longest pause that meets the objective.
 constexpr double kSuspectPauseMultiple = 2.0;
-// Share of the caller's patience after which even a busy upstream is left. The
-// rest is for the first event from the next one.
-constexpr double kBusyPatienceShare = 0.5;
+// Silence after which an upstream without a sign of life is left, if it is not
+// suspected before.
+constexpr Duration kMaxLostWait = std::chrono::seconds(1);
+// Share of the caller's patience after which even a busy upstream is left, and
+// a call without a working upstream is ended. The rest is for the first event
+// from the next one.
+constexpr double kPatienceShare = 0.5;
 // Callers abandon a stream after the longest of this time and these multiples
 // of the latency objective and of the longest pause.
 constexpr Duration kMinCallerPatience = std::chrono::seconds(2);
@@ -42,14 +47,25 @@
                   Multiply(m_limits.time_limit, kSuspectLimitShare));
 }
 
+Duration StallPolicy::MaxCallerWait() const {
+  return Multiply(std::min(CallerPatience(), m_limits.time_limit),
+                  kPatienceShare);
+}
+
 Duration StallPolicy::TimeUntilMove(const SilentAttempt& attempt) const {
   Duration limit = SuspectAfter(attempt.started);
-  if (attempt.upstream_reported) {
-    const Duration busy_limit = Multiply(
-        std::min(CallerPatience(), m_limits.time_limit), kBusyPatienceShare);
-    limit = std::max(limit, busy_limit);
+  if (attempt.upstream == SignOfLife::kRecent) {
+    limit = std::max(limit, MaxCallerWait());
+  } else if (attempt.upstream == SignOfLife::kNone) {
+    limit = std::min(limit, kMaxLostWait);
   }
   return std::max(Duration::zero(), limit - attempt.silent_for);
 }
 
+bool StallPolicy::ShouldGiveUp(const SilentAttempt& attempt) const {
+  return attempt.upstream == SignOfLife::kNone &&
+         TimeUntilMove(attempt) == Duration::zero() &&
+         attempt.caller_waits_for >= MaxCallerWait();
+}
+
 }  // namespace bambooquay
--- a/packages/serving/src/upstream_choice.cc
+++ b/packages/serving/src/upstream_choice.cc
@@ -16,9 +16,10 @@
 constexpr double kMsPerRunningRequest = 4.0;
 // Cost of an upstream with a failure share of 1, in milliseconds.
 constexpr double kFailureMs = 2000.0;
-// Cost of an upstream that is distrusted: more than any other cost, so that it
-// is the last choice. Load it answers: under a burst all engines with a model
-// are slow, and refusing its calls would leave their places unused.
+// Cost of an upstream that is distrusted or gives no sign of life: more than
+// any other cost, so that it is the last choice. Load it answers: under a burst
+// all engines with a model are slow, and refusing its calls would leave their
+// places unused.
 constexpr double kDistrustedMs = 10'000.0;
 // Cost of sending to another data centre: latency, and transfer of the body.
 constexpr double kOtherDataCentreMs = 1.0;
@@ -109,7 +110,8 @@
   const double decay =
       std::exp(-ToSeconds(since_failure) / ToSeconds(kFailureDecayTime));
   double cost = upstream.failure_share * decay * kFailureMs;
-  if (upstream.distrust_until > m_clock.Now()) {
+  if (upstream.distrust_until > m_clock.Now() ||
+      FindSignOfLife(upstream) == SignOfLife::kNone) {
     cost += kDistrustedMs;
   }
   if (upstream.record.data_centre != m_own_data_centre) {
@@ -156,8 +158,10 @@
       continue;
     }
     ++counts.with_adapter;
+    const bool is_silent = AwaitsSignOfLife(upstream);
+    counts.silent += is_silent ? 1 : 0;
     if (query.excluded.contains(id) || upstream.avoid_until > now ||
-        IsTurnedAway(upstream)) {
+        IsTurnedAway(upstream) || is_silent) {
       ++counts.avoided;
       continue;
     }
@@ -244,6 +248,7 @@
   for (const auto& [id, upstream] : m_upstreams) {
     if (upstream.record.service != query.service || !IsUsable(upstream) ||
         query.excluded.contains(id) || upstream.avoid_until > m_clock.Now() ||
+        FindSignOfLife(upstream) == SignOfLife::kNone ||
         IsTurnedAway(upstream) || IsPermitDenied(upstream) ||
         !HasModel(upstream, query.model) ||
         HasAdapter(upstream, query.model, query.adapter)) {
--- a/packages/serving/src/upstream_set.cc
+++ b/packages/serving/src/upstream_set.cc
@@ -9,6 +9,9 @@
 
 // A report older than this says nothing about the current load.
 constexpr Duration kReportLifetime = std::chrono::milliseconds(1500);
+// Time without reports and responses after which an upstream gives no sign of
+// life. Covers several reports of an engine in use.
+constexpr Duration kSignOfLifeTime = std::chrono::seconds(1);
 // Weight of the last attempt in the failure share.
 constexpr double kFailureWeight = 0.15;
 // How long an upstream is avoided or distrusted after a failure. Doubled with
@@ -218,9 +221,22 @@
              : std::nullopt;
 }
 
+SignOfLife UpstreamSet::FindSignOfLife(const Upstream& upstream) const {
+  const auto report_age = ReportAge(upstream);
+  if (!upstream.has_engine || !report_age.has_value()) {
+    return SignOfLife::kUnknown;
+  }
+  const Duration since_progress = m_clock.Now() - upstream.last_progress_at;
+  return std::min(*report_age, since_progress) < kSignOfLifeTime
+             ? SignOfLife::kRecent
+             : SignOfLife::kNone;
+}
+
 std::optional<Duration> UpstreamSet::SilentFor(const Upstream& upstream) const {
   return upstream.in_flight > 0
-             ? std::optional(m_clock.Now() - upstream.last_progress_at)
+             ? std::optional(
+                   m_clock.Now() -
+                   std::max(upstream.in_use_since, upstream.last_progress_at))
              : std::nullopt;
 }
 
@@ -239,7 +255,7 @@
   Upstream& upstream = found->second;
   const TimePoint now = m_clock.Now();
   if (upstream.in_flight++ == 0) {
-    upstream.last_progress_at = now;
+    upstream.in_use_since = now;
   }
   ++upstream.sent_since_report;
   upstream.last_attempt_at = now;
@@ -294,9 +310,11 @@
     case AttemptResult::kFailed:
     case AttemptResult::kTimedOut:
       record_failure();
-      if (upstream.failures_in_row >= kFailuresToAvoid) {
+      if (const SignOfLife sign = FindSignOfLife(upstream);
+          sign == SignOfLife::kNone ||
+          upstream.failures_in_row >= kFailuresToAvoid) {
         const bool is_alive =
-            result == AttemptResult::kFailed || HasFreshReport(upstream);
+            result == AttemptResult::kFailed || sign == SignOfLife::kRecent;
         extend(is_alive ? upstream.distrust_until : upstream.avoid_until);
       }
       break;
--- a/packages/serving/tests/stall_policy_test.cc
+++ b/packages/serving/tests/stall_policy_test.cc
@@ -9,6 +9,7 @@
 namespace {
 
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 const StallPolicy kPolicy({.target_latency = milliseconds(300),
                            .max_pause = milliseconds(150),
@@ -35,7 +36,7 @@
 BOOST_AUTO_TEST_CASE(a_busy_upstream_is_left_only_before_the_caller_gives_up) {
   const SilentAttempt attempt{.silent_for = milliseconds(700),
                               .started = true,
-                              .upstream_reported = true};
+                              .upstream = SignOfLife::kRecent};
   BOOST_TEST((kPolicy.TimeUntilMove(attempt) == milliseconds(300)));
   BOOST_TEST((kPolicy.CallerPatience() == milliseconds(2000)));
 }
@@ -44,21 +45,63 @@
   const StallPolicy policy(
       {.target_latency = milliseconds(150), .time_limit = milliseconds(400)});
   BOOST_TEST((policy.TimeUntilMove({}) == milliseconds(160)));
-  BOOST_TEST(
-      (policy.TimeUntilMove({.upstream_reported = true}) == milliseconds(200)));
+  BOOST_TEST((policy.TimeUntilMove({.upstream = SignOfLife::kRecent}) ==
+              milliseconds(200)));
+}
+
+// A machine stands still. The objective alone would let its calls wait for 4 s.
+BOOST_AUTO_TEST_CASE(
+    an_upstream_without_a_sign_of_life_is_left_after_a_second) {
+  const StallPolicy policy(
+      {.target_latency = seconds(2), .time_limit = seconds(30)});
+  SilentAttempt attempt{.silent_for = milliseconds(900),
+                        .upstream = SignOfLife::kNone};
+  BOOST_TEST((policy.TimeUntilMove(attempt) == milliseconds(100)));
+  attempt.upstream = SignOfLife::kUnknown;
+  BOOST_TEST((policy.TimeUntilMove(attempt) == milliseconds(3100)));
+}
+
+BOOST_AUTO_TEST_CASE(a_call_to_a_lost_upstream_ends_at_half_the_patience) {
+  SilentAttempt attempt{.silent_for = milliseconds(999),
+                        .caller_waits_for = milliseconds(999),
+                        .upstream = SignOfLife::kNone};
+  BOOST_TEST(!kPolicy.ShouldGiveUp(attempt));
+  attempt.caller_waits_for = milliseconds(1000);
+  BOOST_TEST(kPolicy.ShouldGiveUp(attempt));
+  // An attempt that has just been sent gets some time.
+  attempt.silent_for = milliseconds(200);
+  BOOST_TEST(!kPolicy.ShouldGiveUp(attempt));
+}
+
+// Callers may leave a slow stream; it is not taken from those who wait.
+RC_BOOST_PROP(a_call_ends_only_without_a_sign_of_life, (bool started)) {
+  const auto time = [](int low, int high) {
+    return milliseconds(*rc::gen::inRange(low, high));
+  };
+  const StallPolicy policy({time(1, 5000), time(0, 1000), time(1, 20000)});
+  const SilentAttempt attempt{
+      time(0, 20000), time(0, 20000), started,
+      *rc::gen::element(SignOfLife::kRecent, SignOfLife::kUnknown)};
+  RC_ASSERT(!policy.ShouldGiveUp(attempt));
 }
 
 // A sign of life never shortens the wait, and a busy upstream is always left
 // while half of the caller's patience is still left.
-RC_BOOST_PROP(a_report_only_lengthens_the_wait, (bool started)) {
+RC_BOOST_PROP(a_sign_of_life_only_lengthens_the_wait, (bool started)) {
   const auto time = [](int low, int high) {
     return milliseconds(*rc::gen::inRange(low, high));
   };
   const StallPolicy policy({time(1, 5000), time(0, 1000), time(1, 20000)});
-  const SilentAttempt silent{time(0, 20000), started, false};
-  const SilentAttempt reported{silent.silent_for, started, true};
-  RC_ASSERT(policy.TimeUntilMove(reported) >= policy.TimeUntilMove(silent));
-  RC_ASSERT(policy.TimeUntilMove(silent) <=
+  const auto time_until_move = [&, silent_for =
+                                       time(0, 20000)](SignOfLife upstream) {
+    return policy.TimeUntilMove(
+        {.silent_for = silent_for, .started = started, .upstream = upstream});
+  };
+  RC_ASSERT(time_until_move(SignOfLife::kRecent) >=
+            time_until_move(SignOfLife::kUnknown));
+  RC_ASSERT(time_until_move(SignOfLife::kUnknown) >=
+            time_until_move(SignOfLife::kNone));
+  RC_ASSERT(time_until_move(SignOfLife::kUnknown) <=
             std::max<Duration>(policy.CallerPatience() / 2, milliseconds(0)));
 }
 
--- a/packages/serving/tests/upstream_set_test.cc
+++ b/packages/serving/tests/upstream_set_test.cc
@@ -215,6 +215,62 @@
   BOOST_TEST(sent_to_hanging <= 5);
 }
 
+// Load: two machines with the same model take twenty calls a second together,
+// and the one with fewer runs stands still. Its calls get nothing any more.
+BOOST_AUTO_TEST_CASE(an_engine_that_stands_still_gets_calls_for_a_second) {
+  UpstreamSetFixture set;
+  set.upstreams.SetEngineServices({ServiceName("s")});
+  EngineReport report;
+  report.started_at_ms = 1;
+  report.models = {{ModelName("m"), {}}};
+  const PickQuery query = MakeQuery("s", "m");
+  const UpstreamId still("a");
+  const UpstreamId working("b");
+  set.upstreams.Put(MakeRecord("a", 1));
+  set.upstreams.Put(MakeRecord("b", 2));
+  set.upstreams.SetReport(still, report);
+  report.running = 40;
+  int sent_early = 0;
+  int sent_late = 0;
+  for (int step = 0; step < 200; ++step) {
+    if (step % 4 == 0) {
+      set.upstreams.SetReport(working, report);
+    }
+    const auto picked = set.Pick(query);
+    BOOST_REQUIRE(picked.has_value());
+    set.upstreams.RecordAttemptStart(*picked, query);
+    if (*picked == working) {
+      set.upstreams.RecordProgress(working);
+      set.upstreams.RecordAttemptResult(working, query, AttemptResult::kServed);
+    } else {
+      (step <= 20 ? sent_early : sent_late) += 1;
+    }
+    set.clock.Advance(milliseconds(50));
+  }
+  BOOST_TEST(sent_early > 0);
+  BOOST_TEST(sent_late == 0);
+}
+
+// It may be the agent that is gone, so a single call finds out.
+BOOST_AUTO_TEST_CASE(a_lone_engine_without_reports_gets_one_call_at_a_time) {
+  UpstreamSetFixture set;
+  set.upstreams.SetEngineServices({ServiceName("s")});
+  EngineReport report;
+  report.started_at_ms = 1;
+  report.models = {{ModelName("m"), {}}};
+  const PickQuery query = MakeQuery("s", "m");
+  const UpstreamId lone("a");
+  set.upstreams.Put(MakeRecord("a", 1));
+  set.upstreams.SetReport(lone, report);
+  set.clock.Advance(seconds(1));
+  BOOST_REQUIRE(set.Pick(query).has_value());
+  set.upstreams.RecordAttemptStart(lone, query);
+  BOOST_TEST(!set.Pick(query).has_value());
+  BOOST_TEST(set.upstreams.last_counts().silent == 1);
+  set.upstreams.RecordProgress(lone);
+  BOOST_TEST(set.Pick(query).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(an_upstream_is_silent_since_any_of_its_calls_had_news) {
   UpstreamSetFixture set;
   set.upstreams.Put(MakeRecord("a", 1));
