Bounds on the number of header fields, and on heads and trailers of responses

Seen by other operators: a server sent header bytes without end, and the process that had called it ran out of memory. Ruled out: a single long field, a status line, chunk sizes and extensions, interim and foreign responses without end: 16 to 49 MB. Change: HeaderCollector keeps at most 256 fields, and 32 KiB of a response; beyond that the response is broken, or a request gets 431. Conclusion: fixed for heads and trailers; bodies are next.

--- a/packages/runtime/src/http_client_connection.cc
+++ b/packages/runtime/src/http_client_connection.cc
@@ -18,6 +18,8 @@
 
 // Reading from the peer pauses while this many bytes are buffered.
 constexpr std::size_t kReadAheadBytes = 256 * 1024;
+// A peer with a longer head, or longer trailers, is in trouble.
+constexpr std::size_t kMaxHeadBytes = 32 * 1024;
 // Bytes that are no part of the response before the peer counts as broken.
 constexpr std::size_t kMaxDiscardedBytes = 1024 * 1024;
 // Fraction of the peer's announced idle timeout during which a connection is
@@ -44,6 +46,7 @@
       m_client(client),
       m_stream(bufferevent_socket_new(
           loop.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS)),
+      m_headers(kMaxHeadBytes),
       m_max_idle_time(settings.max_idle_time) {
   http_parser_init(&m_parser, HTTP_RESPONSE);
   m_parser.data = this;
@@ -161,13 +164,11 @@
     };
     settings.on_header_field = [](http_parser* parser, const char* data,
                                   size_t size) {
-      Self(parser).m_headers.OnField({data, size});
-      return 0;
+      return Self(parser).m_headers.OnField({data, size}) ? 0 : -1;
     };
     settings.on_header_value = [](http_parser* parser, const char* data,
                                   size_t size) {
-      Self(parser).m_headers.OnValue({data, size});
-      return 0;
+      return Self(parser).m_headers.OnValue({data, size}) ? 0 : -1;
     };
     settings.on_headers_complete = &HttpClientConnection::HandleHeadersComplete;
     settings.on_body = [](http_parser* parser, const char* data, size_t size) {
--- a/packages/runtime/src/http_framing.cc
+++ b/packages/runtime/src/http_framing.cc
@@ -21,6 +21,8 @@
 constexpr int kKeepAliveIdleSeconds = 1;
 constexpr int kKeepAliveIntervalSeconds = 1;
 constexpr int kKeepAliveProbes = 2;
+// Each field takes far more memory than an empty one has bytes.
+constexpr std::size_t kMaxHeaderFields = 256;
 
 void SetOption(int socket, int level, int option, int value) noexcept {
   // Errors are ignored: without the option the socket still works, but has more
@@ -30,24 +32,38 @@
 
 }  // namespace
 
-void HeaderCollector::OnField(std::string_view fragment) {
+bool HeaderCollector::Reserve(std::size_t size) {
+  m_total_bytes += size;
+  m_has_overflowed = m_has_overflowed || m_total_bytes > m_max_bytes ||
+                     m_headers.items.size() > kMaxHeaderFields;
+  return !m_has_overflowed;
+}
+
+bool HeaderCollector::OnField(std::string_view fragment) {
   if (m_in_value || m_headers.items.empty()) {
     m_headers.items.emplace_back();
     m_in_value = false;
   }
+  if (!Reserve(fragment.size())) {
+    return false;
+  }
   m_headers.items.back().name += fragment;
-  m_total_bytes += fragment.size();
+  return true;
 }
 
-void HeaderCollector::OnValue(std::string_view fragment) {
+bool HeaderCollector::OnValue(std::string_view fragment) {
   m_in_value = true;
+  if (!Reserve(fragment.size())) {
+    return false;
+  }
   m_headers.items.back().value += fragment;
-  m_total_bytes += fragment.size();
+  return true;
 }
 
 void HeaderCollector::Clear() {
   m_headers.items.clear();
   m_total_bytes = 0;
+  m_has_overflowed = false;
   m_in_value = false;
 }
 
--- a/packages/runtime/src/http_framing.h
+++ b/packages/runtime/src/http_framing.h
@@ -16,23 +16,42 @@
 
 namespace bambooquay {
 
-/// Collects header fields that http-parser delivers in fragments.
+/// Collects header fields that http-parser delivers in fragments. Load it
+/// answers: a faulty peer sends fields without end, on many connections at
+/// once.
+///
+/// Invariant: the headers stay within the limits on their number and size, also
+/// with the trailers of a chunked body.
 class HeaderCollector {
  public:
+  /// @param max_bytes  limit on the total size of the names and values.
+  explicit HeaderCollector(std::size_t max_bytes) : m_max_bytes(max_bytes) {}
+
   /// Adds a fragment of a field name.
-  void OnField(std::string_view fragment);
+  /// @returns whether it is within the limits; if not, it is left out.
+  [[nodiscard]] bool OnField(std::string_view fragment);
   /// Adds a fragment of a field value.
-  void OnValue(std::string_view fragment);
+  /// @returns whether it is within the limits; if not, it is left out.
+  [[nodiscard]] bool OnValue(std::string_view fragment);
   void Clear();
   [[nodiscard]] HttpHeaders& headers() noexcept { return m_headers; }
   /// @returns the total size of the names and values received since Clear().
   [[nodiscard]] std::size_t total_bytes() const noexcept {
     return m_total_bytes;
   }
+  /// @returns whether fragments were left out since Clear().
+  [[nodiscard]] bool has_overflowed() const noexcept {
+    return m_has_overflowed;
+  }
 
  private:
+  /// @returns whether a fragment of this size is within the limits.
+  bool Reserve(std::size_t size);
+
+  std::size_t m_max_bytes;
   HttpHeaders m_headers;
   std::size_t m_total_bytes = 0;
+  bool m_has_overflowed = false;
   /// Whether the last fragment belonged to a value; the next name then starts a
   /// new field.
   bool m_in_value = false;
--- a/packages/runtime/src/http_server_connection.cc
+++ b/packages/runtime/src/http_server_connection.cc
@@ -30,6 +30,7 @@
       m_stream(bufferevent_socket_new(
           server.m_loop.base(), socket,
           BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS)),
+      m_headers(server.m_limits.max_header_bytes),
       m_state_since(server.m_loop.clock().Now()),
       m_last_activity(m_state_since) {
   SetSocketOptions(socket, Duration::zero());
@@ -60,13 +61,11 @@
     };
     settings.on_header_field = [](http_parser* parser, const char* data,
                                   size_t size) {
-      Self(parser).m_headers.OnField({data, size});
-      return 0;
+      return Self(parser).m_headers.OnField({data, size}) ? 0 : -1;
     };
     settings.on_header_value = [](http_parser* parser, const char* data,
                                   size_t size) {
-      Self(parser).m_headers.OnValue({data, size});
-      return 0;
+      return Self(parser).m_headers.OnValue({data, size}) ? 0 : -1;
     };
     settings.on_headers_complete = &HttpServerConnection::HandleHeadersComplete;
     settings.on_body = &HttpServerConnection::HandleBody;
@@ -168,6 +167,7 @@
     }
     if (m_headers.total_bytes() + m_target.size() >
             m_server.m_limits.max_header_bytes ||
+        m_headers.has_overflowed() ||
         HTTP_PARSER_ERRNO(&m_parser) == HPE_HEADER_OVERFLOW) {
       Refuse(431, "header_too_large", "the header exceeds the limit");
       return;
--- a/packages/runtime/tests/http_client_test.cc
+++ b/packages/runtime/tests/http_client_test.cc
@@ -407,6 +407,21 @@
   BOOST_TEST((fixture.Run(observer) == HttpOutcome::kBroken));
 }
 
+BOOST_AUTO_TEST_CASE(too_many_header_fields_or_trailers_break_the_call) {
+  std::string fields;
+  for (int i = 0; i < 300; ++i) {
+    fields += "a:\r\n";
+  }
+  for (const std::string& response :
+       {Ok("x", fields),
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" + fields +
+            "\r\n"}) {
+    ClientAndServer fixture(AlwaysRespond(response));
+    RecordingObserver observer;
+    BOOST_TEST((fixture.Run(observer) == HttpOutcome::kBroken));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(interim_responses_without_end_break_the_call) {
   std::string bytes;
   while (bytes.size() < 4 << 20) {
--- a/packages/runtime/tests/http_server_test.cc
+++ b/packages/runtime/tests/http_server_test.cc
@@ -85,6 +85,17 @@
       "413"));
 }
 
+BOOST_AUTO_TEST_CASE(too_many_header_fields_are_refused) {
+  std::string fields;
+  for (int i = 0; i < 300; ++i) {
+    fields += "a:\r\n";
+  }
+  TestServer test;
+  BOOST_TEST(HasStatus(
+      test.SendInvalid("GET / HTTP/1.1\r\nHost: a\r\n" + fields + "\r\n"),
+      "431"));
+}
+
 BOOST_AUTO_TEST_CASE(an_incomplete_header_times_out) {
   HttpServerLimits limits;
   limits.header_timeout = milliseconds(100);
