Responses that wait for their callers share one limit on memory

Seen by other operators: a faulty server sent bytes without end, the process kept them and ran out of memory, and the requests of other clients ended with it. Change: BufferBudget gives each response a share of what is still free of 48 MiB: it is broken, relayed or paused beyond that, and always has 4 KiB, so that sound streams go on. Calls read 32 KiB ahead. Conclusion: fixed for what servers send to entries. Calls that buffer (store, engine reports) keep up to 8 MiB each, as before; there are few at a time.

--- a/packages/runtime/src/http_client_connection.cc
+++ b/packages/runtime/src/http_client_connection.cc
@@ -17,7 +17,7 @@
 namespace {
 
 // Reading from the peer pauses while this many bytes are buffered.
-constexpr std::size_t kReadAheadBytes = 256 * 1024;
+constexpr std::size_t kReadAheadBytes = 32 * 1024;
 // A peer with a longer head, or longer trailers, is in trouble.
 constexpr std::size_t kMaxHeadBytes = 32 * 1024;
 // Bytes that are no part of the response before the peer counts as broken.
--- a/packages/serving/include/bambooquay/serving/forwarded_call.h
+++ b/packages/serving/include/bambooquay/serving/forwarded_call.h
@@ -11,6 +11,7 @@
 #include <variant>
 
 #include "bambooquay/core/random.h"
+#include "bambooquay/runtime/buffer_budget.h"
 #include "bambooquay/runtime/event_loop.h"
 #include "bambooquay/runtime/http_client.h"
 #include "bambooquay/runtime/http_server.h"
@@ -86,6 +87,8 @@
   AgentClient& agents;
   DemandSink& demand;
   PromptQuarantine& quarantine;
+  /// For the bytes of responses that are not sent to their callers yet.
+  BufferBudget& response_buffers;
   std::function<RetryBudget&(const ServiceName&)> retry_budget_for;
 };
 
@@ -152,6 +155,10 @@
   /// it takes.
   void RecordNotices(const ResponseInfo& info);
   void RelayBody(std::string_view bytes);
+  /// Handles bytes of the body by the kind of response.
+  void ConsumePart(std::string_view bytes);
+  /// Charges the bytes that this call keeps to the budget of all calls.
+  void UpdateHeldBytes();
   void StartRelay();
   void HandleCompleteResponse();
   /// @returns whether the stream of the attempt ends inside an event, or is
@@ -242,6 +249,8 @@
   EventStreamSplitter m_events;
   /// Bytes relayed that the caller has not taken yet.
   std::size_t m_unsent_response_bytes = 0;
+  /// Charges m_body, the incomplete event and m_unsent_response_bytes.
+  BufferHolding m_held_bytes;
   bool m_done = false;
   /// Whether the time limit has passed, and what has arrived by then is read.
   bool m_reads_before_limit = false;
--- a/packages/serving/include/bambooquay/serving/serving_entry.h
+++ b/packages/serving/include/bambooquay/serving/serving_entry.h
@@ -9,6 +9,7 @@
 #include <unordered_map>
 
 #include "bambooquay/core/random.h"
+#include "bambooquay/runtime/buffer_budget.h"
 #include "bambooquay/runtime/freeze_detector.h"
 #include "bambooquay/runtime/http_client.h"
 #include "bambooquay/runtime/http_server.h"
@@ -100,6 +101,7 @@
   PromptQuarantine m_quarantine;
   DemandMeter m_demand;
   FleetPlanner m_planner;
+  BufferBudget m_response_buffers;
   HttpClient m_client;
   PeerExchange m_peers;
   ServingContext m_context;
--- a/packages/serving/src/forwarded_call.cc
+++ b/packages/serving/src/forwarded_call.cc
@@ -43,7 +43,8 @@
       m_exchange(std::move(exchange)),
       m_on_finished(std::move(finished)),
       m_arrived_at(context.loop.clock().Now()),
-      m_call(context.codec.DecodeCall(m_exchange->request())) {}
+      m_call(context.codec.DecodeCall(m_exchange->request())),
+      m_held_bytes(context.response_buffers) {}
 
 ForwardedCall::~ForwardedCall() = default;
 
--- a/packages/serving/src/forwarded_response.cc
+++ b/packages/serving/src/forwarded_response.cc
@@ -190,6 +190,12 @@
 
 void ForwardedCall::OnPart(std::string_view bytes) {
   m_context.upstreams.RecordProgress(*m_upstream);
+  ConsumePart(bytes);
+  UpdateHeldBytes();
+}
+
+void ForwardedCall::ConsumePart(std::string_view bytes) {
+  const std::size_t max_holding = m_context.response_buffers.MaxHolding();
   if (m_event_stream) {
     const std::string events = m_events.Append(bytes);
     if (!events.empty()) {
@@ -200,7 +206,7 @@
       RelayBody(events);
       RestartStallTimer();
     }
-    if (m_events.pending_bytes() > kMaxEventBytes) {
+    if (m_events.pending_bytes() > std::min(kMaxEventBytes, max_holding)) {
       HandleFailedAttempt(AttemptResult::kBroken, true, "event_too_large");
     }
     return;
@@ -210,12 +216,17 @@
     return;
   }
   m_body += bytes;
-  if (m_body.size() > kMaxBufferedResponseBytes) {
+  if (m_body.size() > std::min(kMaxBufferedResponseBytes, max_holding)) {
     StartRelay();
     RelayBody(std::exchange(m_body, {}));
   }
 }
 
+void ForwardedCall::UpdateHeldBytes() {
+  m_held_bytes.Set(m_body.size() + m_events.pending_bytes() +
+                   m_unsent_response_bytes);
+}
+
 void ForwardedCall::RecordEventTime() {
   const Duration now = Elapsed();
   if (m_first_event.has_value()) {
@@ -230,12 +241,14 @@
   m_unsent_response_bytes += bytes.size();
   m_exchange->SendPart(bytes, [this] {
     m_unsent_response_bytes = 0;
+    UpdateHeldBytes();
     if (m_attempt != nullptr) {
       m_attempt->SetPaused(false);
     }
   });
-  if (m_unsent_response_bytes > kMaxUnsentResponseBytes &&
-      m_attempt != nullptr) {
+  const std::size_t max_unsent = std::min(
+      kMaxUnsentResponseBytes, m_context.response_buffers.MaxHolding());
+  if (m_unsent_response_bytes > max_unsent && m_attempt != nullptr) {
     m_attempt->SetPaused(true);
   }
 }
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -45,6 +45,8 @@
 // other engines often follow within some milliseconds.
 constexpr Duration kEarlyPlanDelay = milliseconds(40);
 constexpr Duration kRegisterRetryDelay = milliseconds(400);
+// Limit on the bytes of all responses that their callers have not taken yet.
+constexpr std::size_t kMaxResponseBytes = std::size_t{48} * 1024 * 1024;
 // Connections to upstreams are made within some milliseconds, as network
 // latency in the fleet is low.
 constexpr HttpClientSettings kUpstreamClient = {
@@ -78,6 +80,7 @@
       m_quarantine(deps.loop.clock()),
       m_demand(deps.loop.clock()),
       m_planner(deps.loop.clock(), m_upstreams),
+      m_response_buffers(kMaxResponseBytes),
       m_client(deps.loop, kUpstreamClient),
       m_peers(deps.loop, settings.id, m_allowance, m_upstreams),
       m_context{deps.loop,
@@ -90,6 +93,7 @@
                 m_peers,
                 m_demand,
                 m_quarantine,
+                m_response_buffers,
                 [this](const ServiceName& service) -> RetryBudget& {
                   return RetryBudgetFor(service);
                 }},
@@ -205,6 +209,9 @@
   metrics.RegisterGauge("calls_in_progress", [this, to_double] {
     return to_double(m_calls.size());
   });
+  metrics.RegisterGauge("response_bytes_held", [this, to_double] {
+    return to_double(m_response_buffers.held());
+  });
   metrics.RegisterGauge("caller_connections", [this, to_double] {
     return to_double(m_server.connection_count());
   });
