A broken stream without a place ends while its caller can come back

Seen by callers: a stream that had broken off and found no other upstream was held for the caller's whole patience, and then cut just as the caller left.

--- a/packages/serving/src/forwarded_call.cc
+++ b/packages/serving/src/forwarded_call.cc
@@ -232,9 +232,10 @@
       return;
     }
   }
-  // A caller that has received part of a stream waits for the rest.
+  // A caller that has received part of a stream waits for the rest, but not so
+  // long that it has no time to come back.
   const Duration max_wait =
-      m_relaying ? m_last_event + MakeStallPolicy().CallerPatience()
+      m_relaying ? m_last_event + MakeStallPolicy().MaxCallerWait()
                  : std::chrono::duration_cast<Duration>(
                        m_route->target_latency * kMaxWaitShare);
   // A call that no upstream will take in time is refused at once.
