--- a/packages/serving/include/bambooquay/serving/forwarded_call.h
+++ b/packages/serving/include/bambooquay/serving/forwarded_call.h
@@ -155,8 +155,8 @@
   /// it takes.
   void RecordNotices(const ResponseInfo& info);
   void RelayBody(std::string_view bytes);
-  /// Handles bytes of the body by the kind of response.
-  void ConsumePart(std::string_view bytes);
+  /// Drops what has arrived of a response and is not relayed yet.
+  void DropPartialResponse();
   /// Charges the bytes that this call keeps to the budget of all calls.
   void UpdateHeldBytes();
   void StartRelay();
@@ -181,7 +181,7 @@
   /// is free, or ends it if its caller should have the time to come back.
   /// Otherwise the attempt continues and is checked again later.
   void HandleStall();
-  /// Logs, once an attempt, why the call stays at a silent upstream.
+  /// Logs why the call stays at a silent upstream, unless that is known.
   void LogHeldCall(RepeatObstacle obstacle);
   /// Moves the call from its present upstream, which has sent nothing for too
   /// long, to another one.
--- a/packages/serving/include/bambooquay/serving/upstream_set.h
+++ b/packages/serving/include/bambooquay/serving/upstream_set.h
@@ -229,6 +229,7 @@
   /// @returns the time since its last report, if there is one.
   [[nodiscard]] std::optional<Duration> ReportAge(
       const Upstream& upstream) const;
+  /// @returns what the upstream has shown of itself in the last second.
   [[nodiscard]] SignOfLife FindSignOfLife(const Upstream& upstream) const;
   /// @returns the time for which all calls in progress from this entry have
   ///   got nothing; nothing if there is no call.
--- a/packages/serving/src/forwarded_response.cc
+++ b/packages/serving/src/forwarded_response.cc
@@ -39,10 +39,12 @@
 
 SilentAttempt ForwardedCall::DescribeSilence() const {
   const Upstream* upstream = m_context.upstreams.Find(*m_upstream);
-  return {m_context.loop.clock().Now() - m_progress_at, CallerWait(),
-          m_attempt_events > 0,
-          upstream == nullptr ? SignOfLife::kUnknown
-                              : m_context.upstreams.FindSignOfLife(*upstream)};
+  return {.silent_for = m_context.loop.clock().Now() - m_progress_at,
+          .caller_waits_for = CallerWait(),
+          .started = m_attempt_events > 0,
+          .upstream = upstream == nullptr
+                          ? SignOfLife::kUnknown
+                          : m_context.upstreams.FindSignOfLife(*upstream)};
 }
 
 Duration ForwardedCall::CallerWait() const {
@@ -113,8 +115,7 @@
   m_context.metrics.Increment("attempts_failed_total{reason=\"too_slow\"}");
   EndAttempt(AttemptResult::kTimedOut);
   m_may_have_run = true;
-  m_body.clear();
-  static_cast<void>(m_events.TakeRemainder());
+  DropPartialResponse();
   StartAttempt(next);
 }
 
@@ -190,11 +191,6 @@
 
 void ForwardedCall::OnPart(std::string_view bytes) {
   m_context.upstreams.RecordProgress(*m_upstream);
-  ConsumePart(bytes);
-  UpdateHeldBytes();
-}
-
-void ForwardedCall::ConsumePart(std::string_view bytes) {
   const std::size_t max_holding = m_context.response_buffers.MaxHolding();
   if (m_event_stream) {
     const std::string events = m_events.Append(bytes);
@@ -206,6 +202,7 @@
       RelayBody(events);
       RestartStallTimer();
     }
+    UpdateHeldBytes();
     if (m_events.pending_bytes() > std::min(kMaxEventBytes, max_holding)) {
       HandleFailedAttempt(AttemptResult::kBroken, true, "event_too_large");
     }
@@ -216,12 +213,19 @@
     return;
   }
   m_body += bytes;
+  UpdateHeldBytes();
   if (m_body.size() > std::min(kMaxBufferedResponseBytes, max_holding)) {
     StartRelay();
     RelayBody(std::exchange(m_body, {}));
   }
 }
 
+void ForwardedCall::DropPartialResponse() {
+  m_body.clear();
+  static_cast<void>(m_events.TakeRemainder());
+  UpdateHeldBytes();
+}
+
 void ForwardedCall::UpdateHeldBytes() {
   m_held_bytes.Set(m_body.size() + m_events.pending_bytes() +
                    m_unsent_response_bytes);
@@ -248,6 +252,7 @@
   });
   const std::size_t max_unsent = std::min(
       kMaxUnsentResponseBytes, m_context.response_buffers.MaxHolding());
+  UpdateHeldBytes();
   if (m_unsent_response_bytes > max_unsent && m_attempt != nullptr) {
     m_attempt->SetPaused(true);
   }
@@ -294,7 +299,7 @@
     LogFailedAttempt(upstream, std::to_string(m_status), true,
                      next != nullptr ? "yes" : "no");
     if (next != nullptr) {
-      m_body.clear();
+      DropPartialResponse();
       StartAttempt(*next);
       return;
     }
@@ -395,8 +400,7 @@
   EndAttempt(result);
   m_unreachable_attempts += result == AttemptResult::kUnreachable ? 1 : 0;
   m_may_have_run = m_may_have_run || may_have_run;
-  m_body.clear();
-  static_cast<void>(m_events.TakeRemainder());
+  DropPartialResponse();
   const bool allowed = !FindObstacle(may_have_run).has_value();
   const bool retry = allowed && AcquireRetry(result, upstream);
   LogFailedAttempt(upstream, reason, may_have_run,
