Tests of the upstream set make their reports in one place

Ruled out: a change of what is checked; every assertion is as it was. Change: MakeReport(). Conclusion: read once more; nothing else was changed.

--- a/packages/serving/tests/upstream_set_test.cc
+++ b/packages/serving/tests/upstream_set_test.cc
@@ -33,6 +33,14 @@
   return record;
 }
 
+/// @returns the report of an idle engine with the model of MakeRecord().
+EngineReport MakeReport() {
+  EngineReport report;
+  report.started_at_ms = 1;
+  report.models = {{ModelName("m"), {}}};
+  return report;
+}
+
 PickQuery MakeQuery(const std::string& service, const std::string& model = "") {
   PickQuery query;
   query.service = ServiceName(service);
@@ -220,9 +228,7 @@
 BOOST_AUTO_TEST_CASE(an_engine_that_stands_still_gets_calls_for_a_second) {
   UpstreamSetFixture set;
   set.upstreams.SetEngineServices({ServiceName("s")});
-  EngineReport report;
-  report.started_at_ms = 1;
-  report.models = {{ModelName("m"), {}}};
+  EngineReport report = MakeReport();
   const PickQuery query = MakeQuery("s", "m");
   const UpstreamId still("a");
   const UpstreamId working("b");
@@ -255,9 +261,7 @@
 BOOST_AUTO_TEST_CASE(a_lone_engine_without_reports_gets_one_call_at_a_time) {
   UpstreamSetFixture set;
   set.upstreams.SetEngineServices({ServiceName("s")});
-  EngineReport report;
-  report.started_at_ms = 1;
-  report.models = {{ModelName("m"), {}}};
+  EngineReport report = MakeReport();
   const PickQuery query = MakeQuery("s", "m");
   const UpstreamId lone("a");
   set.upstreams.Put(MakeRecord("a", 1));
@@ -295,9 +299,7 @@
 BOOST_AUTO_TEST_CASE(slow_engines_that_report_take_the_calls_of_a_burst) {
   UpstreamSetFixture set;
   set.upstreams.SetEngineServices({ServiceName("s")});
-  EngineReport report;
-  report.started_at_ms = 1;
-  report.models = {{ModelName("m"), {}}};
+  EngineReport report = MakeReport();
   report.running = 20;
   for (const char* id : {"a", "b"}) {
     set.upstreams.Put(MakeRecord(id, *id));
@@ -539,9 +541,7 @@
   UpstreamRecord record = MakeRecord("a", 1);
   record.cold_remaining = seconds(20);
   set.upstreams.Put(record);
-  EngineReport report;
-  report.started_at_ms = 1;
-  report.models = {{ModelName("m"), {}}};
+  EngineReport report = MakeReport();
   set.upstreams.SetReport(UpstreamId("a"), report);
   BOOST_TEST(!set.Pick(MakeQuery("s", "m")).has_value());
   set.upstreams.AddPermit(UpstreamId("a"));
