--- a/packages/peers/include/bambooquay/peers/status_messages.h
+++ b/packages/peers/include/bambooquay/peers/status_messages.h
@@ -11,6 +11,7 @@
 
 #include "bambooquay/core/clock.h"
 #include "bambooquay/core/engine_report.h"
+#include "bambooquay/core/engine_work.h"
 #include "bambooquay/core/ids.h"
 #include "bambooquay/core/units.h"
 #include "bambooquay/core/upstream_run.h"
@@ -108,6 +109,8 @@
   /// Whether the report omits the lists, which are then the same as in the last
   /// message that included them with this version.
   bool omits_lists = false;
+  /// Unset if the agent does not estimate work.
+  std::optional<EngineWork> work;
 };
 
 /// Sent by an entry to an agent to have an adapter loaded, and sent again until
@@ -150,13 +153,44 @@
   Duration wait{};  ///< Time until another request may be granted.
 };
 
+/// Sent by an entry to an agent to get room on its engine for one call. The
+/// agent replies when there is room, or when there will be none in time. The
+/// message is not sent again.
+struct RoomRequest {
+  std::uint64_t request_id = 0;  ///< Number of this message.
+  UpstreamId upstream;
+  RequestId call;
+  std::uint32_t prompt_tokens = 0;
+  /// Of these, those that the engine has to read.
+  std::uint32_t unread_tokens = 0;
+  std::uint32_t output_tokens = 0;  ///< Estimate.
+  int priority = 0;                 ///< 0 is the most urgent.
+  /// How long the call can wait for room. Zero only announces the call, which
+  /// is sent at once; there is no reply.
+  Duration max_wait{};
+};
+
+/// Reply to the RoomRequest with the same request id.
+struct RoomReply {
+  std::uint64_t request_id = 0;
+  bool granted = false;
+  Duration wait{};  ///< Time until room is expected, if not granted.
+};
+
+/// Sent by an entry when a call does not use its room, or not any longer.
+struct RoomRelease {
+  UpstreamId upstream;
+  RequestId call;
+};
+
 /// One datagram.
 struct StatusMessage {
   InstanceId sender;
   /// Identifies one run of the sender's process.
   std::uint64_t incarnation = 0;
   std::variant<EntryStatus, EngineTarget, EngineStatus, AdapterRequest,
-               AdapterReply, PermitRequest, PermitReply>
+               AdapterReply, PermitRequest, PermitReply, RoomRequest, RoomReply,
+               RoomRelease>
       body;
 };
 
--- a/packages/peers/src/status_messages.cc
+++ b/packages/peers/src/status_messages.cc
@@ -7,6 +7,7 @@
 #include <kj/io.h>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <type_traits>
 
@@ -15,6 +16,10 @@
 namespace bambooquay {
 namespace {
 
+// Numbers of an engine's work beyond these are errors of the sender.
+constexpr float kMaxWorkNumber = 1e9F;
+constexpr int kMaxStreams = 65535;
+
 template <typename Builder, typename Items>
 void WriteTextList(Builder list, const Items& items) {
   unsigned index = 0;
@@ -43,6 +48,16 @@
                                     std::chrono::milliseconds(1));
 }
 
+float ToFloatMs(Duration duration) {
+  return static_cast<float>(ToSeconds(duration) * 1000.0);
+}
+
+/// @returns zero for a number that is negative or too large to make sense.
+Duration FromFloatMs(float milliseconds) {
+  const bool is_sound = milliseconds >= 0.0F && milliseconds <= kMaxWorkNumber;
+  return is_sound ? FromSeconds(milliseconds / 1000.0) : Duration::zero();
+}
+
 void WriteParts(capnp::List<std::uint64_t>::Builder to,
                 const std::vector<PromptPartId>& from) {
   unsigned index = 0;
@@ -214,6 +229,31 @@
   return to;
 }
 
+void Write(status::EngineWork::Builder to, const EngineWork& from) {
+  to.setPromptTokensPerMs(static_cast<float>(from.prompt_tokens_per_ms));
+  to.setEventIntervalMs(ToFloatMs(from.event_interval));
+  to.setUnreadTokens(static_cast<float>(from.unread_prompt_tokens));
+  to.setStreams(
+      static_cast<std::uint16_t>(std::clamp(from.streams, 0, kMaxStreams)));
+  to.setSlowness(static_cast<float>(from.slowness));
+}
+
+/// @returns nothing if a number makes no sense.
+std::optional<EngineWork> Read(status::EngineWork::Reader from) {
+  const std::array<float, 4> numbers = {
+      from.getPromptTokensPerMs(), from.getEventIntervalMs(),
+      from.getUnreadTokens(), from.getSlowness()};
+  const bool is_sound = std::ranges::all_of(numbers, [](float number) {
+    return number >= 0.0F && number <= kMaxWorkNumber;
+  });
+  if (!is_sound) {
+    return std::nullopt;
+  }
+  return EngineWork{
+      from.getPromptTokensPerMs(), FromFloatMs(from.getEventIntervalMs()),
+      from.getUnreadTokens(), from.getStreams(), from.getSlowness()};
+}
+
 void Write(status::EngineStatus::Builder to, const EngineStatus& from) {
   const EngineReport& report = from.report;
   to.setUpstream(from.upstream.value().c_str());
@@ -225,6 +265,9 @@
   to.setKvUsed(report.kv_used);
   to.setLists(from.lists_version);
   to.setBrief(from.omits_lists);
+  if (from.work.has_value()) {
+    Write(to.initWork(), *from.work);
+  }
   if (from.omits_lists) {
     return;
   }
@@ -262,6 +305,9 @@
   }
   report.on_disk = ReadTextList<ModelName>(from.getOnDisk());
   report.in_host_memory = ReadTextList<ModelName>(from.getInHostMemory());
+  if (from.hasWork()) {
+    to.work = Read(from.getWork());
+  }
   return to;
 }
 
@@ -311,6 +357,50 @@
           FromSeconds(from.getWaitSeconds())};
 }
 
+void Write(status::RoomRequest::Builder to, const RoomRequest& from) {
+  to.setNumber(from.request_id);
+  to.setUpstream(from.upstream.value().c_str());
+  to.setCall(from.call.value().c_str());
+  to.setPromptTokens(from.prompt_tokens);
+  to.setUnreadTokens(from.unread_tokens);
+  to.setOutputTokens(from.output_tokens);
+  to.setPriority(static_cast<std::uint8_t>(std::clamp(from.priority, 0, 255)));
+  to.setMaxWaitMs(ToMs(from.max_wait));
+}
+
+RoomRequest Read(status::RoomRequest::Reader from) {
+  RoomRequest to;
+  to.request_id = from.getNumber();
+  to.upstream = UpstreamId(ToString(from.getUpstream()));
+  to.call = RequestId(ToString(from.getCall()));
+  to.prompt_tokens = from.getPromptTokens();
+  to.unread_tokens = from.getUnreadTokens();
+  to.output_tokens = from.getOutputTokens();
+  to.priority = from.getPriority();
+  to.max_wait = std::chrono::milliseconds(from.getMaxWaitMs());
+  return to;
+}
+
+void Write(status::RoomReply::Builder to, const RoomReply& from) {
+  to.setNumber(from.request_id);
+  to.setGranted(from.granted);
+  to.setWaitMs(ToFloatMs(from.wait));
+}
+
+RoomReply Read(status::RoomReply::Reader from) {
+  return {from.getNumber(), from.getGranted(), FromFloatMs(from.getWaitMs())};
+}
+
+void Write(status::RoomRelease::Builder to, const RoomRelease& from) {
+  to.setUpstream(from.upstream.value().c_str());
+  to.setCall(from.call.value().c_str());
+}
+
+RoomRelease Read(status::RoomRelease::Reader from) {
+  return {UpstreamId(ToString(from.getUpstream())),
+          RequestId(ToString(from.getCall()))};
+}
+
 std::optional<StatusMessage> ReadMessage(status::Message::Reader from) {
   StatusMessage message;
   message.sender = InstanceId(ToString(from.getSender()));
@@ -337,6 +427,15 @@
     case status::Message::PERMIT_REPLY:
       message.body = Read(from.getPermitReply());
       return message;
+    case status::Message::ROOM_REQUEST:
+      message.body = Read(from.getRoomRequest());
+      return message;
+    case status::Message::ROOM_REPLY:
+      message.body = Read(from.getRoomReply());
+      return message;
+    case status::Message::ROOM_RELEASE:
+      message.body = Read(from.getRoomRelease());
+      return message;
   }
   return std::nullopt;
 }
@@ -363,8 +462,14 @@
           Write(root.initAdapterReply(), body);
         } else if constexpr (std::is_same_v<Body, PermitRequest>) {
           Write(root.initPermitRequest(), body);
-        } else {
+        } else if constexpr (std::is_same_v<Body, PermitReply>) {
           Write(root.initPermitReply(), body);
+        } else if constexpr (std::is_same_v<Body, RoomRequest>) {
+          Write(root.initRoomRequest(), body);
+        } else if constexpr (std::is_same_v<Body, RoomReply>) {
+          Write(root.initRoomReply(), body);
+        } else {
+          Write(root.initRoomRelease(), body);
         }
       },
       message.body);
--- a/packages/peers/status.capnp
+++ b/packages/peers/status.capnp
@@ -86,6 +86,15 @@
   adapters @1 :List(Text);
 }
 
+# What an engine works on and how fast, as its agent estimates it.
+struct EngineWork {
+  promptTokensPerMs @0 :Float32;  # 0: not known yet
+  eventIntervalMs @1 :Float32;    # between two events of a stream; 0: not known
+  unreadTokens @2 :Float32;       # prompt tokens accepted and not read yet
+  streams @3 :UInt16;             # runs that have sent an event
+  slowness @4 :Float32;           # against the engine's own best; 1: as fast
+}
+
 # Sent by each agent to each entry from which it receives targets.
 struct EngineStatus {
   upstream @0 :Text;
@@ -103,6 +112,7 @@
   # Whether the lists are omitted. They are then the same as in the last message
   # that included them with this version.
   brief @11 :Bool;
+  work @12 :EngineWork;  # absent if the agent does not estimate work
 }
 
 # Asks an agent to load an adapter. The reply has the same number.
@@ -135,6 +145,31 @@
   waitSeconds @2 :Float64;  # time until another request may be granted
 }
 
+# Asks the agent of an engine for room for one call. The agent replies when there
+# is room, or when there will be none in time. The reply has the same number.
+struct RoomRequest {
+  number @0 :UInt64;
+  upstream @1 :Text;
+  call @2 :Text;             # id of the caller's request
+  promptTokens @3 :UInt32;
+  unreadTokens @4 :UInt32;   # of these, those that the engine has to read
+  priority @5 :UInt8;        # 0 is the most urgent
+  maxWaitMs @6 :UInt32;      # 0: only announces the call, which is sent at once
+  outputTokens @7 :UInt32;   # estimate
+}
+
+struct RoomReply {
+  number @0 :UInt64;
+  granted @1 :Bool;
+  waitMs @2 :Float32;        # time until room is expected, if not granted
+}
+
+# The call does not use its room, or not any longer.
+struct RoomRelease {
+  upstream @0 :Text;
+  call @1 :Text;
+}
+
 struct Message {
   sender @0 :Text;           # instance id
   incarnation @1 :UInt64;    # identifies one run of the sender's process
@@ -146,5 +181,8 @@
     adapterReply @6 :AdapterReply;
     permitRequest @7 :PermitRequest;
     permitReply @8 :PermitReply;
+    roomRequest @9 :RoomRequest;
+    roomReply @10 :RoomReply;
+    roomRelease @11 :RoomRelease;
   }
 }
--- /dev/null
+++ b/packages/scheduling/include/bambooquay/scheduling/work_prediction.h
@@ -0,0 +1,33 @@
+// Predicts how long an engine takes for a call, from the work that it has.
+#pragma once
+
+#include <optional>
+
+#include "bambooquay/core/clock.h"
+#include "bambooquay/core/engine_work.h"
+
+namespace bambooquay {
+
+/// What one call asks of an engine.
+struct CallWork {
+  /// Prompt tokens that the engine has to read: those that it has not kept.
+  double unread_prompt_tokens = 0.0;
+  int events = 0;  ///< Events of the response; 0 if it is not a stream.
+};
+
+/// Times from the moment at which the call reaches the engine.
+struct PredictedTimes {
+  Duration first_event{};
+  Duration end{};
+  /// How long reading the call's prompt delays the next event of each stream
+  /// on the engine.
+  Duration pause_of_streams{};
+};
+
+/// @returns when an engine would respond to a call, or nothing if the engine's
+///   rate is not known. Prompts are read in the order of their arrival, each
+///   at the engine's whole rate; streams go on meanwhile.
+[[nodiscard]] std::optional<PredictedTimes> PredictTimes(
+    const EngineWork& engine, const CallWork& call) noexcept;
+
+}  // namespace bambooquay
--- /dev/null
+++ b/packages/scheduling/src/work_prediction.cc
@@ -0,0 +1,22 @@
+// Predicts how long an engine takes for a call, from the work that it has.
+#include "bambooquay/scheduling/work_prediction.h"
+
+namespace bambooquay {
+
+std::optional<PredictedTimes> PredictTimes(const EngineWork& engine,
+                                           const CallWork& call) noexcept {
+  if (engine.prompt_tokens_per_ms <= 0.0) {
+    return std::nullopt;
+  }
+  const auto reading_time = [&](double tokens) {
+    return FromSeconds(tokens / engine.prompt_tokens_per_ms / 1000.0);
+  };
+  PredictedTimes times;
+  times.pause_of_streams = reading_time(call.unread_prompt_tokens);
+  times.first_event =
+      reading_time(engine.unread_prompt_tokens) + times.pause_of_streams;
+  times.end = times.first_event + engine.event_interval * call.events;
+  return times;
+}
+
+}  // namespace bambooquay
--- a/packages/serving/src/serving_agent.cc
+++ b/packages/serving/src/serving_agent.cc
@@ -256,9 +256,9 @@
       !m_subscribers.MarkListsSentIfDue(subscriber, m_lists_version);
   std::string& bytes = omit_lists ? encoded.without_lists : encoded.with_lists;
   if (bytes.empty()) {
-    bytes = EncodeStatus(
-        {m_settings.id, m_incarnation,
-         EngineStatus{m_upstream, *m_report, m_lists_version, omit_lists}});
+    bytes = EncodeStatus({m_settings.id, m_incarnation,
+                          EngineStatus{m_upstream, *m_report, m_lists_version,
+                                       omit_lists, std::nullopt}});
   }
   m_socket.Send(subscriber.address, bytes);
 }
