--- a/packages/duties/include/bambooquay/duties/duty_client.h
+++ b/packages/duties/include/bambooquay/duties/duty_client.h
@@ -57,6 +57,10 @@
  public:
   using Done = std::function<void(DutyCallResult)>;
 
+  /// A call has ended or is withdrawn after this time. A grant must last as
+  /// long, so that a call cannot arrive after one of the next holder.
+  static constexpr Duration kCallTime = std::chrono::milliseconds(600);
+
   DutyClient() = default;
   DutyClient(const DutyClient&) = delete;
   DutyClient& operator=(const DutyClient&) = delete;
--- a/packages/runtime/include/bambooquay/runtime/freeze_detector.h
+++ b/packages/runtime/include/bambooquay/runtime/freeze_detector.h
@@ -27,7 +27,7 @@
 
  private:
   Duration m_period;
-  Duration m_last_check;  ///< On CLOCK_BOOTTIME.
+  TimePoint m_last_check;  ///< On the boot clock.
 };
 
 }  // namespace bambooquay
