--- a/packages/duties/include/bambooquay/duties/duty_client.h
+++ b/packages/duties/include/bambooquay/duties/duty_client.h
@@ -3,11 +3,11 @@
 
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <string_view>
 
 #include "bambooquay/core/clock.h"
 #include "bambooquay/core/ids.h"
+#include "bambooquay/peers/status_messages.h"
 
 namespace bambooquay {
 
@@ -19,14 +19,10 @@
   friend bool operator==(const DutyGrant&, const DutyGrant&) = default;
 };
 
-/// Number of a window of true time: window k begins k windows after the start
-/// of 1970.
-enum class UsageWindow : std::uint64_t {};
-
 /// Requests of each organisation that began to run in one window.
 struct UsageReport {
   UsageWindow window{};
-  std::map<OrganisationId, std::uint64_t> counts;
+  RunCounts counts;
 
   friend bool operator==(const UsageReport&, const UsageReport&) = default;
 };
--- a/packages/duties/include/bambooquay/duties/duty_lease.h
+++ b/packages/duties/include/bambooquay/duties/duty_lease.h
@@ -12,6 +12,7 @@
 #include "bambooquay/core/clock.h"
 #include "bambooquay/core/ids.h"
 #include "bambooquay/duties/duty_client.h"
+#include "bambooquay/peers/status_messages.h"
 #include "bambooquay/serving/fleet_table.h"
 
 namespace bambooquay {
@@ -40,16 +41,6 @@
 /// @returns nothing if `text` is no lease.
 [[nodiscard]] std::optional<LeaseRecord> DecodeLease(std::string_view text);
 
-/// What the holder tells the other entries, so that they need not read the
-/// store.
-struct LeaseNotice {
-  std::uint64_t fencing_token = 0;
-  std::uint64_t row_version = 0;  ///< After the last confirmed write.
-  bool released = false;
-
-  friend bool operator==(const LeaseNotice&, const LeaseNotice&) = default;
-};
-
 /// Acquires, renews and gives up the lease of one entry.
 ///
 /// Invariants:
--- a/packages/peers/include/bambooquay/peers/status_messages.h
+++ b/packages/peers/include/bambooquay/peers/status_messages.h
@@ -183,6 +183,46 @@
   RequestId call;
 };
 
+/// What the holder of the duties tells the other entries of its lease, so that
+/// they need not read the store.
+struct LeaseNotice {
+  std::uint64_t fencing_token = 0;
+  std::uint64_t row_version = 0;  ///< After the last confirmed write.
+  bool released = false;
+
+  friend bool operator==(const LeaseNotice&, const LeaseNotice&) = default;
+};
+
+/// Number of a window of true time: window k begins k windows after the start
+/// of 1970.
+enum class UsageWindow : std::uint64_t {};
+
+/// Requests of each organisation.
+using RunCounts = std::map<OrganisationId, std::uint64_t>;
+
+/// Sent by the entry that holds the duties to the other entries.
+struct DutyNotice {
+  LeaseNotice lease;
+  /// Newest window whose usage is settled; 0 if the sender does not know of
+  /// any.
+  UsageWindow settled_through{};
+};
+
+/// Sent by each entry to the holder of the duties: requests that upstreams
+/// began to run in one window. The counts of a window only grow. Final ones are
+/// sent again until the holder confirms them.
+struct UsageCounts {
+  UsageWindow window{};
+  bool is_final = false;  ///< The window is over, or the sender stops.
+  RunCounts counts;
+};
+
+/// Reply to final UsageCounts.
+struct UsageReceipt {
+  UsageWindow window{};
+  std::uint64_t fencing_token = 0;
+};
+
 /// One datagram.
 struct StatusMessage {
   InstanceId sender;
@@ -190,7 +230,7 @@
   std::uint64_t incarnation = 0;
   std::variant<EntryStatus, EngineTarget, EngineStatus, AdapterRequest,
                AdapterReply, PermitRequest, PermitReply, RoomRequest, RoomReply,
-               RoomRelease>
+               RoomRelease, DutyNotice, UsageCounts, UsageReceipt>
       body;
 };
 
--- a/packages/peers/src/status_messages.cc
+++ b/packages/peers/src/status_messages.cc
@@ -401,6 +401,47 @@
           RequestId(ToString(from.getCall()))};
 }
 
+void Write(status::DutyNotice::Builder to, const DutyNotice& from) {
+  to.setFencingToken(from.lease.fencing_token);
+  to.setRowVersion(from.lease.row_version);
+  to.setReleased(from.lease.released);
+  to.setSettledThrough(static_cast<std::uint64_t>(from.settled_through));
+}
+
+DutyNotice Read(status::DutyNotice::Reader from) {
+  return {{from.getFencingToken(), from.getRowVersion(), from.getReleased()},
+          UsageWindow{from.getSettledThrough()}};
+}
+
+void Write(status::UsageCounts::Builder to, const UsageCounts& from) {
+  to.setWindow(static_cast<std::uint64_t>(from.window));
+  to.setFinal(from.is_final);
+  auto counts = to.initCounts(static_cast<unsigned>(from.counts.size()));
+  unsigned index = 0;
+  for (const auto& [organisation, count] : from.counts) {
+    counts[index].setOrganisation(organisation.value().c_str());
+    counts[index++].setCount(static_cast<std::uint32_t>(count));
+  }
+}
+
+UsageCounts Read(status::UsageCounts::Reader from) {
+  UsageCounts to{UsageWindow{from.getWindow()}, from.getFinal(), {}};
+  for (const auto item : from.getCounts()) {
+    to.counts[OrganisationId(ToString(item.getOrganisation()))] =
+        item.getCount();
+  }
+  return to;
+}
+
+void Write(status::UsageReceipt::Builder to, const UsageReceipt& from) {
+  to.setWindow(static_cast<std::uint64_t>(from.window));
+  to.setFencingToken(from.fencing_token);
+}
+
+UsageReceipt Read(status::UsageReceipt::Reader from) {
+  return {UsageWindow{from.getWindow()}, from.getFencingToken()};
+}
+
 std::optional<StatusMessage> ReadMessage(status::Message::Reader from) {
   StatusMessage message;
   message.sender = InstanceId(ToString(from.getSender()));
@@ -436,6 +477,15 @@
     case status::Message::ROOM_RELEASE:
       message.body = Read(from.getRoomRelease());
       return message;
+    case status::Message::DUTY_NOTICE:
+      message.body = Read(from.getDutyNotice());
+      return message;
+    case status::Message::USAGE_COUNTS:
+      message.body = Read(from.getUsageCounts());
+      return message;
+    case status::Message::USAGE_RECEIPT:
+      message.body = Read(from.getUsageReceipt());
+      return message;
   }
   return std::nullopt;
 }
@@ -468,8 +518,14 @@
           Write(root.initRoomRequest(), body);
         } else if constexpr (std::is_same_v<Body, RoomReply>) {
           Write(root.initRoomReply(), body);
-        } else {
+        } else if constexpr (std::is_same_v<Body, RoomRelease>) {
           Write(root.initRoomRelease(), body);
+        } else if constexpr (std::is_same_v<Body, DutyNotice>) {
+          Write(root.initDutyNotice(), body);
+        } else if constexpr (std::is_same_v<Body, UsageCounts>) {
+          Write(root.initUsageCounts(), body);
+        } else {
+          Write(root.initUsageReceipt(), body);
         }
       },
       message.body);
--- a/packages/peers/status.capnp
+++ b/packages/peers/status.capnp
@@ -170,6 +170,33 @@
   call @1 :Text;
 }
 
+# Sent by the entry that holds the duties to the other entries.
+struct DutyNotice {
+  fencingToken @0 :UInt64;
+  rowVersion @1 :UInt64;      # of the lease's row, after its last write
+  released @2 :Bool;
+  settledThrough @3 :UInt64;  # newest window whose usage is settled; 0: none
+}
+
+struct RunCount {
+  organisation @0 :Text;
+  count @1 :UInt32;
+}
+
+# Requests that upstreams began to run in one window, by the sender's calls.
+# Sent to the holder of the duties, and again until it confirms the final counts.
+struct UsageCounts {
+  window @0 :UInt64;
+  final @1 :Bool;             # the window is over, or the sender stops
+  counts @2 :List(RunCount);
+}
+
+# The holder has the sender's final counts of a window.
+struct UsageReceipt {
+  window @0 :UInt64;
+  fencingToken @1 :UInt64;
+}
+
 struct Message {
   sender @0 :Text;           # instance id
   incarnation @1 :UInt64;    # identifies one run of the sender's process
@@ -184,5 +211,8 @@
     roomRequest @9 :RoomRequest;
     roomReply @10 :RoomReply;
     roomRelease @11 :RoomRelease;
+    dutyNotice @12 :DutyNotice;
+    usageCounts @13 :UsageCounts;
+    usageReceipt @14 :UsageReceipt;
   }
 }
--- a/packages/serving/include/bambooquay/serving/forwarded_call.h
+++ b/packages/serving/include/bambooquay/serving/forwarded_call.h
@@ -75,6 +75,21 @@
                      double prompt_tokens) = 0;
 };
 
+/// Counts the requests that upstreams began to run, for their organisations'
+/// bills.
+class RunSink {
+ public:
+  RunSink() = default;
+  RunSink(const RunSink&) = delete;
+  RunSink& operator=(const RunSink&) = delete;
+  virtual ~RunSink() = default;
+
+  /// An upstream has shown that it began to run a request.
+  virtual void CountRun(const OrganisationId& organisation) = 0;
+  /// A request has ended that may have run; no upstream has shown that it did.
+  virtual void CountUnknownRun() = 0;
+};
+
 /// Objects that all forwarded calls of an entry share.
 struct ServingContext {
   EventLoop& loop;
@@ -90,6 +105,7 @@
   /// For the bytes of responses that are not sent to their callers yet.
   BufferBudget& response_buffers;
   std::function<RetryBudget&(const ServiceName&)> retry_budget_for;
+  RunSink* runs = nullptr;  ///< Null if runs are not counted.
 };
 
 /// Authenticates one request, charges its organisation's allowance, tries
@@ -198,6 +214,8 @@
   void HandleCallerDisconnect();
   void Refuse(int status, std::string_view code, Duration retry_after);
   void RecordEventTime();
+  /// Counts this request as begun, once.
+  void CountRun();
   /// Logs the outcome and updates the metrics.
   void RecordOutcome(std::string_view outcome, std::string_view reason);
   void Finish(std::string_view outcome, std::string_view reason);
@@ -233,6 +251,8 @@
   int m_unreachable_attempts = 0;
   /// Whether any attempt so far may have run the request.
   bool m_may_have_run = false;
+  /// Whether an upstream has shown that it began to run the request.
+  bool m_has_begun = false;
   bool m_adapter_requested = false;
   /// Whether the call finds out if its prompt still crashes engines.
   bool m_is_trial = false;
--- a/packages/serving/include/bambooquay/serving/peer_exchange.h
+++ b/packages/serving/include/bambooquay/serving/peer_exchange.h
@@ -66,6 +66,18 @@
   void OnEngineStatus(EngineStatusHandler handler) {
     m_on_engine_status = std::move(handler);
   }
+  /// Sets the handler for other entries' messages on the duties.
+  void OnDutyMessage(std::function<void(const StatusMessage&)> handler) {
+    m_on_duty_message = std::move(handler);
+  }
+  /// Sends a message to another entry, if it is known.
+  void SendTo(const InstanceId& peer, decltype(StatusMessage::body) body);
+  /// Sends a message to all other entries.
+  void SendToAll(decltype(StatusMessage::body) body);
+  /// @returns the number that identifies this run of the process.
+  [[nodiscard]] std::uint64_t incarnation() const noexcept {
+    return m_incarnation;
+  }
   /// Sends this entry's status now, in addition to the periodic ones.
   void SendStatus();
   /// Announces this entry to the agent of an engine, so that the agent starts
@@ -157,6 +169,7 @@
   std::function<void(const PromptPartReports&)> m_on_prompt_parts;
   std::function<void(const std::vector<CallLimitReport>&)> m_on_call_limits;
   EngineStatusHandler m_on_engine_status;
+  std::function<void(const StatusMessage&)> m_on_duty_message;
   /// Ordered by id, because the live entry with the lowest id plans placement.
   std::map<InstanceId, PeerEntry> m_peers;
   std::vector<Endpoint> m_seeds;
--- a/packages/serving/include/bambooquay/serving/serving_entry.h
+++ b/packages/serving/include/bambooquay/serving/serving_entry.h
@@ -59,6 +59,13 @@
   ///   ready.
   [[nodiscard]] std::string NotReadyReason() const;
   [[nodiscard]] std::string StatusJson() const;
+  /// Counts the runs of calls that start from now on.
+  /// @param runs  must outlive this entry.
+  void SetRunSink(RunSink& runs) { m_context.runs = &runs; }
+  [[nodiscard]] PeerExchange& peer_exchange() noexcept { return m_peers; }
+  [[nodiscard]] bool is_draining() const noexcept {
+    return m_draining_since.has_value();
+  }
 
  private:
   void HandleRequest(std::shared_ptr<HttpExchange> exchange);
--- a/packages/serving/include/bambooquay/serving/serving_settings.h
+++ b/packages/serving/include/bambooquay/serving/serving_settings.h
@@ -1,6 +1,7 @@
 // Settings of the serving processes, read from an INI file and validated.
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -9,6 +10,7 @@
 #include "bambooquay/core/clock.h"
 #include "bambooquay/core/ids.h"
 #include "bambooquay/core/ini.h"
+#include "bambooquay/core/units.h"
 #include "bambooquay/runtime/endpoint.h"
 #include "bambooquay/runtime/log.h"
 #include "bambooquay/serving/retry_budget.h"
@@ -17,6 +19,22 @@
 
 enum class ServingRole : std::uint8_t { kEntry, kAgent };
 
+/// What the platform expects of the duties that one entry performs at a time.
+struct DutySettings {
+  Endpoint platform;  ///< Takes the duties' calls.
+  bool reports_usage = false;
+  bool orders_servers = false;
+  /// Duties in `names` that this version does not know.
+  std::vector<std::string> unknown_names;
+  CallsPerSecond call_limit{10.0};  ///< From all entries together.
+  /// No two entries perform a duty within this time, unless the first one has
+  /// handed it over.
+  Duration lease_time = std::chrono::seconds(3);
+  Duration usage_window = std::chrono::seconds(5);
+  /// Time after the end of a window in which its usage has to be reported.
+  Duration usage_lateness = std::chrono::seconds(10);
+};
+
 struct ServingSettings {
   InstanceId id;
   DataCentreId data_centre;
@@ -33,6 +51,8 @@
   Endpoint callers;     ///< Entries only: requests of callers.
   Endpoint readiness;   ///< Entries only: readiness checks.
   RetryLimits retries;  ///< Entries only.
+  /// Entries only; unset if the platform has no duties.
+  std::optional<DutySettings> duties;
 
   Endpoint engine;      ///< Agents only: the engine's address.
   ServiceName service;  ///< Agents only: the engine's service.
--- a/packages/serving/src/forwarded_call.cc
+++ b/packages/serving/src/forwarded_call.cc
@@ -477,6 +477,9 @@
   m_stall_timer = nullptr;
   m_wait_timer = nullptr;
   RecordOutcome(outcome, reason);
+  if (m_may_have_run && !m_has_begun && m_context.runs != nullptr) {
+    m_context.runs->CountUnknownRun();
+  }
   m_on_finished(*this);
 }
 
--- a/packages/serving/src/forwarded_response.cc
+++ b/packages/serving/src/forwarded_response.cc
@@ -143,6 +143,9 @@
     return;
   }
   m_attempt_begun_at = m_context.loop.clock().Now();
+  if (m_route->kind != CallKind::kStream) {
+    CountRun();
+  }
   const bool failed = status >= ToCode(HttpStatus::kInternalError);
   if (!m_relaying) {
     m_response_headers = m_context.codec.CallerHeaders(headers);
@@ -195,6 +198,7 @@
   if (m_event_stream) {
     const std::string events = m_events.Append(bytes);
     if (!events.empty()) {
+      CountRun();
       if (m_attempt_events++ == 0 && m_attempt_begun_at.has_value()) {
         m_context.quarantine.RecordSurvival(m_call.prompt, *m_attempt_begun_at);
       }
@@ -231,6 +235,14 @@
                    m_unsent_response_bytes);
 }
 
+void ForwardedCall::CountRun() {
+  if (std::exchange(m_has_begun, true) || m_context.runs == nullptr ||
+      m_organisation == nullptr) {
+    return;
+  }
+  m_context.runs->CountRun(m_organisation->name);
+}
+
 void ForwardedCall::RecordEventTime() {
   const Duration now = Elapsed();
   if (m_first_event.has_value()) {
--- a/packages/serving/src/peer_exchange.cc
+++ b/packages/serving/src/peer_exchange.cc
@@ -30,6 +30,12 @@
 constexpr Duration kPermitTimeout = milliseconds(60);
 constexpr Duration kPermitRetryDelay = milliseconds(200);
 
+bool IsDutyMessage(const StatusMessage& message) {
+  return std::holds_alternative<DutyNotice>(message.body) ||
+         std::holds_alternative<UsageCounts>(message.body) ||
+         std::holds_alternative<UsageReceipt>(message.body);
+}
+
 }  // namespace
 
 PeerExchange::PeerExchange(EventLoop& loop, InstanceId self,
@@ -372,9 +378,27 @@
   } else if (const auto* request = std::get_if<PermitRequest>(&message->body)) {
     Send(sender_address,
          {m_self, m_incarnation, m_entry_permits.Issue(*request)});
+  } else if (m_on_duty_message && IsDutyMessage(*message)) {
+    m_on_duty_message(*message);
+  }
+}
+
+void PeerExchange::SendTo(const InstanceId& peer,
+                          decltype(StatusMessage::body) body) {
+  const auto found = m_peers.find(peer);
+  if (found != m_peers.end()) {
+    Send(found->second.address, {m_self, m_incarnation, std::move(body)});
   }
 }
 
+void PeerExchange::SendToAll(decltype(StatusMessage::body) body) {
+  const std::string bytes =
+      EncodeStatus({m_self, m_incarnation, std::move(body)});
+  std::ranges::for_each(m_peers, [&](const auto& item) {
+    m_socket.Send(item.second.address, bytes);
+  });
+}
+
 void PeerExchange::HandleEntryStatus(const Endpoint& sender_address,
                                      const StatusMessage& message,
                                      const EntryStatus& status) {
--- a/packages/serving/src/serving_settings.cc
+++ b/packages/serving/src/serving_settings.cc
@@ -11,6 +11,14 @@
 
 constexpr double kMaxSeconds = 86400.0;
 constexpr double kMaxRetries = 1e6;
+// Names of the duties, as the platform spells them.
+constexpr std::string_view kUsageReports = "usage_report";
+constexpr std::string_view kServerCounts = "autoscale";
+constexpr double kMinDutyRate = 0.1;
+constexpr double kMaxDutyRate = 1e6;
+// A call of a duty and the renewals before it have to fit in a lease.
+constexpr std::int64_t kMinLeaseMs = 2000;
+constexpr std::int64_t kMaxLeaseMs = 600000;
 
 /// Reads the sections of a settings file into ServingSettings.
 class ServingSettingsReader {
@@ -41,6 +49,8 @@
       m_settings.store = ReadEndpoint(reader, "address");
     } else if (name == "retries" && m_role == ServingRole::kEntry) {
       ReadRetries(reader);
+    } else if (name == "duties" && m_role == ServingRole::kEntry) {
+      ReadDuties(reader);
     } else if (name == "engine" && m_role == ServingRole::kAgent) {
       ReadEngine(reader);
     } else {
@@ -81,6 +91,33 @@
         "window_seconds", 0.1, kMaxSeconds, ToSeconds(limits.window)));
   }
 
+  void ReadDuties(IniSectionReader& reader) {
+    DutySettings duties;
+    duties.platform = ReadEndpoint(reader, "address");
+    for (const std::string& name : reader.List("names")) {
+      if (name == kUsageReports) {
+        duties.reports_usage = true;
+      } else if (name == kServerCounts) {
+        duties.orders_servers = true;
+      } else {
+        duties.unknown_names.push_back(name);
+      }
+    }
+    duties.call_limit.value =
+        reader.Number("calls_per_second", kMinDutyRate, kMaxDutyRate,
+                      duties.call_limit.value);
+    duties.lease_time = std::chrono::milliseconds(
+        reader.Integer("lease_milliseconds", kMinLeaseMs, kMaxLeaseMs,
+                       duties.lease_time / std::chrono::milliseconds(1)));
+    duties.usage_window =
+        FromSeconds(reader.Number("usage_window_seconds", 1.0, kMaxSeconds,
+                                  ToSeconds(duties.usage_window)));
+    duties.usage_lateness =
+        FromSeconds(reader.Number("usage_lateness_seconds", 1.0, kMaxSeconds,
+                                  ToSeconds(duties.usage_lateness)));
+    m_settings.duties = std::move(duties);
+  }
+
   void ReadEngine(IniSectionReader& reader) {
     m_settings.engine = ReadEndpoint(reader, "address");
     m_settings.service = ServiceName(reader.Text("service"));
