--- a/packages/duties/src/duty_lease.cc
+++ b/packages/duties/src/duty_lease.cc
@@ -374,6 +374,9 @@
         .With("reason", reason);
     m_held->is_releasing = true;
     m_next_call_at = m_clock.Now();
+    if (m_step == Step::kNone) {
+      Renew();
+    }
   }
 }
 
