--- a/packages/duties/tests/duty_lease_test.cc
+++ b/packages/duties/tests/duty_lease_test.cc
@@ -175,6 +175,21 @@
   BOOST_TEST(fleet.Fault() == "");
 }
 
+// As before, and the first renewal after the freeze is lost.
+BOOST_AUTO_TEST_CASE(a_freeze_ends_the_grant_also_if_the_check_is_lost) {
+  HeldFleet fleet;
+  fleet.Freeze(0);
+  fleet.time.RunFor(milliseconds(750));
+  fleet.SetFate(0, CallFate::kRequestLost, CallFate::kDone);
+  const std::size_t before = fleet.calls.size();
+  fleet.Thaw(0);
+  fleet.time.RunFor(milliseconds(300));
+  BOOST_TEST(fleet.calls.size() == before);
+  fleet.time.RunFor(seconds(1));
+  BOOST_TEST((fleet.Holder() == std::optional<std::size_t>(0)));
+  BOOST_TEST(fleet.Fault() == "");
+}
+
 BOOST_AUTO_TEST_CASE(a_holder_that_loses_the_store_stops_before_a_successor) {
   HeldFleet fleet;
   fleet.SetFate(0, CallFate::kRequestLost, CallFate::kRequestLost);
--- a/packages/serving/include/bambooquay/serving/serving_settings.h
+++ b/packages/serving/include/bambooquay/serving/serving_settings.h
@@ -24,7 +24,7 @@
   Endpoint platform;  ///< Takes the duties' calls.
   bool reports_usage = false;
   bool orders_servers = false;
-  /// Duties in `names` that this version does not know.
+  /// Names of duties that this version does not know.
   std::vector<std::string> unknown_names;
   CallsPerSecond call_limit{10.0};  ///< From all entries together.
   /// No two entries perform a duty within this time, unless the first one has
@@ -33,6 +33,11 @@
   Duration usage_window = std::chrono::seconds(5);
   /// Time after the end of a window in which its usage has to be reported.
   Duration usage_lateness = std::chrono::seconds(10);
+
+  /// @returns whether there is a duty to perform.
+  [[nodiscard]] bool has_duty() const noexcept {
+    return reports_usage || orders_servers;
+  }
 };
 
 struct ServingSettings {
--- a/programs/bambooquay/run_serve.cc
+++ b/programs/bambooquay/run_serve.cc
@@ -21,7 +21,7 @@
       : HostedProcess(identity, settings, std::move(arguments)),
         m_entry(settings, {m_loop, m_call_codec, m_document_codec, m_table,
                            m_metrics, m_random}) {
-    if (settings.duties.has_value()) {
+    if (settings.duties.has_value() && settings.duties->has_duty()) {
       m_duty_client = std::make_unique<hosting::HttpDutyClient>(
           m_loop, settings.duties->platform, settings.duties->call_limit);
       m_duties = std::make_unique<EntryDuties>(
