The test of a lost check begins just after a renewal

Cause: it passed also without the check, as the grant had ended before. Change: the freeze follows a renewal.

--- a/packages/duties/tests/duty_lease_test.cc
+++ b/packages/duties/tests/duty_lease_test.cc
@@ -178,6 +178,9 @@
 // As before, and the first renewal after the freeze is lost.
 BOOST_AUTO_TEST_CASE(a_freeze_ends_the_grant_also_if_the_check_is_lost) {
   HeldFleet fleet;
+  while (*fleet.lease(0).RenewalAge() > milliseconds(50)) {
+    fleet.time.RunFor(milliseconds(10));
+  }
   fleet.Freeze(0);
   fleet.time.RunFor(milliseconds(750));
   fleet.SetFate(0, CallFate::kRequestLost, CallFate::kDone);
