A stream that its upstream fails counts as begun

Ruled out: each attempt counts: there were 179 such attempts, of 142 requests. Change: a response other than 200 counts when its head arrives.

--- a/packages/serving/src/forwarded_response.cc
+++ b/packages/serving/src/forwarded_response.cc
@@ -143,7 +143,8 @@
     return;
   }
   m_attempt_begun_at = m_context.loop.clock().Now();
-  if (m_route->kind != CallKind::kStream) {
+  if (m_route->kind != CallKind::kStream || status != ToCode(HttpStatus::kOk)) {
+    // A stream begins with its first event, which is still to come.
     CountRun();
   }
   const bool failed = status >= ToCode(HttpStatus::kInternalError);
