--- a/packages/serving/include/bambooquay/serving/fleet_configuration.h
+++ b/packages/serving/include/bambooquay/serving/fleet_configuration.h
@@ -79,12 +79,23 @@
   [[nodiscard]] double AdapterReserveMb() const noexcept;
 };
 
+/// Bounds on the number of servers of a service in each data centre.
+struct ServerScaling {
+  int min_count = 0;
+  int max_count = 0;
+  Duration boot_time{};  ///< From an order until new servers serve.
+
+  friend bool operator==(const ServerScaling&, const ServerScaling&) = default;
+};
+
 struct ServingService {
   ServiceName name;
   int max_connections = 0;  ///< Per upstream, over all callers.
   /// Requests that a cold upstream can take, from all entries; 0 for no limit.
   double cold_requests_per_second = 0.0;
   std::optional<EngineProfile> engine;  ///< Unset for a plain service.
+  /// Unset if the number of its servers is not ordered.
+  std::optional<ServerScaling> scaling;
 };
 
 struct ServingOrganisation {
