Entries tell the duties of upstreams, configuration and demand by data centre

Cause: the number of servers is decided from what an entry knows already. Ruled out: demand in all statuses (bytes grow with the square of the entries); only the planner gets it, a holder that isn't the planner uses the engines' reports. Change: accessors of ServingEntry; a test that models of an engine that is emptied are planned elsewhere, which the planner did already.

--- a/packages/serving/include/bambooquay/serving/serving_entry.h
+++ b/packages/serving/include/bambooquay/serving/serving_entry.h
@@ -5,8 +5,11 @@
 #include <array>
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
+#include <optional>
 #include <unordered_map>
+#include <vector>
 
 #include "bambooquay/core/random.h"
 #include "bambooquay/runtime/buffer_budget.h"
@@ -59,6 +62,20 @@
   ///   ready.
   [[nodiscard]] std::string NotReadyReason() const;
   [[nodiscard]] std::string StatusJson() const;
+  [[nodiscard]] const UpstreamSet& upstreams() const noexcept {
+    return m_upstreams;
+  }
+  /// @returns the configuration in force; null before the first one.
+  [[nodiscard]] const FleetConfiguration* configuration() const noexcept {
+    return m_active_configuration == nullptr
+               ? nullptr
+               : &m_active_configuration->configuration;
+  }
+  using DemandByDataCentre = std::map<DataCentreId, std::vector<ModelDemand>>;
+  /// @returns the demand of callers by the data centre of the entries that got
+  ///   their calls; nothing if another entry plans placement, which alone gets
+  ///   it.
+  [[nodiscard]] std::optional<DemandByDataCentre> Demand();
 
  private:
   void HandleRequest(std::shared_ptr<HttpExchange> exchange);
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -421,16 +421,32 @@
   CheckDrained();
 }
 
+std::optional<ServingEntry::DemandByDataCentre> ServingEntry::Demand() {
+  if (!m_peers.IsPlanner()) {
+    return std::nullopt;
+  }
+  DemandByDataCentre demand;
+  demand[m_settings.data_centre] = m_demand.Rates();
+  for (const auto& [id, peer] : m_peers.peers()) {
+    if (!m_peers.IsSilent(peer)) {
+      std::ranges::copy(peer.status.demand,
+                        std::back_inserter(demand[peer.status.data_centre]));
+    }
+  }
+  return demand;
+}
+
 void ServingEntry::Plan() {
   m_early_plan_timer = nullptr;
   PlacementTargets targets;
-  if (m_active_configuration != nullptr && m_peers.IsPlanner() &&
-      !m_draining_since.has_value()) {
-    std::vector<ModelDemand> demand = m_demand.Rates();
-    for (const auto& [id, peer] : m_peers.peers()) {
-      if (!m_peers.IsSilent(peer)) {
-        std::ranges::copy(peer.status.demand, std::back_inserter(demand));
-      }
+  std::optional<DemandByDataCentre> by_data_centre;
+  if (m_active_configuration != nullptr && !m_draining_since.has_value()) {
+    by_data_centre = Demand();
+  }
+  if (by_data_centre.has_value()) {
+    std::vector<ModelDemand> demand;
+    for (const auto& [data_centre, local] : *by_data_centre) {
+      std::ranges::copy(local, std::back_inserter(demand));
     }
     targets = m_planner.Plan(m_active_configuration->configuration, demand);
   } else {
--- a/packages/serving/tests/fleet_planner_test.cc
+++ b/packages/serving/tests/fleet_planner_test.cc
@@ -115,6 +115,25 @@
   BOOST_TEST(!TargetHas(fixture.Plan({}), "b", "m3"));
 }
 
+// Load: a server that is given up has the only replica of a model. It still
+// serves for a while, in which the model is loaded elsewhere.
+BOOST_AUTO_TEST_CASE(
+    models_of_an_engine_that_is_emptied_are_planned_elsewhere) {
+  Fixture fixture;
+  fixture.Put("d", "names", 4);
+  fixture.upstreams.SetReport(UpstreamId("d"), {});
+  UpstreamRecord leaving = fixture.upstreams.Find(UpstreamId("a"))->record;
+  leaving.draining = true;
+  fixture.upstreams.Put(leaving);
+  const PlacementTargets targets = fixture.Plan({});
+  BOOST_TEST(!targets.contains(UpstreamId("a")));
+  for (const char* model : {"m0", "m1", "m2", "m3"}) {
+    BOOST_TEST(
+        (TargetHas(targets, "b", model) || TargetHas(targets, "d", model)),
+        model);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace bambooquay
