--- a/packages/serving/include/bambooquay/serving/serving_entry.h
+++ b/packages/serving/include/bambooquay/serving/serving_entry.h
@@ -76,6 +76,13 @@
   ///   their calls; nothing if another entry plans placement, which alone gets
   ///   it.
   [[nodiscard]] std::optional<DemandByDataCentre> Demand();
+  /// Counts the runs of calls that start from now on.
+  /// @param runs  must outlive this entry.
+  void SetRunSink(RunSink& runs) { m_context.runs = &runs; }
+  [[nodiscard]] PeerExchange& peer_exchange() noexcept { return m_peers; }
+  [[nodiscard]] bool is_draining() const noexcept {
+    return m_draining_since.has_value();
+  }
 
  private:
   void HandleRequest(std::shared_ptr<HttpExchange> exchange);
