--- a/packages/duties/include/bambooquay/duties/entry_duties.h
+++ b/packages/duties/include/bambooquay/duties/entry_duties.h
@@ -11,6 +11,7 @@
 #include "bambooquay/core/wall_clock.h"
 #include "bambooquay/duties/duty_client.h"
 #include "bambooquay/duties/duty_lease.h"
+#include "bambooquay/duties/server_count_duty.h"
 #include "bambooquay/duties/usage_counter.h"
 #include "bambooquay/duties/usage_reporter.h"
 #include "bambooquay/runtime/boot_clock.h"
@@ -30,8 +31,8 @@
   ServingEntry& entry;
 };
 
-/// Connects the lease and the usage to the other entries, the store and the
-/// platform.
+/// Connects the lease, the usage and the number of servers to the other
+/// entries, the store and the platform.
 class EntryDuties {
  public:
   EntryDuties(const DutySettings& settings, InstanceId self,
@@ -55,6 +56,9 @@
   ///   one; nothing if this one must not.
   [[nodiscard]] std::optional<std::size_t> Rank() const;
   void HandOverIfNeeded();
+  /// @returns the time for which all calls of this entry have failed.
+  [[nodiscard]] Duration FailingFor() const;
+  [[nodiscard]] std::vector<ScaledService> MeasureScaledServices() const;
   void SendNotice();
   void SendCounts();
   void HandleMessage(const StatusMessage& message);
@@ -72,6 +76,8 @@
   DutyLease m_lease;
   UsageCounter m_counter;
   UsageReporter m_reporter;
+  /// Null if the number of servers is not a duty.
+  std::unique_ptr<ServerCountDuty> m_server_count;
   bool m_is_draining = false;
   /// The holder by its last notice, with its fencing token.
   std::optional<InstanceId> m_holder;
--- a/packages/duties/include/bambooquay/duties/server_count_duty.h
+++ b/packages/duties/include/bambooquay/duties/server_count_duty.h
@@ -49,7 +49,10 @@
   /// @returns whether a call is in progress.
   [[nodiscard]] bool is_busy() const noexcept { return m_is_busy; }
   /// @returns the time since an order was accepted by this entry.
-  [[nodiscard]] std::optional<Duration> LastSuccessAge() const;
+  [[nodiscard]] std::optional<Duration> SuccessAge() const;
+
+  /// @returns the time for which calls have had no response of the platform.
+  [[nodiscard]] Duration FailingFor() const;
 
   static constexpr Duration kTickPeriod = std::chrono::milliseconds(250);
   /// Pause after an order that was not accepted; doubled with each further one.
@@ -90,6 +93,7 @@
   Duration m_pause{};
   TimePoint m_paused_until{};
   std::optional<TimePoint> m_accepted_at;
+  std::optional<TimePoint> m_failing_since;
 };
 
 }  // namespace bambooquay
--- a/packages/duties/include/bambooquay/duties/server_load.h
+++ b/packages/duties/include/bambooquay/duties/server_load.h
@@ -14,6 +14,12 @@
 /// Calls per second by the data centre of the entries that got them.
 using CallRates = std::map<DataCentreId, double>;
 
+/// @param demand  by the data centre of the entries.
+/// @returns the calls for all models of a service.
+[[nodiscard]] CallRates CallRatesOf(
+    const ServiceName& service,
+    const std::map<DataCentreId, std::vector<ModelDemand>>& demand);
+
 /// @param calls  calls for the service at all entries, refused ones included;
 ///   nothing if this entry does not know them.
 /// @returns the load of each data centre with servers or callers of the
--- a/packages/duties/src/entry_duties.cc
+++ b/packages/duties/src/entry_duties.cc
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "bambooquay/duties/server_load.h"
 #include "bambooquay/duties/usage_window.h"
 #include "bambooquay/runtime/log.h"
 
@@ -47,6 +48,11 @@
   if (settings.reports_usage) {
     deps.entry.SetRunSink(m_counter);
   }
+  if (settings.orders_servers) {
+    m_server_count = std::make_unique<ServerCountDuty>(
+        ServerCountDutyDeps{m_clock, deps.client, deps.metrics,
+                            [this] { return MeasureScaledServices(); }});
+  }
   m_lease.OnNews([this] { SendNotice(); });
   m_peers.OnDutyMessage(
       [this](const StatusMessage& message) { HandleMessage(message); });
@@ -74,6 +80,12 @@
       return static_cast<double>(m_counter.unknown_runs());
     });
   }
+  if (m_server_count != nullptr) {
+    metrics.RegisterGauge("duty_success_age_seconds{duty=\"server_count\"}",
+                          [this, to_seconds] {
+                            return to_seconds(m_server_count->SuccessAge());
+                          });
+  }
 }
 
 void EntryDuties::Start() {
@@ -90,6 +102,11 @@
     m_reporter.Tick(m_is_draining ? std::nullopt
                                   : m_lease.GrantFor(DutyClient::kCallTime));
   }
+  if (m_server_count != nullptr) {
+    m_server_count->Tick(
+        m_lease.is_holder(),
+        m_is_draining ? std::nullopt : m_lease.GrantFor(DutyClient::kCallTime));
+  }
   HandOverIfNeeded();
   const auto notice = m_lease.MakeNotice();
   if (notice.has_value() && (notice != m_sent_notice ||
@@ -110,17 +127,47 @@
 }
 
 void EntryDuties::HandOverIfNeeded() {
-  if (!m_lease.is_holder() || m_reporter.is_calling()) {
+  if (!m_lease.is_holder() || m_reporter.is_calling() ||
+      (m_server_count != nullptr && m_server_count->is_busy())) {
     return;
   }
   if (m_is_draining) {
     m_lease.Release("draining", kStopPause);
-  } else if (m_reporter.FailingFor() > kMaxFailingTime &&
+  } else if (FailingFor() > kMaxFailingTime &&
              m_peers.LiveMembers().size() > 1) {
     m_lease.Release("calls_fail", kHandOverPause);
   }
 }
 
+Duration EntryDuties::FailingFor() const {
+  return std::max(m_reporter.FailingFor(), m_server_count == nullptr
+                                               ? Duration::zero()
+                                               : m_server_count->FailingFor());
+}
+
+std::vector<ScaledService> EntryDuties::MeasureScaledServices() const {
+  std::vector<ScaledService> services;
+  const FleetConfiguration* configuration = m_deps.entry.configuration();
+  if (configuration == nullptr) {
+    return services;
+  }
+  const auto demand = m_deps.entry.Demand();
+  for (const ServingService& service : configuration->services) {
+    const auto limits = LimitsOf(service);
+    if (!limits.has_value()) {
+      continue;
+    }
+    std::optional<CallRates> calls;
+    if (demand.has_value()) {
+      calls = CallRatesOf(service.name, *demand);
+    }
+    services.push_back(
+        {service.name, *limits,
+         MeasureServers(service.name, m_deps.entry.upstreams(), calls)});
+  }
+  return services;
+}
+
 void EntryDuties::SendNotice() {
   m_sent_notice = m_lease.MakeNotice();
   m_sent_through = m_reporter.settled_through();
--- a/packages/duties/src/server_count_duty.cc
+++ b/packages/duties/src/server_count_duty.cc
@@ -20,13 +20,18 @@
   });
 }
 
-std::optional<Duration> ServerCountDuty::LastSuccessAge() const {
+std::optional<Duration> ServerCountDuty::SuccessAge() const {
   if (!m_accepted_at.has_value()) {
     return std::nullopt;
   }
   return m_deps.clock.Now() - *m_accepted_at;
 }
 
+Duration ServerCountDuty::FailingFor() const {
+  return m_failing_since.has_value() ? m_deps.clock.Now() - *m_failing_since
+                                     : Duration::zero();
+}
+
 void ServerCountDuty::Tick(bool is_holder,
                            const std::optional<DutyGrant>& grant) {
   const bool has_new_token =
@@ -53,6 +58,7 @@
   std::ranges::for_each(m_policies,
                         [](auto& item) { item.second.ForgetTargets(); });
   m_pending.clear();
+  m_failing_since.reset();
   ++m_term;
 }
 
@@ -159,6 +165,13 @@
     m_pause = std::clamp(m_pause * 2, kFirstPause, kMaxPause);
     m_paused_until = m_deps.clock.Now() + m_pause;
   }
+  const bool has_failed =
+      result == DutyCallResult::kUnknown || result == DutyCallResult::kNotSent;
+  if (!has_failed || term != m_term) {
+    m_failing_since.reset();
+  } else if (!m_failing_since.has_value()) {
+    m_failing_since = m_deps.clock.Now();
+  }
   const bool is_settled = is_accepted || result == DutyCallResult::kRejected;
   const auto pending = m_pending.find(subject);
   if (is_settled && term == m_term && pending != m_pending.end() &&
--- a/packages/duties/src/server_load.cc
+++ b/packages/duties/src/server_load.cc
@@ -5,6 +5,20 @@
 
 namespace bambooquay {
 
+CallRates CallRatesOf(
+    const ServiceName& service,
+    const std::map<DataCentreId, std::vector<ModelDemand>>& demand) {
+  CallRates rates;
+  for (const auto& [data_centre, models] : demand) {
+    for (const ModelDemand& model : models) {
+      if (model.service == service) {
+        rates[data_centre] += model.requests_per_second;
+      }
+    }
+  }
+  return rates;
+}
+
 std::vector<DataCentreLoad> MeasureServers(
     const ServiceName& service, const UpstreamSet& upstreams,
     const std::optional<CallRates>& calls) {
--- a/packages/duties/tests/server_count_duty_test.cc
+++ b/packages/duties/tests/server_count_duty_test.cc
@@ -105,7 +105,7 @@
   const std::size_t given = client.calls.size();
   Run(seconds(60));
   BOOST_TEST(client.calls.size() == given);
-  BOOST_TEST(duty.LastSuccessAge().has_value());
+  BOOST_TEST(duty.SuccessAge().has_value());
   BOOST_TEST(Orders("accepted") == static_cast<double>(given));
 }
 
@@ -116,9 +116,11 @@
   BOOST_REQUIRE(client.calls.size() == 1U);
   client.calls[0].done(DutyCallResult::kUnknown);
   Run(ServerCountDuty::kFirstPause);
+  BOOST_TEST((duty.FailingFor() == ServerCountDuty::kFirstPause));
   BOOST_REQUIRE(client.calls.size() == 2U);
   BOOST_TEST((client.calls[1].order == client.calls[0].order));
   client.calls[1].done(DutyCallResult::kAccepted);
+  BOOST_TEST((duty.FailingFor() == Duration::zero()));
   Run(seconds(60));
   BOOST_TEST(client.calls.size() == 2U);
 }
--- a/packages/duties/tests/server_load_test.cc
+++ b/packages/duties/tests/server_load_test.cc
@@ -93,6 +93,16 @@
   BOOST_TEST(*loads[2].calls_per_second == 2.0);
 }
 
+BOOST_AUTO_TEST_CASE(calls_for_all_models_of_a_service_are_added) {
+  const ModelDemand demand{kService, ModelName("m1"), 2.0, 0.0};
+  const ModelDemand other{ServiceName("texts"), ModelName("m1"), 9.0, 0.0};
+  const CallRates rates =
+      CallRatesOf(kService, {{DataCentreId("a"), {demand, demand, other}},
+                             {DataCentreId("b"), {other}}});
+  BOOST_TEST(rates.at(DataCentreId("a")) == 4.0);
+  BOOST_TEST(!rates.contains(DataCentreId("b")));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace bambooquay
