--- a/packages/operators/src/command_line.cc
+++ b/packages/operators/src/command_line.cc
@@ -15,6 +15,7 @@
 
   entry --settings FILE             run an entry (see 'bambooquay entry --help')
   config check FILE                 check a configuration, change nothing
+  config check FILE [--against F]   the same for a hosted platform's JSON file
   config apply FILE [--expect N]    check it and put it in force
   config show                       print the configuration in force
   key give ORGANISATION LABEL       make a key and print it once
@@ -32,7 +33,8 @@
   --help, --version
 
 exit codes: 0 done, 64 usage, 65 bad input, 66 no such file, 69 platform
-unavailable, 75 another operator was first, 78 bad settings
+unavailable, 75 another operator was first, 78 bad settings, or entries of a
+hosted platform's configuration that contradict themselves or have no effect
 )";
 
 }  // namespace
--- a/programs/bambooquay/main.cc
+++ b/programs/bambooquay/main.cc
@@ -7,6 +7,7 @@
 
 #include "bambooquay/operators/commands.h"
 #include "bambooquay/runtime/crash_report.h"
+#include "run_config_check.h"
 #include "run_entry.h"
 #include "run_serve.h"
 
@@ -21,6 +22,8 @@
     } else if (!arguments.empty() && arguments.front() == "serve") {
       arguments.erase(arguments.begin());
       code = bambooquay::RunServe(arguments);
+    } else if (bambooquay::IsHostedConfigCheck(arguments)) {
+      code = bambooquay::RunHostedConfigCheck(arguments);
     } else {
       code = bambooquay::RunCommand(arguments);
     }
