--- a/testing/tests/child_processes.cc
+++ b/testing/tests/child_processes.cc
@@ -7,9 +7,12 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <sstream>
 #include <stdexcept>
+#include <string_view>
 
 extern char** environ;
 
@@ -104,4 +107,23 @@
   return resident * static_cast<double>(sysconf(_SC_PAGESIZE)) / 1e6;
 }
 
+double ChildProcesses::GetPeakMemoryMb(const std::string& name) const {
+  std::ifstream file("/proc/" + std::to_string(m_processes.at(name).pid) +
+                     "/status");
+  constexpr std::string_view kPeak = "VmHWM:";
+  for (std::string line; std::getline(file, line);) {
+    if (line.starts_with(kPeak)) {
+      return std::stod(line.substr(kPeak.size())) * 1024 / 1e6;
+    }
+  }
+  return 0.0;
+}
+
+std::size_t ChildProcesses::CountDescriptors(const std::string& name) const {
+  const std::filesystem::directory_iterator descriptors(
+      "/proc/" + std::to_string(m_processes.at(name).pid) + "/fd");
+  return static_cast<std::size_t>(
+      std::distance(begin(descriptors), end(descriptors)));
+}
+
 }  // namespace bambooquay::testing
--- a/testing/tests/child_processes.h
+++ b/testing/tests/child_processes.h
@@ -3,6 +3,7 @@
 
 #include <sys/types.h>
 
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <string>
@@ -39,6 +40,11 @@
   [[nodiscard]] double GetCpuSeconds(const std::string& name) const;
   /// @returns the resident memory of the process, in MB (10^6 bytes).
   [[nodiscard]] double GetResidentMemoryMb(const std::string& name) const;
+  /// @returns the most resident memory that the process has had, in MB; 0 if it
+  ///   has ended.
+  [[nodiscard]] double GetPeakMemoryMb(const std::string& name) const;
+  /// @returns the number of the process's open file descriptors.
+  [[nodiscard]] std::size_t CountDescriptors(const std::string& name) const;
 
  private:
   struct Process {
