One budget for the memory and descriptors of a server's connections

Cause: each connection was bounded, their sum was not. Ruled out: pausing reads when memory is short, as callers that stop short of their end would hold it for ever. A string's own growth takes up to twice the body. Change: ConnectionBudget counts what each connection takes and decides which gives way: those that hold most for longest without progress, an address or organisation at a time. Large requests in service leave half to others. The readiness, table and admin ports have small fixed limits. Linger reads 256 KiB at most. [limits] memory_mb and descriptors, or the system's.

--- a/packages/operators/src/admin_server.cc
+++ b/packages/operators/src/admin_server.cc
@@ -4,6 +4,15 @@
 #include <utility>
 
 namespace bambooquay {
+namespace {
+
+// Requests have no bodies, and a few tools connect.
+constexpr HttpServerLimits kLimits = {
+    .max_body_bytes = std::size_t{64} * 1024,
+    .max_connections = 64,
+    .max_held_bytes = std::size_t{2} * 1024 * 1024};
+
+}  // namespace
 
 AdminServer::AdminServer(EventLoop& loop, const Metrics& metrics,
                          std::function<std::string()> not_ready_reason,
@@ -11,7 +20,7 @@
     : m_metrics(metrics),
       m_not_ready_reason(std::move(not_ready_reason)),
       m_status_json(std::move(status_json)),
-      m_server(loop, HttpServerLimits{},
+      m_server(loop, kLimits,
                [this](const std::shared_ptr<HttpExchange>& exchange) {
                  HandleRequest(*exchange);
                }) {}
--- a/packages/runtime/include/bambooquay/runtime/http_server.h
+++ b/packages/runtime/include/bambooquay/runtime/http_server.h
@@ -1,6 +1,7 @@
 // An HTTP/1.1 server based on http-parser and bufferevents. It limits the sizes
-// of headers and bodies, the number of connections and the time that callers
-// may take, and applies back-pressure to streamed responses.
+// of headers and bodies, the number of connections, the memory that all of them
+// take and the time that callers may take, and applies back-pressure to
+// streamed responses.
 #pragma once
 
 #include <cstddef>
@@ -12,6 +13,7 @@
 #include <string_view>
 
 #include "bambooquay/core/clock.h"
+#include "bambooquay/runtime/connection_budget.h"
 #include "bambooquay/runtime/endpoint.h"
 #include "bambooquay/runtime/event_loop.h"
 #include "bambooquay/runtime/http_types.h"
@@ -28,8 +30,14 @@
   /// Bytes of the request target and of all header names and values.
   std::size_t max_header_bytes = 16 * 1024;
   std::size_t max_body_bytes = 4 * 1024 * 1024;
-  /// While this many connections are open, no others are accepted.
+  /// While this many connections are open, another one is accepted only if one
+  /// gives way that is idle or whose request has not arrived completely.
   std::size_t max_connections = 4096;
+  /// Bytes that all connections may hold together: requests, responses that are
+  /// not written yet, and buffers. At least kMinHeldBodies times max_body_bytes
+  /// are allowed, so that a single request can always be served.
+  std::size_t max_held_bytes = std::size_t{64} * 1024 * 1024;
+  static constexpr std::size_t kMinHeldBodies = 4;
   /// A connection that sends and receives no bytes for this long is closed,
   /// unless it waits for its handler to write the response.
   Duration idle_timeout = std::chrono::seconds(60);
@@ -113,7 +121,24 @@
   /// response. New connections are still accepted and serve one request each.
   void CloseAfterResponses();
   /// Replaces the limits, also for open connections.
-  void SetLimits(const HttpServerLimits& limits) { m_limits = limits; }
+  void SetLimits(const HttpServerLimits& limits);
+  /// Sets a function that returns the organisation whose headers a request has,
+  /// or an empty string. Connections of one organisation are charged together,
+  /// others by their addresses. Called only for requests that arrive in parts.
+  void SetOrganisationSource(
+      std::function<std::string(const HttpHeaders&)> source) {
+    m_organisation_of = std::move(source);
+  }
+  /// Sets a callback that runs for each connection that is closed, or whose
+  /// request is refused, because of a limit on what callers may send or hold.
+  /// Gets a word for the limit, as used in metrics.
+  void OnLimitExceeded(std::function<void(std::string_view)> handler) {
+    m_on_limit_exceeded = std::move(handler);
+  }
+  /// @returns the number of bytes that all connections hold.
+  [[nodiscard]] std::size_t held_bytes() const noexcept {
+    return m_budget.held();
+  }
   [[nodiscard]] std::size_t connection_count() const noexcept {
     return m_connections.size();
   }
@@ -126,13 +151,23 @@
 
   static void HandleAccept(evconnlistener* listener, int socket,
                            sockaddr* address, int length, void* self);
+  static void HandleAcceptError(evconnlistener* listener, void* self);
   void Remove(HttpServerConnection& connection);
-  void EnforceConnectionLimit();
+  /// Accepts connections as long as there is room for another one.
+  void UpdateListener();
+  /// Lets connections give way until there is room for another one.
+  void MakeRoom();
+  /// Logs and counts that a connection exceeds a limit.
+  void ReportLimitExceeded(const HttpServerConnection& connection,
+                           std::string_view limit);
   void CloseExpired();
 
   EventLoop& m_loop;
   HttpServerLimits m_limits;
   Handler m_handler;
+  ConnectionBudget m_budget;
+  std::function<std::string(const HttpHeaders&)> m_organisation_of;
+  std::function<void(std::string_view)> m_on_limit_exceeded;
   evconnlistener* m_listener = nullptr;
   std::list<std::unique_ptr<HttpServerConnection>> m_connections;
   std::unique_ptr<Timer> m_sweep_timer;
--- a/packages/runtime/include/bambooquay/runtime/http_types.h
+++ b/packages/runtime/include/bambooquay/runtime/http_types.h
@@ -56,6 +56,8 @@
   [[nodiscard]] std::string_view Get(std::string_view name) const noexcept;
   /// @returns the total size of all names and values.
   [[nodiscard]] std::size_t total_bytes() const noexcept;
+  /// @returns the number of bytes of memory that the fields take.
+  [[nodiscard]] std::size_t allocated_bytes() const noexcept;
 };
 
 struct HttpRequest {
--- a/packages/runtime/src/http_server.cc
+++ b/packages/runtime/src/http_server.cc
@@ -5,8 +5,10 @@
 #include <netinet/in.h>
 
 #include <algorithm>
+#include <cstring>
 #include <utility>
 
+#include "bambooquay/runtime/log.h"
 #include "http_server_connection.h"
 #include "socket_address.h"
 
@@ -18,6 +20,12 @@
 // Maximum number of connections that wait to be accepted.
 constexpr int kListenBacklog = 1024;
 
+ConnectionBudgetLimits BudgetLimits(const HttpServerLimits& limits) {
+  return {std::max(limits.max_held_bytes,
+                   HttpServerLimits::kMinHeldBodies * limits.max_body_bytes),
+          limits.max_connections};
+}
+
 }  // namespace
 
 HttpExchange::HttpExchange(HttpServerConnection* connection,
@@ -77,6 +85,7 @@
     : m_loop(loop),
       m_limits(limits),
       m_handler(std::move(handler)),
+      m_budget(loop.clock(), BudgetLimits(limits)),
       m_sweep_timer(loop.Every(kSweepPeriod, [this] { CloseExpired(); })) {}
 
 HttpServer::~HttpServer() { StopListening(); }
@@ -90,7 +99,11 @@
       m_loop.base(), &HttpServer::HandleAccept, this,
       LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, kListenBacklog, address->get(),
       static_cast<int>(address->length));
-  return m_listener != nullptr;
+  if (m_listener == nullptr) {
+    return false;
+  }
+  evconnlistener_set_error_cb(m_listener, &HttpServer::HandleAcceptError);
+  return true;
 }
 
 std::uint16_t HttpServer::port() const {
@@ -122,30 +135,71 @@
       [](const auto& connection) { return connection->IsBusy(); }));
 }
 
+void HttpServer::SetLimits(const HttpServerLimits& limits) {
+  m_limits = limits;
+  m_budget.SetLimits(BudgetLimits(limits));
+}
+
 void HttpServer::HandleAccept(evconnlistener* /*listener*/, int socket,
-                              sockaddr* /*address*/, int /*length*/,
-                              void* self) {
+                              sockaddr* address, int length, void* self) {
   auto* server = static_cast<HttpServer*>(self);
+  SocketAddress peer;
+  peer.length = std::min(static_cast<socklen_t>(length), peer.length);
+  std::memcpy(&peer.storage, address, peer.length);
   auto& connections = server->m_connections;
-  connections.push_back(
-      std::make_unique<HttpServerConnection>(*server, socket));
+  connections.push_back(std::make_unique<HttpServerConnection>(
+      *server, socket, ToEndpoint(peer).host));
   connections.back()->m_list_position = std::prev(connections.end());
-  server->EnforceConnectionLimit();
+  server->MakeRoom();
+  server->m_budget.Enforce();
+}
+
+void HttpServer::HandleAcceptError(evconnlistener* listener, void* self) {
+  const int error = EVUTIL_SOCKET_ERROR();
+  auto* server = static_cast<HttpServer*>(self);
+  const bool has_freed = server->m_budget.FreeDescriptor();
+  LogEvent(LogLevel::kWarning, "accept_failed")
+      .With("error", evutil_socket_error_to_string(error))
+      .With("connections", server->m_connections.size())
+      .With("closed", has_freed ? 1 : 0);
+  if (!has_freed) {
+    // Enabled again when a connection ends, or after a while.
+    evconnlistener_disable(listener);
+  }
 }
 
 void HttpServer::Remove(HttpServerConnection& connection) {
   m_connections.erase(connection.m_list_position);
-  EnforceConnectionLimit();
+  UpdateListener();
 }
 
-void HttpServer::EnforceConnectionLimit() {
+void HttpServer::UpdateListener() {
   if (m_listener == nullptr) {
     return;
   }
-  if (m_connections.size() >= m_limits.max_connections) {
-    evconnlistener_disable(m_listener);
-  } else {
+  if (m_budget.HasDescriptor()) {
     evconnlistener_enable(m_listener);
+  } else {
+    evconnlistener_disable(m_listener);
+  }
+}
+
+void HttpServer::MakeRoom() {
+  while (!m_budget.HasDescriptor() && m_budget.FreeDescriptor()) {
+  }
+  UpdateListener();
+}
+
+void HttpServer::ReportLimitExceeded(const HttpServerConnection& connection,
+                                     std::string_view limit) {
+  LogEvent(LogLevel::kInfo, "caller_limit_exceeded")
+      .With("limit", limit)
+      .With("group", connection.group())
+      .With("held", connection.held())
+      .With("all_held", m_budget.held())
+      .With("connections", m_connections.size());
+  if (m_on_limit_exceeded) {
+    m_on_limit_exceeded(limit);
   }
 }
 
@@ -156,6 +210,7 @@
     const auto current = it++;
     (*current)->CloseIfExpired(now);
   }
+  MakeRoom();
 }
 
 }  // namespace bambooquay
--- a/packages/runtime/src/http_server_connection.cc
+++ b/packages/runtime/src/http_server_connection.cc
@@ -6,6 +6,7 @@
 #include <event2/event.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace bambooquay {
@@ -17,6 +18,21 @@
 // How long a caller may keep sending after the last response on a connection,
 // before the connection is closed.
 constexpr Duration kLingerTime = std::chrono::seconds(1);
+// How many bytes it may send in that time.
+constexpr std::size_t kMaxLingerBytes = std::size_t{256} * 1024;
+// The next pipelined request waits while this many bytes of earlier responses
+// are not written.
+constexpr std::size_t kMaxUnwrittenBytes = std::size_t{64} * 1024;
+// What a connection takes besides its buffers.
+constexpr std::size_t kConnectionBytes = 4096;
+// A body up to this size fits into the buffers of the upstream's socket. While
+// a larger one is being served, what is not sent yet is a second copy.
+constexpr std::size_t kSocketBufferBytes = std::size_t{64} * 1024;
+constexpr std::size_t kFirstBodyBytes = std::size_t{16} * 1024;
+// A body's memory grows by one part in this many.
+constexpr std::size_t kGrowthDivisor = 2;
+// In seconds.
+constexpr const char* kRetryAfter = "1";
 
 HttpServerConnection& Self(http_parser* parser) {
   return *static_cast<HttpServerConnection*>(parser->data);
@@ -25,8 +41,10 @@
 }  // namespace
 
 HttpServerConnection::HttpServerConnection(HttpServer& server,
-                                           evutil_socket_t socket)
-    : m_server(server),
+                                           evutil_socket_t socket,
+                                           std::string address)
+    : BudgetedConnection(server.m_budget, std::move(address)),
+      m_server(server),
       m_stream(bufferevent_socket_new(
           server.m_loop.base(), socket,
           BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS)),
@@ -41,6 +59,7 @@
                     &HttpServerConnection::HandleEvent, this);
   bufferevent_setwatermark(m_stream, EV_READ, 0, kReadAheadBytes);
   bufferevent_enable(m_stream, EV_READ | EV_WRITE);
+  UpdateHeld();
 }
 
 HttpServerConnection::~HttpServerConnection() {
@@ -88,6 +107,9 @@
     self.m_refusal_status = ToCode(HttpStatus::kPayloadTooLarge);
     return -1;
   }
+  self.m_body_limit = has_length
+                          ? static_cast<std::size_t>(parser->content_length)
+                          : self.m_server.m_limits.max_body_bytes;
   if (headers.Get("Expect") == "100-continue") {
     AppendBytes(self.output(), "HTTP/1.1 100 Continue\r\n\r\n");
   }
@@ -103,6 +125,7 @@
     self.m_refusal_status = ToCode(HttpStatus::kPayloadTooLarge);
     return -1;
   }
+  self.ReserveBody(size);
   self.m_body.append(data, size);
   return 0;
 }
@@ -115,8 +138,72 @@
 
 void HttpServerConnection::HandleRead(bufferevent* /*stream*/, void* self) {
   auto* connection = static_cast<HttpServerConnection*>(self);
-  connection->m_last_activity = connection->m_server.m_loop.clock().Now();
+  HttpServer& server = connection->m_server;
+  if (connection->m_state == State::kFlushing ||
+      connection->m_state == State::kLingering) {
+    connection->Discard();
+    return;
+  }
+  connection->m_last_activity = server.m_loop.clock().Now();
+  // May destroy the connection, as the handler may.
   connection->Parse();
+  server.m_budget.Enforce();
+}
+
+void HttpServerConnection::Discard() {
+  evbuffer* input = bufferevent_get_input(m_stream);
+  m_discarded_bytes += evbuffer_get_length(input);
+  evbuffer_drain(input, evbuffer_get_length(input));
+  if (m_discarded_bytes > kMaxLingerBytes) {
+    Close();
+  }
+}
+
+void HttpServerConnection::ReserveBody(std::size_t part) {
+  const std::size_t needed = m_body.size() + part;
+  if (needed <= m_body.capacity()) {
+    return;
+  }
+  const std::size_t wanted =
+      std::max({needed, m_body.capacity() + m_body.capacity() / kGrowthDivisor,
+                kFirstBodyBytes});
+  std::string grown;
+  grown.reserve(std::max(needed, std::min(wanted, m_body_limit)));
+  grown.append(m_body);
+  m_body = std::move(grown);
+}
+
+void HttpServerConnection::SetState(State state) {
+  m_state = state;
+  m_state_since = m_server.m_loop.clock().Now();
+  switch (state) {
+    case State::kIdle:
+      SetPhase(evbuffer_get_length(output()) > 0 ? ConnectionPhase::kWriting
+                                                 : ConnectionPhase::kIdle);
+      break;
+    case State::kReading:
+      SetPhase(ConnectionPhase::kReading);
+      break;
+    case State::kResponding:
+      SetPhase(ConnectionPhase::kServed);
+      break;
+    case State::kFlushing:
+      SetPhase(ConnectionPhase::kWriting);
+      break;
+    case State::kLingering:
+      SetPhase(ConnectionPhase::kRefused);
+      break;
+  }
+  UpdateHeld();
+}
+
+void HttpServerConnection::UpdateHeld() {
+  // The output of a response in progress is charged by the handler.
+  const std::size_t unwritten =
+      m_exchange == nullptr ? evbuffer_get_length(output()) : 0;
+  SetHeld(kConnectionBytes + m_served_bytes + m_body.capacity() +
+          m_target.capacity() + m_headers.headers().allocated_bytes() +
+          evbuffer_get_length(bufferevent_get_input(m_stream)) + unwritten);
 }
 
 void HttpServerConnection::HandleWrite(bufferevent* stream, void* self) {
@@ -127,6 +214,9 @@
   }
   if (connection->m_state == State::kFlushing) {
     connection->Linger();
+  } else if (connection->m_state == State::kIdle) {
+    connection->SetState(State::kIdle);
+    connection->Parse();
   } else if (connection->m_exchange != nullptr) {
     // Moved out first, because the callback may send the next part.
     const auto on_written =
@@ -146,14 +236,10 @@
 
 void HttpServerConnection::Parse() {
   evbuffer* input = bufferevent_get_input(m_stream);
-  if (m_state == State::kFlushing || m_state == State::kLingering) {
-    evbuffer_drain(input, evbuffer_get_length(input));
-    return;
-  }
-  while (m_exchange == nullptr && evbuffer_get_length(input) > 0) {
+  while (m_exchange == nullptr && evbuffer_get_length(input) > 0 &&
+         evbuffer_get_length(output()) < kMaxUnwrittenBytes) {
     if (m_state == State::kIdle) {
-      m_state = State::kReading;
-      m_state_since = m_server.m_loop.clock().Now();
+      SetState(State::kReading);
     }
     const std::size_t length = evbuffer_get_length(input);
     const auto* bytes =
@@ -184,6 +270,18 @@
       return;
     }
   }
+  if (m_state == State::kReading) {
+    SetProgress(m_headers.total_bytes() + m_body.size());
+    if (!m_has_organisation && !m_body.empty() && m_server.m_organisation_of) {
+      m_has_organisation = true;
+      const std::string organisation =
+          m_server.m_organisation_of(m_headers.headers());
+      if (!organisation.empty()) {
+        SetGroup(organisation);
+      }
+    }
+  }
+  UpdateHeld();
 }
 
 void HttpServerConnection::Dispatch() {
@@ -203,8 +301,17 @@
   m_chunked = m_parser.http_major > 1 || m_parser.http_minor >= 1;
   m_is_head_request = request.method == "HEAD";
   http_parser_pause(&m_parser, 0);
-  m_state = State::kResponding;
-  m_state_since = m_server.m_loop.clock().Now();
+  m_served_bytes = request.body.capacity() + request.target.capacity() +
+                   request.headers.allocated_bytes();
+  if (request.body.size() > kSocketBufferBytes) {
+    m_served_bytes += request.body.size();
+  }
+  if (!m_server.m_budget.MayServe(kConnectionBytes + m_served_bytes)) {
+    request = {};
+    RefuseForNow();
+    return;
+  }
+  SetState(State::kResponding);
   const auto exchange =
       std::make_shared<HttpExchange>(this, std::move(request));
   m_exchange = exchange.get();
@@ -215,7 +322,18 @@
                                   std::string_view message) {
   HttpHeaders headers;
   headers.Add("Content-Type", "application/json");
+  if (status == ToCode(HttpStatus::kServiceUnavailable)) {
+    headers.Add("Retry-After", kRetryAfter);
+  }
   m_keep_alive = false;
+  m_is_head_request = m_parser.method == HTTP_HEAD;
+  // An assignment would keep the memory.
+  std::string().swap(m_body);
+  std::string().swap(m_target);
+  m_headers.Clear();
+  m_headers.headers().items.shrink_to_fit();
+  evbuffer* input = bufferevent_get_input(m_stream);
+  evbuffer_drain(input, evbuffer_get_length(input));
   std::string body = R"({"error":{"code":")";
   body += code;
   body += R"(","message":")";
@@ -224,6 +342,22 @@
   WriteResponse(status, headers, body);
 }
 
+void HttpServerConnection::RefuseForNow() {
+  m_server.ReportLimitExceeded(*this, "memory");
+  Refuse(ToCode(HttpStatus::kServiceUnavailable), "overloaded",
+         "there is no room for the request");
+}
+
+void HttpServerConnection::GiveWay(YieldReason reason) {
+  if (reason == YieldReason::kMemory && m_state == State::kReading) {
+    RefuseForNow();
+    return;
+  }
+  m_server.ReportLimitExceeded(
+      *this, reason == YieldReason::kMemory ? "memory" : "connections");
+  HandleDisconnect();
+}
+
 std::string HttpServerConnection::MakeHead(int status,
                                            const HttpHeaders& headers) {
   if (m_server.m_is_closing) {
@@ -288,12 +422,12 @@
 
 void HttpServerConnection::FinishResponse() {
   m_exchange = nullptr;
-  m_state_since = m_server.m_loop.clock().Now();
+  m_served_bytes = 0;
   if (!m_keep_alive) {
-    m_state = State::kFlushing;
+    SetState(State::kFlushing);
     return;
   }
-  m_state = State::kIdle;
+  SetState(State::kIdle);
   if (evbuffer_get_length(bufferevent_get_input(m_stream)) > 0) {
     // Parses the next request after the current callback returns.
     bufferevent_trigger(m_stream, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
@@ -302,8 +436,7 @@
 
 void HttpServerConnection::Linger() {
   shutdown(bufferevent_getfd(m_stream), SHUT_WR);
-  m_state = State::kLingering;
-  m_state_since = m_server.m_loop.clock().Now();
+  SetState(State::kLingering);
 }
 
 void HttpServerConnection::AbortResponse() {
@@ -319,7 +452,12 @@
   if (m_state == State::kLingering && time_in_state > kLingerTime) {
     Close();
   } else if (is_reading_header && time_in_state > limits.header_timeout) {
-    Refuse(408, "header_timeout", "the request's header took too long");
+    Refuse(ToCode(HttpStatus::kRequestTimeout), "header_timeout",
+           "the request's header took too long");
+  } else if (m_server.m_budget.IsTooSlow(*this)) {
+    m_server.ReportLimitExceeded(*this, "rate");
+    Refuse(ToCode(HttpStatus::kRequestTimeout), "body_timeout",
+           "the request's body took too long");
   } else if (now - m_last_activity > limits.idle_timeout) {
     const bool is_waiting_for_handler =
         m_exchange != nullptr && evbuffer_get_length(output()) == 0;
@@ -332,7 +470,7 @@
 void HttpServerConnection::CloseWhenIdle() {
   m_keep_alive = false;
   if (m_state == State::kIdle) {
-    m_state = State::kFlushing;
+    SetState(State::kFlushing);
     if (evbuffer_get_length(output()) == 0) {
       Linger();
     }
--- a/packages/runtime/src/http_server_connection.h
+++ b/packages/runtime/src/http_server_connection.h
@@ -17,12 +17,14 @@
 
 namespace bambooquay {
 
-class HttpServerConnection {
+class HttpServerConnection final : public BudgetedConnection {
  public:
-  HttpServerConnection(HttpServer& server, evutil_socket_t socket);
+  /// @param address  of the caller, without its port.
+  HttpServerConnection(HttpServer& server, evutil_socket_t socket,
+                       std::string address);
   HttpServerConnection(const HttpServerConnection&) = delete;
   HttpServerConnection& operator=(const HttpServerConnection&) = delete;
-  ~HttpServerConnection();
+  ~HttpServerConnection() override;
 
   void WriteResponse(int status, const HttpHeaders& headers,
                      std::string_view body);
@@ -35,6 +37,9 @@
   /// Closes the connection, or answers 408, if the caller exceeded a time
   /// limit.
   void CloseIfExpired(TimePoint now);
+  /// Refuses the request that is being read and drops what has arrived of it,
+  /// or closes the connection.
+  void GiveWay(YieldReason reason) override;
   /// Closes the connection after the current response, or now if there is none.
   void CloseWhenIdle();
   /// @returns whether a request is partly received or unanswered, or a response
@@ -63,9 +68,19 @@
   void Parse();
   /// Passes the parsed request to the handler.
   void Dispatch();
-  /// Answers an invalid request with an error, without calling the handler, and
-  /// closes the connection.
+  /// Drops a request and answers it with an error, without calling the handler,
+  /// and closes the connection.
   void Refuse(int status, std::string_view code, std::string_view message);
+  /// Refuses a request that could be served at another time.
+  void RefuseForNow();
+  void SetState(State state);
+  /// Charges what the connection holds to the server's budget.
+  void UpdateHeld();
+  /// Makes room for a part of the body. The string's own growth would take up
+  /// to twice the size of the body.
+  void ReserveBody(std::size_t part);
+  /// Drops bytes that arrive after the last response, up to a limit.
+  void Discard();
   /// @returns the status line and headers, without the empty line after them.
   [[nodiscard]] std::string MakeHead(int status, const HttpHeaders& headers);
   /// Waits for the next request, or closes once the output is written.
@@ -85,6 +100,14 @@
   HeaderCollector m_headers;
   std::string m_target;
   std::string m_body;
+  /// The most that the body may have: what the caller announces, or the limit.
+  std::size_t m_body_limit = 0;
+  /// What the request that is being served holds.
+  std::size_t m_served_bytes = 0;
+  /// Bytes that arrived after the last response.
+  std::size_t m_discarded_bytes = 0;
+  /// Whether the connection is charged to an organisation.
+  bool m_has_organisation = false;
   bool m_request_complete = false;
   /// Status code for a request that a parser callback rejected, or 0.
   int m_refusal_status = 0;
--- a/packages/serving/include/bambooquay/serving/serving_entry.h
+++ b/packages/serving/include/bambooquay/serving/serving_entry.h
@@ -70,6 +70,12 @@
   /// @returns the address of the entry that reads the store for this data
   ///   centre; nothing if this entry reads for itself.
   [[nodiscard]] std::optional<Endpoint> TableReader() const;
+  /// @returns the limits of a configuration, with this process's own.
+  [[nodiscard]] HttpServerLimits CallerLimits(
+      const HttpServerLimits& configured) const;
+  /// @returns the name of the organisation whose API key is among the headers,
+  ///   or an empty string.
+  [[nodiscard]] std::string OrganisationOf(const HttpHeaders& headers) const;
   void HandleOperatorRow(const TableRow& row);
   void HandleUpstreamRow(const TableRow& row);
   void HandleMemberRow(const TableRow& row);
--- a/packages/serving/include/bambooquay/serving/serving_settings.h
+++ b/packages/serving/include/bambooquay/serving/serving_settings.h
@@ -11,6 +11,7 @@
 #include "bambooquay/core/ini.h"
 #include "bambooquay/runtime/endpoint.h"
 #include "bambooquay/runtime/log.h"
+#include "bambooquay/runtime/process_limits.h"
 #include "bambooquay/serving/retry_budget.h"
 
 namespace bambooquay {
@@ -33,6 +34,8 @@
   Endpoint callers;     ///< Entries only: requests of callers.
   Endpoint readiness;   ///< Entries only: readiness checks.
   RetryLimits retries;  ///< Entries only.
+  /// Entries only: what the process may use, of which callers get a part.
+  ProcessLimits limits = DetectProcessLimits();
 
   Endpoint engine;      ///< Agents only: the engine's address.
   ServiceName service;  ///< Agents only: the engine's service.
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -47,6 +47,24 @@
 constexpr Duration kRegisterRetryDelay = milliseconds(400);
 // Limit on the bytes of all responses that their callers have not taken yet.
 constexpr std::size_t kMaxResponseBytes = std::size_t{48} * 1024 * 1024;
+// The part of the process's memory that callers' requests may hold, besides the
+// responses, and the part of its descriptors that callers' connections may use:
+// most of them are idle and need none to an upstream.
+constexpr std::size_t kCallerMemoryDivisor = 5;
+constexpr double kCallerDescriptorShare = 2.0 / 3;
+// More connections are not accepted even if there are descriptors.
+constexpr std::size_t kMaxCallerConnections = 4096;
+// Limits of the ports for readiness checks and for other entries. Their requests
+// have no bodies; the watches of all entries of a data centre wait at one of
+// them.
+constexpr HttpServerLimits kReadinessLimits = {
+    .max_body_bytes = std::size_t{64} * 1024,
+    .max_connections = 64,
+    .max_held_bytes = std::size_t{2} * 1024 * 1024};
+constexpr HttpServerLimits kTableLimits = {
+    .max_body_bytes = std::size_t{64} * 1024,
+    .max_connections = 1024,
+    .max_held_bytes = std::size_t{8} * 1024 * 1024};
 // Connections to upstreams are made within some milliseconds, as network
 // latency in the fleet is low.
 constexpr HttpClientSettings kUpstreamClient = {
@@ -115,12 +133,12 @@
           deps.loop, m_shared_table, deps.random,
           {kMemberTable, kMemberWatchTime, kMemberPause, kMemberPause},
           [this](const TableRow& row) { HandleMemberRow(row); }),
-      m_server(deps.loop, HttpServerLimits{},
+      m_server(deps.loop, CallerLimits({}),
                [this](std::shared_ptr<HttpExchange> exchange) {
                  HandleRequest(std::move(exchange));
                }),
       m_readiness_server(
-          deps.loop, HttpServerLimits{},
+          deps.loop, kReadinessLimits,
           [this](const std::shared_ptr<HttpExchange>& exchange) {
             const std::string reason = NotReadyReason();
             exchange->Respond(
@@ -128,7 +146,7 @@
                                       : HttpStatus::kServiceUnavailable),
                 {}, reason);
           }),
-      m_table_server(deps.loop, HttpServerLimits{},
+      m_table_server(deps.loop, kTableLimits,
                      [this](const std::shared_ptr<HttpExchange>& exchange) {
                        m_table_relay.HandleRequest(exchange);
                      }),
@@ -138,6 +156,13 @@
     m_table_relay.Serve(*mirror);
   }
   RegisterGauges();
+  m_server.SetOrganisationSource([this](const HttpHeaders& headers) {
+    return OrganisationOf(headers);
+  });
+  m_server.OnLimitExceeded([this](std::string_view limit) {
+    m_deps.metrics.Increment("caller_limits_exceeded_total{limit=\"" +
+                             std::string(limit) + "\"}");
+  });
   m_upstream_rows.SetExpiryGrace(m_expiry_grace);
   m_peers.SetStatusSource([this] { return MakeStatus(); });
   // A new peer needs all totals, so all are sent again.
@@ -212,6 +237,9 @@
   metrics.RegisterGauge("response_bytes_held", [this, to_double] {
     return to_double(m_response_buffers.held());
   });
+  metrics.RegisterGauge("caller_bytes_held", [this, to_double] {
+    return to_double(m_server.held_bytes());
+  });
   metrics.RegisterGauge("caller_connections", [this, to_double] {
     return to_double(m_server.connection_count());
   });
@@ -224,6 +252,33 @@
   RegisterLogGauges(metrics);
 }
 
+HttpServerLimits ServingEntry::CallerLimits(
+    const HttpServerLimits& configured) const {
+  const ProcessLimits& process = m_settings.limits;
+  HttpServerLimits limits = configured;
+  limits.max_held_bytes = process.memory_bytes / kCallerMemoryDivisor;
+  limits.max_connections =
+      std::min(kMaxCallerConnections,
+               static_cast<std::size_t>(
+                   static_cast<double>(process.descriptors) *
+                   kCallerDescriptorShare));
+  return limits;
+}
+
+std::string ServingEntry::OrganisationOf(const HttpHeaders& headers) const {
+  if (m_active_configuration == nullptr) {
+    return "";
+  }
+  HttpRequest request;
+  request.headers = headers;
+  const ServingCall call = m_deps.call_codec.DecodeCall(request);
+  const ServingOrganisation* organisation =
+      call.api_key.empty() ? nullptr
+                           : m_active_configuration->routes.FindOrganisation(
+                                 KeyDigest(Sha256Hex(call.api_key)));
+  return organisation == nullptr ? "" : organisation->name.value();
+}
+
 bool ServingEntry::Start() {
   if (!m_server.Listen(m_settings.callers) ||
       !m_readiness_server.Listen(m_settings.readiness) ||
--- a/packages/serving/src/serving_entry_tables.cc
+++ b/packages/serving/src/serving_entry_tables.cc
@@ -59,7 +59,7 @@
     }
   }
   m_upstreams.SetEngineServices(std::move(engine_services));
-  m_server.SetLimits(active.caller_limits);
+  m_server.SetLimits(CallerLimits(active.caller_limits));
   LogEvent(LogLevel::kInfo, "configuration_in_force")
       .With("version", active.version)
       .With("routes", active.routes.size())
--- a/packages/serving/src/serving_settings.cc
+++ b/packages/serving/src/serving_settings.cc
@@ -1,6 +1,7 @@
 // Settings of the serving processes.
 #include "bambooquay/serving/serving_settings.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "bambooquay/core/ini_section_reader.h"
@@ -11,6 +12,11 @@
 
 constexpr double kMaxSeconds = 86400.0;
 constexpr double kMaxRetries = 1e6;
+constexpr double kBytesPerMb = 1024.0 * 1024.0;
+constexpr double kMinMemoryMb = 32.0;
+constexpr double kMaxMemoryMb = 1e6;
+constexpr std::int64_t kMinDescriptors = 64;
+constexpr std::int64_t kMaxDescriptors = 1'000'000;
 
 /// Reads the sections of a settings file into ServingSettings.
 class ServingSettingsReader {
@@ -41,6 +47,8 @@
       m_settings.store = ReadEndpoint(reader, "address");
     } else if (name == "retries" && m_role == ServingRole::kEntry) {
       ReadRetries(reader);
+    } else if (name == "limits" && m_role == ServingRole::kEntry) {
+      ReadLimits(reader);
     } else if (name == "engine" && m_role == ServingRole::kAgent) {
       ReadEngine(reader);
     } else {
@@ -81,6 +89,19 @@
         "window_seconds", 0.1, kMaxSeconds, ToSeconds(limits.window)));
   }
 
+  void ReadLimits(IniSectionReader& reader) {
+    ProcessLimits& limits = m_settings.limits;
+    limits.memory_bytes = static_cast<std::size_t>(
+        reader.Number("memory_mb", kMinMemoryMb, kMaxMemoryMb,
+                      static_cast<double>(limits.memory_bytes) / kBytesPerMb) *
+        kBytesPerMb);
+    limits.descriptors = static_cast<std::size_t>(
+        reader.Integer("descriptors", kMinDescriptors, kMaxDescriptors,
+                       static_cast<std::int64_t>(
+                           std::min(limits.descriptors,
+                                    std::size_t{kMaxDescriptors}))));
+  }
+
   void ReadEngine(IniSectionReader& reader) {
     m_settings.engine = ReadEndpoint(reader, "address");
     m_settings.service = ServiceName(reader.Text("service"));
