Tests of which connections give way, and of the server's limits

Cause: the decision and each limit need a test of their own. Ruled out: choosing refused connections for memory again, which never ended where a connection stays (found by the property test).

--- a/packages/runtime/src/connection_budget.cc
+++ b/packages/runtime/src/connection_budget.cc
@@ -72,9 +72,11 @@
   if (keeps) {
     return 0.0;
   }
-  if (connection.m_phase == ConnectionPhase::kRefused &&
-      reason == YieldReason::kDescriptors) {
-    return std::numeric_limits<float>::max();
+  if (connection.m_phase == ConnectionPhase::kRefused) {
+    // Holds hardly any memory, and Enforce() must not choose it again.
+    return reason == YieldReason::kDescriptors
+               ? std::numeric_limits<float>::max()
+               : 0.0;
   }
   const double amount = reason == YieldReason::kMemory
                             ? static_cast<double>(connection.m_held)
@@ -103,8 +105,7 @@
 BudgetedConnection::BudgetedConnection(ConnectionBudget& budget,
                                        std::string address)
     : m_budget(budget),
-      m_position(
-          budget.m_connections.insert(budget.m_connections.end(), this)),
+      m_position(budget.m_connections.insert(budget.m_connections.end(), this)),
       m_group(budget.m_groups.try_emplace(std::move(address)).first),
       m_phase_since(budget.m_clock.Now()),
       m_progress_at(m_phase_since) {
--- a/packages/runtime/src/http_types.cc
+++ b/packages/runtime/src/http_types.cc
@@ -33,12 +33,11 @@
 }
 
 std::size_t HttpHeaders::allocated_bytes() const noexcept {
-  return std::accumulate(items.begin(), items.end(),
-                         items.capacity() * sizeof(HttpHeader),
-                         [](std::size_t sum, const HttpHeader& item) {
-                           return sum + item.name.capacity() +
-                                  item.value.capacity();
-                         });
+  return std::accumulate(
+      items.begin(), items.end(), items.capacity() * sizeof(HttpHeader),
+      [](std::size_t sum, const HttpHeader& item) {
+        return sum + item.name.capacity() + item.value.capacity();
+      });
 }
 
 }  // namespace bambooquay
--- a/packages/runtime/tests/http_server_test.cc
+++ b/packages/runtime/tests/http_server_test.cc
@@ -4,6 +4,7 @@
 
 #include <rapidcheck/boost_test.h>
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <memory>
 #include <string>
@@ -48,6 +49,19 @@
   return response.starts_with("HTTP/1.1 " + status + " ");
 }
 
+/// Limits of which a few large requests are more than enough.
+HttpServerLimits SmallLimits() {
+  HttpServerLimits limits;
+  limits.max_body_bytes = 200'000;
+  limits.max_held_bytes = 800'000;
+  return limits;
+}
+
+std::string PostOf(std::size_t length, std::size_t sent) {
+  return "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(length) +
+         "\r\n\r\n" + std::string(sent, 'x');
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(http_server)
@@ -203,6 +217,129 @@
   RC_ASSERT(request.body == "hello");
 }
 
+// A caller that goes on sending after the refusal is not read for long.
+BOOST_AUTO_TEST_CASE(a_refused_body_is_not_read_to_its_end) {
+  HttpServerLimits limits;
+  limits.max_body_bytes = 1000;
+  TestServer test(limits);
+  RawClient client(test.loop, test.endpoint,
+                   PostOf(std::size_t{64} << 20, std::size_t{32} << 20));
+  BOOST_TEST(test.loop.RunUntil([&] { return client.closed(); }, kTestTimeout));
+  BOOST_TEST(test.exchanges.empty());
+  BOOST_TEST(test.loop.RunUntil(
+      [&] { return test.server.connection_count() == 0; }, kTestTimeout));
+  BOOST_TEST(test.server.held_bytes() == 0U);
+}
+
+// Load: bodies that stop just short of their end, on more connections than
+// memory allows.
+BOOST_AUTO_TEST_CASE(requests_that_stop_short_give_way_with_a_refusal) {
+  TestServer test(SmallLimits());
+  std::vector<std::string> limits;
+  test.server.OnLimitExceeded(
+      [&](std::string_view limit) { limits.emplace_back(limit); });
+  std::vector<std::unique_ptr<RawClient>> crowd;
+  for (std::size_t i = 0; i < 20; ++i) {
+    crowd.push_back(std::make_unique<RawClient>(test.loop, test.endpoint,
+                                                PostOf(200'000, 200'000 - 1)));
+  }
+  const auto refused = [&] {
+    return std::ranges::count_if(crowd, [](const auto& client) {
+      return HasStatus(client->received(), "503");
+    });
+  };
+  BOOST_TEST(test.loop.RunUntil([&] { return refused() >= 16; }, kTestTimeout));
+  const auto answered = std::ranges::find_if(
+      crowd, [](const auto& client) { return !client->received().empty(); });
+  BOOST_REQUIRE((answered != crowd.end()));
+  const std::string& response = (*answered)->received();
+  BOOST_TEST(response.find("Connection: close") != std::string::npos);
+  BOOST_TEST(response.find("Retry-After: ") != std::string::npos);
+  BOOST_TEST(response.find("not_run") != std::string::npos);
+  BOOST_TEST(test.exchanges.empty());
+  BOOST_TEST(!limits.empty());
+  BOOST_TEST(std::ranges::count(limits, "memory") ==
+             static_cast<std::ptrdiff_t>(limits.size()));
+  BOOST_TEST(test.server.held_bytes() <= 800'000U);
+  const RawClient ordinary(test.loop, test.endpoint, PostOf(5, 5));
+  BOOST_TEST(test.loop.RunUntil([&] { return !test.exchanges.empty(); },
+                                kTestTimeout));
+}
+
+BOOST_AUTO_TEST_CASE(a_body_takes_no_more_memory_than_its_length) {
+  HttpServerLimits limits;
+  limits.max_body_bytes = 3'000'000;
+  TestServer test(limits);
+  RawClient client(test.loop, test.endpoint, PostOf(3'000'000, 0));
+  // Its size would double a string's memory at the end.
+  for (int part = 0; part < 30; ++part) {
+    client.Send(std::string(100'000, 'x'));
+  }
+  BOOST_REQUIRE(test.loop.RunUntil([&] { return !test.exchanges.empty(); },
+                                   kTestTimeout));
+  BOOST_TEST(test.exchanges[0]->request().body.size() == 3'000'000U);
+  BOOST_TEST(test.exchanges[0]->request().body.capacity() == 3'000'000U);
+}
+
+// While a large request is served, there are two copies of its body.
+BOOST_AUTO_TEST_CASE(large_requests_in_service_leave_room_for_small_ones) {
+  TestServer test(SmallLimits());
+  const RawClient first(test.loop, test.endpoint, PostOf(200'000, 200'000));
+  BOOST_REQUIRE(test.loop.RunUntil([&] { return !test.exchanges.empty(); },
+                                   kTestTimeout));
+  const RawClient second(test.loop, test.endpoint, PostOf(200'000, 200'000));
+  BOOST_TEST(test.loop.RunUntil([&] { return second.closed(); }, kTestTimeout));
+  BOOST_TEST(HasStatus(second.received(), "503"));
+  const RawClient small(test.loop, test.endpoint, PostOf(50'000, 50'000));
+  BOOST_TEST(test.loop.RunUntil([&] { return test.exchanges.size() == 2; },
+                                kTestTimeout));
+  test.exchanges[0]->Respond(200, {}, "done");
+  BOOST_TEST(test.loop.RunUntil(
+      [&] { return first.received().ends_with("done"); }, kTestTimeout));
+}
+
+BOOST_AUTO_TEST_CASE(an_idle_connection_gives_way_to_a_new_one) {
+  HttpServerLimits limits;
+  limits.max_connections = 4;
+  TestServer test(limits);
+  std::vector<std::unique_ptr<RawClient>> idle;
+  for (int i = 0; i < 20; ++i) {
+    idle.push_back(
+        std::make_unique<RawClient>(test.loop, test.endpoint, "POST "));
+  }
+  const RawClient ordinary(test.loop, test.endpoint, "GET / HTTP/1.1\r\n\r\n");
+  BOOST_REQUIRE(test.loop.RunUntil([&] { return !test.exchanges.empty(); },
+                                   kTestTimeout));
+  BOOST_TEST(test.server.connection_count() <= 4U);
+  test.exchanges[0]->Respond(200, {}, "done");
+  BOOST_TEST(test.loop.RunUntil(
+      [&] { return ordinary.received().ends_with("done"); }, kTestTimeout));
+}
+
+// The caller reads nothing, so the responses pile up.
+BOOST_AUTO_TEST_CASE(pipelined_requests_wait_until_responses_are_written) {
+  EventLoop loop;
+  int served = 0;
+  HttpServer server(loop, {},
+                    [&](const std::shared_ptr<HttpExchange>& exchange) {
+                      ++served;
+                      exchange->Respond(200, {}, std::string(1 << 20, 'x'));
+                    });
+  BOOST_REQUIRE(server.Listen({"127.0.0.1", 0}));
+  std::string requests;
+  for (int i = 0; i < 1000; ++i) {
+    requests += "GET / HTTP/1.1\r\n\r\n";
+  }
+  RawClient client(loop, {"127.0.0.1", server.port()}, requests);
+  client.SetPaused(true);
+  loop.RunUntil([&] { return server.held_bytes() > (8U << 20); },
+                milliseconds(300));
+  BOOST_TEST(served > 0);
+  BOOST_TEST(server.held_bytes() <= (2U << 20));
+  client.SetPaused(false);
+  BOOST_TEST(loop.RunUntil([&] { return served == 1000; }, kTestTimeout));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace bambooquay
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -54,9 +54,9 @@
 constexpr double kCallerDescriptorShare = 2.0 / 3;
 // More connections are not accepted even if there are descriptors.
 constexpr std::size_t kMaxCallerConnections = 4096;
-// Limits of the ports for readiness checks and for other entries. Their requests
-// have no bodies; the watches of all entries of a data centre wait at one of
-// them.
+// Limits of the ports for readiness checks and for other entries. Their
+// requests have no bodies; the watches of all entries of a data centre wait at
+// one of them.
 constexpr HttpServerLimits kReadinessLimits = {
     .max_body_bytes = std::size_t{64} * 1024,
     .max_connections = 64,
@@ -156,9 +156,8 @@
     m_table_relay.Serve(*mirror);
   }
   RegisterGauges();
-  m_server.SetOrganisationSource([this](const HttpHeaders& headers) {
-    return OrganisationOf(headers);
-  });
+  m_server.SetOrganisationSource(
+      [this](const HttpHeaders& headers) { return OrganisationOf(headers); });
   m_server.OnLimitExceeded([this](std::string_view limit) {
     m_deps.metrics.Increment("caller_limits_exceeded_total{limit=\"" +
                              std::string(limit) + "\"}");
@@ -257,11 +256,10 @@
   const ProcessLimits& process = m_settings.limits;
   HttpServerLimits limits = configured;
   limits.max_held_bytes = process.memory_bytes / kCallerMemoryDivisor;
-  limits.max_connections =
-      std::min(kMaxCallerConnections,
-               static_cast<std::size_t>(
-                   static_cast<double>(process.descriptors) *
-                   kCallerDescriptorShare));
+  limits.max_connections = std::min(
+      kMaxCallerConnections,
+      static_cast<std::size_t>(static_cast<double>(process.descriptors) *
+                               kCallerDescriptorShare));
   return limits;
 }
 
--- a/packages/serving/src/serving_settings.cc
+++ b/packages/serving/src/serving_settings.cc
@@ -97,9 +97,8 @@
         kBytesPerMb);
     limits.descriptors = static_cast<std::size_t>(
         reader.Integer("descriptors", kMinDescriptors, kMaxDescriptors,
-                       static_cast<std::int64_t>(
-                           std::min(limits.descriptors,
-                                    std::size_t{kMaxDescriptors}))));
+                       static_cast<std::int64_t>(std::min(
+                           limits.descriptors, std::size_t{kMaxDescriptors}))));
   }
 
   void ReadEngine(IniSectionReader& reader) {
--- a/testing/support/scripted_peer.h
+++ b/testing/support/scripted_peer.h
@@ -211,6 +211,10 @@
   void Send(std::string_view bytes) {
     bufferevent_write(m_stream, bytes.data(), bytes.size());
   }
+  /// Stops or resumes reading.
+  void SetPaused(bool paused) {
+    (paused ? bufferevent_disable : bufferevent_enable)(m_stream, EV_READ);
+  }
   [[nodiscard]] const std::string& received() const { return m_received; }
   [[nodiscard]] bool closed() const { return m_closed; }
 
