--- a/packages/operators/src/admin_server.cc
+++ b/packages/operators/src/admin_server.cc
@@ -9,7 +9,7 @@
 // Requests have no bodies, and a few tools connect.
 constexpr HttpServerLimits kLimits = {
     .max_body_bytes = std::size_t{64} * 1024,
-    .max_connections = 64,
+    .max_connections = 32,
     .max_held_bytes = std::size_t{2} * 1024 * 1024};
 
 }  // namespace
--- a/packages/serving/include/bambooquay/serving/serving_entry.h
+++ b/packages/serving/include/bambooquay/serving/serving_entry.h
@@ -70,7 +70,8 @@
   /// @returns the address of the entry that reads the store for this data
   ///   centre; nothing if this entry reads for itself.
   [[nodiscard]] std::optional<Endpoint> TableReader() const;
-  /// @returns the limits of a configuration, with this process's own.
+  /// @returns the limits of a configuration, together with the connections and
+  ///   the memory that this process has for callers.
   [[nodiscard]] HttpServerLimits CallerLimits(
       const HttpServerLimits& configured) const;
   /// @returns the name of the organisation whose API key is among the headers,
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -48,12 +48,13 @@
 // Limit on the bytes of all responses that their callers have not taken yet.
 constexpr std::size_t kMaxResponseBytes = std::size_t{48} * 1024 * 1024;
 // The part of the process's memory that callers' requests may hold, besides the
-// responses, and the part of its descriptors that callers' connections may use:
-// most of them are idle and need none to an upstream.
+// responses.
 constexpr std::size_t kCallerMemoryDivisor = 5;
+// The parts of its descriptors that connections to each port may use. Most of
+// callers' connections are idle and need none to an upstream.
 constexpr double kCallerDescriptorShare = 2.0 / 3;
-// More connections are not accepted even if there are descriptors.
-constexpr std::size_t kMaxCallerConnections = 4096;
+constexpr double kTableDescriptorShare = 1.0 / 8;
+constexpr double kReadinessDescriptorShare = 1.0 / 16;
 // Limits of the ports for readiness checks and for other entries. Their
 // requests have no bodies; the watches of all entries of a data centre wait at
 // one of them.
@@ -83,6 +84,16 @@
 // process is killed.
 constexpr Duration kStopMargin = milliseconds(500);
 
+/// @returns `limits` with no more connections than a share of the process's
+///   descriptors.
+HttpServerLimits WithShare(HttpServerLimits limits,
+                           const ProcessLimits& process, double share) {
+  const auto available = static_cast<std::size_t>(
+      static_cast<double>(process.descriptors) * share);
+  limits.max_connections = std::min(limits.max_connections, available);
+  return limits;
+}
+
 }  // namespace
 
 ServingEntry::ServingEntry(const ServingSettings& settings,
@@ -138,7 +149,9 @@
                  HandleRequest(std::move(exchange));
                }),
       m_readiness_server(
-          deps.loop, kReadinessLimits,
+          deps.loop,
+          WithShare(kReadinessLimits, settings.limits,
+                    kReadinessDescriptorShare),
           [this](const std::shared_ptr<HttpExchange>& exchange) {
             const std::string reason = NotReadyReason();
             exchange->Respond(
@@ -146,10 +159,12 @@
                                       : HttpStatus::kServiceUnavailable),
                 {}, reason);
           }),
-      m_table_server(deps.loop, kTableLimits,
-                     [this](const std::shared_ptr<HttpExchange>& exchange) {
-                       m_table_relay.HandleRequest(exchange);
-                     }),
+      m_table_server(
+          deps.loop,
+          WithShare(kTableLimits, settings.limits, kTableDescriptorShare),
+          [this](const std::shared_ptr<HttpExchange>& exchange) {
+            m_table_relay.HandleRequest(exchange);
+          }),
       m_freeze_detector(kTickPeriod) {
   for (TableMirror* mirror : m_mirrors) {
     mirror->SetFallback(m_peer_table);
@@ -254,12 +269,9 @@
 HttpServerLimits ServingEntry::CallerLimits(
     const HttpServerLimits& configured) const {
   const ProcessLimits& process = m_settings.limits;
-  HttpServerLimits limits = configured;
+  HttpServerLimits limits =
+      WithShare(configured, process, kCallerDescriptorShare);
   limits.max_held_bytes = process.memory_bytes / kCallerMemoryDivisor;
-  limits.max_connections = std::min(
-      kMaxCallerConnections,
-      static_cast<std::size_t>(static_cast<double>(process.descriptors) *
-                               kCallerDescriptorShare));
   return limits;
 }
 
