Callers may not pipeline while memory is short

Cause: 256 KiB of read-ahead behind each request that is served, which never gives way. Ruled out: pausing reads, as a caller's leaving would not be noticed. Change: 32 KiB of read-ahead; a caller that sends more behind its request while less than half of the memory is free is disconnected.

--- a/packages/runtime/include/bambooquay/runtime/connection_budget.h
+++ b/packages/runtime/include/bambooquay/runtime/connection_budget.h
@@ -69,6 +69,10 @@
   /// @returns whether a request that will hold `bytes` may be served now. Large
   ///   requests leave half of the limit to others.
   [[nodiscard]] bool MayServe(std::size_t bytes) const noexcept;
+  /// @returns whether less than half of the limit is free.
+  [[nodiscard]] bool IsShort() const noexcept {
+    return m_held > m_limits.max_bytes / 2;
+  }
   /// @returns whether a request arrives too slowly, which is allowed only while
   ///   there is plenty of memory.
   [[nodiscard]] bool IsTooSlow(const BudgetedConnection& connection) const;
--- a/packages/runtime/src/connection_budget.cc
+++ b/packages/runtime/src/connection_budget.cc
@@ -13,8 +13,6 @@
 // Large requests that are being served may hold one part in this many of the
 // limit. A single one may hold more.
 constexpr std::size_t kLargeDivisor = 2;
-// Memory is short when less than one part in this many of the limit is free.
-constexpr std::size_t kShortDivisor = 2;
 // Fewer further payload bytes than this are no progress.
 constexpr std::size_t kProgressBytes = 1024;
 // Added to the time without progress, so that of several connections that make
@@ -38,8 +36,7 @@
 
 bool ConnectionBudget::IsTooSlow(const BudgetedConnection& connection) const {
   const Duration age = m_clock.Now() - connection.m_phase_since;
-  return connection.m_phase == ConnectionPhase::kReading &&
-         m_held > m_limits.max_bytes - m_limits.max_bytes / kShortDivisor &&
+  return connection.m_phase == ConnectionPhase::kReading && IsShort() &&
          age >= kRateGrace &&
          static_cast<double>(connection.m_payload) <
              kMinBytesPerSecond * ToSeconds(age);
--- a/packages/runtime/src/http_server_connection.cc
+++ b/packages/runtime/src/http_server_connection.cc
@@ -14,7 +14,7 @@
 
 // Reading from the caller pauses while this many bytes are buffered, such as
 // pipelined requests that wait until an earlier one has been answered.
-constexpr std::size_t kReadAheadBytes = 256 * 1024;
+constexpr std::size_t kReadAheadBytes = 32 * 1024;
 // How long a caller may keep sending after the last response on a connection,
 // before the connection is closed.
 constexpr Duration kLingerTime = std::chrono::seconds(1);
@@ -270,6 +270,15 @@
       return;
     }
   }
+  const bool pipelines =
+      m_exchange != nullptr && evbuffer_get_length(input) > 0;
+  if (pipelines && m_server.m_budget.IsShort()) {
+    // A request that is served never gives way, so its caller may not add to
+    // what it holds.
+    m_server.ReportLimitExceeded(*this, "pipelining");
+    HandleDisconnect();
+    return;
+  }
   if (m_state == State::kReading) {
     SetProgress(m_headers.total_bytes() + m_body.size());
     if (!m_has_organisation && !m_body.empty() && m_server.m_organisation_of) {
--- a/packages/runtime/tests/http_server_test.cc
+++ b/packages/runtime/tests/http_server_test.cc
@@ -298,6 +298,22 @@
       [&] { return first.received().ends_with("done"); }, kTestTimeout));
 }
 
+// A request that is served never gives way, so what arrives behind it must not
+// pile up.
+BOOST_AUTO_TEST_CASE(callers_may_not_pipeline_while_memory_is_short) {
+  TestServer test(SmallLimits());
+  RawClient caller(test.loop, test.endpoint, PostOf(5, 5));
+  BOOST_REQUIRE(test.loop.RunUntil([&] { return test.exchanges.size() == 1; },
+                                   kTestTimeout));
+  const RawClient large(test.loop, test.endpoint, PostOf(200'000, 200'000));
+  BOOST_REQUIRE(test.loop.RunUntil([&] { return test.exchanges.size() == 2; },
+                                   kTestTimeout));
+  caller.Send(PostOf(200'000, 10'000));
+  BOOST_TEST(test.loop.RunUntil([&] { return caller.closed(); }, kTestTimeout));
+  BOOST_TEST(test.exchanges[0]->closed());
+  BOOST_TEST(!test.exchanges[1]->closed());
+}
+
 BOOST_AUTO_TEST_CASE(an_idle_connection_gives_way_to_a_new_one) {
   HttpServerLimits limits;
   limits.max_connections = 4;
