--- a/packages/serving/include/bambooquay/serving/serving_settings.h
+++ b/packages/serving/include/bambooquay/serving/serving_settings.h
@@ -13,6 +13,7 @@
 #include "bambooquay/core/units.h"
 #include "bambooquay/runtime/endpoint.h"
 #include "bambooquay/runtime/log.h"
+#include "bambooquay/runtime/process_limits.h"
 #include "bambooquay/serving/retry_budget.h"
 
 namespace bambooquay {
@@ -58,6 +59,8 @@
   RetryLimits retries;  ///< Entries only.
   /// Entries only; unset if the platform has no duties.
   std::optional<DutySettings> duties;
+  /// Entries only: what the process may use, of which callers get a part.
+  ProcessLimits limits = DetectProcessLimits();
 
   Endpoint engine;      ///< Agents only: the engine's address.
   ServiceName service;  ///< Agents only: the engine's service.
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -47,6 +47,25 @@
 constexpr Duration kRegisterRetryDelay = milliseconds(400);
 // Limit on the bytes of all responses that their callers have not taken yet.
 constexpr std::size_t kMaxResponseBytes = std::size_t{48} * 1024 * 1024;
+// The part of the process's memory that callers' requests may hold, besides the
+// responses.
+constexpr std::size_t kCallerMemoryDivisor = 5;
+// The parts of its descriptors that connections to each port may use. Most of
+// callers' connections are idle and need none to an upstream.
+constexpr double kCallerDescriptorShare = 2.0 / 3;
+constexpr double kTableDescriptorShare = 1.0 / 8;
+constexpr double kReadinessDescriptorShare = 1.0 / 16;
+// Limits of the ports for readiness checks and for other entries. Their
+// requests have no bodies; the watches of all entries of a data centre wait at
+// one of them.
+constexpr HttpServerLimits kReadinessLimits = {
+    .max_body_bytes = std::size_t{64} * 1024,
+    .max_connections = 64,
+    .max_held_bytes = std::size_t{2} * 1024 * 1024};
+constexpr HttpServerLimits kTableLimits = {
+    .max_body_bytes = std::size_t{64} * 1024,
+    .max_connections = 1024,
+    .max_held_bytes = std::size_t{8} * 1024 * 1024};
 // Connections to upstreams are made within some milliseconds, as network
 // latency in the fleet is low.
 constexpr HttpClientSettings kUpstreamClient = {
@@ -65,6 +84,16 @@
 // process is killed.
 constexpr Duration kStopMargin = milliseconds(500);
 
+/// @returns `limits` with no more connections than a share of the process's
+///   descriptors.
+HttpServerLimits WithShare(HttpServerLimits limits,
+                           const ProcessLimits& process, double share) {
+  const auto available = static_cast<std::size_t>(
+      static_cast<double>(process.descriptors) * share);
+  limits.max_connections = std::min(limits.max_connections, available);
+  return limits;
+}
+
 }  // namespace
 
 ServingEntry::ServingEntry(const ServingSettings& settings,
@@ -115,12 +144,14 @@
           deps.loop, m_shared_table, deps.random,
           {kMemberTable, kMemberWatchTime, kMemberPause, kMemberPause},
           [this](const TableRow& row) { HandleMemberRow(row); }),
-      m_server(deps.loop, HttpServerLimits{},
+      m_server(deps.loop, CallerLimits({}),
                [this](std::shared_ptr<HttpExchange> exchange) {
                  HandleRequest(std::move(exchange));
                }),
       m_readiness_server(
-          deps.loop, HttpServerLimits{},
+          deps.loop,
+          WithShare(kReadinessLimits, settings.limits,
+                    kReadinessDescriptorShare),
           [this](const std::shared_ptr<HttpExchange>& exchange) {
             const std::string reason = NotReadyReason();
             exchange->Respond(
@@ -128,16 +159,24 @@
                                       : HttpStatus::kServiceUnavailable),
                 {}, reason);
           }),
-      m_table_server(deps.loop, HttpServerLimits{},
-                     [this](const std::shared_ptr<HttpExchange>& exchange) {
-                       m_table_relay.HandleRequest(exchange);
-                     }),
+      m_table_server(
+          deps.loop,
+          WithShare(kTableLimits, settings.limits, kTableDescriptorShare),
+          [this](const std::shared_ptr<HttpExchange>& exchange) {
+            m_table_relay.HandleRequest(exchange);
+          }),
       m_freeze_detector(kTickPeriod) {
   for (TableMirror* mirror : m_mirrors) {
     mirror->SetFallback(m_peer_table);
     m_table_relay.Serve(*mirror);
   }
   RegisterGauges();
+  m_server.SetOrganisationSource(
+      [this](const HttpHeaders& headers) { return OrganisationOf(headers); });
+  m_server.OnLimitExceeded([this](std::string_view limit) {
+    m_deps.metrics.Increment("caller_limits_exceeded_total{limit=\"" +
+                             std::string(limit) + "\"}");
+  });
   m_upstream_rows.SetExpiryGrace(m_expiry_grace);
   m_peers.SetStatusSource([this] { return MakeStatus(); });
   // A new peer needs all totals, so all are sent again.
@@ -212,6 +251,9 @@
   metrics.RegisterGauge("response_bytes_held", [this, to_double] {
     return to_double(m_response_buffers.held());
   });
+  metrics.RegisterGauge("caller_bytes_held", [this, to_double] {
+    return to_double(m_server.held_bytes());
+  });
   metrics.RegisterGauge("caller_connections", [this, to_double] {
     return to_double(m_server.connection_count());
   });
@@ -224,6 +266,29 @@
   RegisterLogGauges(metrics);
 }
 
+HttpServerLimits ServingEntry::CallerLimits(
+    const HttpServerLimits& configured) const {
+  const ProcessLimits& process = m_settings.limits;
+  HttpServerLimits limits =
+      WithShare(configured, process, kCallerDescriptorShare);
+  limits.max_held_bytes = process.memory_bytes / kCallerMemoryDivisor;
+  return limits;
+}
+
+std::string ServingEntry::OrganisationOf(const HttpHeaders& headers) const {
+  if (m_active_configuration == nullptr) {
+    return "";
+  }
+  HttpRequest request;
+  request.headers = headers;
+  const ServingCall call = m_deps.call_codec.DecodeCall(request);
+  const ServingOrganisation* organisation =
+      call.api_key.empty() ? nullptr
+                           : m_active_configuration->routes.FindOrganisation(
+                                 KeyDigest(Sha256Hex(call.api_key)));
+  return organisation == nullptr ? "" : organisation->name.value();
+}
+
 bool ServingEntry::Start() {
   if (!m_server.Listen(m_settings.callers) ||
       !m_readiness_server.Listen(m_settings.readiness) ||
--- a/packages/serving/src/serving_settings.cc
+++ b/packages/serving/src/serving_settings.cc
@@ -1,6 +1,7 @@
 // Settings of the serving processes.
 #include "bambooquay/serving/serving_settings.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "bambooquay/core/ini_section_reader.h"
@@ -19,6 +20,11 @@
 // A call of a duty and the renewals before it have to fit in a lease.
 constexpr std::int64_t kMinLeaseMs = 2000;
 constexpr std::int64_t kMaxLeaseMs = 600000;
+constexpr double kBytesPerMb = 1024.0 * 1024.0;
+constexpr double kMinMemoryMb = 32.0;
+constexpr double kMaxMemoryMb = 1e6;
+constexpr std::int64_t kMinDescriptors = 64;
+constexpr std::int64_t kMaxDescriptors = 1'000'000;
 
 /// Reads the sections of a settings file into ServingSettings.
 class ServingSettingsReader {
@@ -51,6 +57,8 @@
       ReadRetries(reader);
     } else if (name == "duties" && m_role == ServingRole::kEntry) {
       ReadDuties(reader);
+    } else if (name == "limits" && m_role == ServingRole::kEntry) {
+      ReadLimits(reader);
     } else if (name == "engine" && m_role == ServingRole::kAgent) {
       ReadEngine(reader);
     } else {
@@ -118,6 +126,18 @@
     m_settings.duties = std::move(duties);
   }
 
+  void ReadLimits(IniSectionReader& reader) {
+    ProcessLimits& limits = m_settings.limits;
+    limits.memory_bytes = static_cast<std::size_t>(
+        reader.Number("memory_mb", kMinMemoryMb, kMaxMemoryMb,
+                      static_cast<double>(limits.memory_bytes) / kBytesPerMb) *
+        kBytesPerMb);
+    limits.descriptors = static_cast<std::size_t>(
+        reader.Integer("descriptors", kMinDescriptors, kMaxDescriptors,
+                       static_cast<std::int64_t>(std::min(
+                           limits.descriptors, std::size_t{kMaxDescriptors}))));
+  }
+
   void ReadEngine(IniSectionReader& reader) {
     m_settings.engine = ReadEndpoint(reader, "address");
     m_settings.service = ServiceName(reader.Text("service"));
