Counts also go to a standby, so that they outlive the holder

The store was slow, the lease had lapsed, and entries that stopped meanwhile had nobody to send their counts to; then the holder stopped with what it had collected. Ruled out: counts in the row of the lease: kilobytes in each renewal, and a kill loses the same last second. Forwarding by a holder that stops: a killed one does not. Change: counts go to the holder and to the live entry with the lowest id besides it, also while there is no holder.

--- a/packages/duties/include/bambooquay/duties/entry_duties.h
+++ b/packages/duties/include/bambooquay/duties/entry_duties.h
@@ -56,6 +56,11 @@
   [[nodiscard]] std::optional<std::size_t> Rank() const;
   void HandOverIfNeeded();
   void SendNotice();
+  /// @returns the entry that will probably hold the lease next, other than this
+  ///   one; nothing if there is none.
+  [[nodiscard]] std::optional<InstanceId> Standby() const;
+  /// Sends the counts that are due to the holder, and to the standby, so that
+  /// they outlive the holder.
   void SendCounts();
   void HandleMessage(const StatusMessage& message);
   void HandleNotice(const InstanceId& sender, const DutyNotice& notice);
--- a/packages/duties/include/bambooquay/duties/usage_reporter.h
+++ b/packages/duties/include/bambooquay/duties/usage_reporter.h
@@ -66,6 +66,9 @@
   /// Records the counts of an entry.
   void Merge(const InstanceId& entry, std::uint64_t incarnation,
              const UsageCounts& counts);
+  /// To be called while this entry does not hold the lease: another one may
+  /// settle reports. The counts are kept.
+  void Resign();
   /// Takes the next step.
   /// @param grant  of the lease, for one call; nothing if there is none.
   void Tick(const std::optional<DutyGrant>& grant);
--- a/packages/duties/src/entry_duties.cc
+++ b/packages/duties/src/entry_duties.cc
@@ -85,6 +85,9 @@
 
 void EntryDuties::Tick() {
   m_lease.Tick(Rank());
+  if (!m_lease.is_holder()) {
+    m_reporter.Resign();
+  }
   if (m_settings.reports_usage) {
     SendCounts();
     m_reporter.Tick(m_is_draining ? std::nullopt
@@ -137,21 +140,35 @@
   } else if (m_holder == m_self) {
     m_holder.reset();
   }
-  if (!m_holder.has_value()) {
+  const auto standby = Standby();
+  if (!m_holder.has_value() && !standby.has_value()) {
     return;
   }
   for (const UsageCounts& counts : m_counter.TakeDue()) {
-    if (*m_holder == m_self) {
+    if (m_holder == m_self) {
       m_reporter.Merge(m_self, m_peers.incarnation(), counts);
       if (counts.is_final) {
         m_counter.Confirm({counts.window, m_holder_token});
       }
-    } else {
+    } else if (m_holder.has_value()) {
       m_peers.SendTo(*m_holder, counts);
     }
+    if (standby.has_value()) {
+      m_peers.SendTo(*standby, counts);
+    }
   }
 }
 
+std::optional<InstanceId> EntryDuties::Standby() const {
+  const auto standby =
+      std::ranges::find_if(m_peers.peers(), [this](const auto& item) {
+        return item.first != m_holder && !m_peers.IsSilent(item.second) &&
+               !item.second.status.leaving;
+      });
+  return standby == m_peers.peers().end() ? std::nullopt
+                                          : std::optional(standby->first);
+}
+
 void EntryDuties::HandleMessage(const StatusMessage& message) {
   if (message.sender == m_self) {
     return;
@@ -159,11 +176,8 @@
   if (const auto* notice = std::get_if<DutyNotice>(&message.body)) {
     HandleNotice(message.sender, *notice);
   } else if (const auto* counts = std::get_if<UsageCounts>(&message.body)) {
-    if (!m_lease.is_holder()) {
-      return;
-    }
     m_reporter.Merge(message.sender, message.incarnation, *counts);
-    if (counts->is_final) {
+    if (counts->is_final && m_lease.is_holder()) {
       m_peers.SendTo(message.sender,
                      UsageReceipt{counts->window, m_lease.fencing_token()});
     }
--- a/packages/duties/src/usage_reporter.cc
+++ b/packages/duties/src/usage_reporter.cc
@@ -104,6 +104,13 @@
   }
 }
 
+void UsageReporter::Resign() {
+  m_settled.reset();
+  m_fencing_token = 0;
+  m_step = Step::kNone;
+  m_failing_since.reset();
+}
+
 void UsageReporter::Tick(const std::optional<DutyGrant>& grant) {
   const TimePoint now = m_clock.Now();
   m_collector.DropBefore(Before(
--- a/packages/duties/tests/usage_reporter_test.cc
+++ b/packages/duties/tests/usage_reporter_test.cc
@@ -339,6 +339,30 @@
   BOOST_TEST(fleet.client(1).last_token == fleet.token);
 }
 
+// The entries have sent their counts to the standby, too, and one has ended.
+BOOST_AUTO_TEST_CASE(a_successor_has_the_counts_that_it_got_as_the_standby) {
+  HolderFleet fleet(2);
+  fleet.SendFinal(1, "a", fleet.first_window, 40);
+  fleet.SendFinal(1, "b", fleet.first_window, 2);
+  fleet.RunUntil(fleet.first_window, milliseconds(-500));
+  fleet.SetHolder(1);
+  fleet.RunUntil(fleet.first_window, seconds(2));
+  BOOST_REQUIRE(fleet.accepted.size() == 1U);
+  BOOST_TEST((fleet.accepted.front() == fleet.FirstReport()));
+}
+
+BOOST_AUTO_TEST_CASE(counts_for_the_next_holder_are_not_late) {
+  HolderFleet fleet;
+  fleet.RunUntil(fleet.first_window, seconds(1));
+  fleet.SetHolder(std::nullopt);
+  fleet.reporter(0).Resign();
+  fleet.SendFinal(0, "c", fleet.first_window, 7);
+  BOOST_TEST(fleet.Counter(0, "usage_runs_late_total") == 0.0);
+  fleet.SetHolder(0);
+  fleet.RunUntil(fleet.first_window, seconds(4));
+  BOOST_TEST(fleet.AllRepeatsAreExact());
+}
+
 // The first holder's write arrives after its successor has settled.
 BOOST_AUTO_TEST_CASE(a_late_write_of_an_earlier_holder_has_no_effect) {
   HolderFleet fleet(2);
