A holder that stops sends its own counts on

Cause: a holder confirms its own counts to itself, so a released lease left them there. Change: without a holder all counts are due again; a process that stops sends all of them.

--- a/packages/duties/include/bambooquay/duties/usage_counter.h
+++ b/packages/duties/include/bambooquay/duties/usage_counter.h
@@ -27,9 +27,11 @@
   /// @returns the counts to send now. Final ones are due again until they are
   ///   confirmed.
   [[nodiscard]] std::vector<UsageCounts> TakeDue();
-  /// Names the present holder by its fencing token. A new one needs all counts
-  /// of windows that are not settled.
+  /// Names the present holder by its fencing token; 0 if there is none. What
+  /// one holder has confirmed, the next one may not have.
   void SetHolder(std::uint64_t fencing_token);
+  /// Makes all counts of windows that are not settled due again.
+  void SendAgain();
   /// The holder has the final counts of a window.
   void Confirm(const UsageReceipt& receipt);
   /// Drops the windows up to one whose usage is settled.
--- a/packages/duties/src/entry_duties.cc
+++ b/packages/duties/src/entry_duties.cc
@@ -139,6 +139,7 @@
     m_counter.SetHolder(m_holder_token);
   } else if (m_holder == m_self) {
     m_holder.reset();
+    m_counter.SetHolder(0);
   }
   const auto standby = Standby();
   if (!m_holder.has_value() && !standby.has_value()) {
@@ -193,11 +194,8 @@
     return;
   }
   m_holder_token = notice.lease.fencing_token;
-  m_holder.reset();
-  if (!notice.lease.released) {
-    m_holder = sender;
-    m_counter.SetHolder(m_holder_token);
-  }
+  m_holder = notice.lease.released ? std::nullopt : std::optional(sender);
+  m_counter.SetHolder(m_holder.has_value() ? m_holder_token : 0);
   m_counter.DropThrough(notice.settled_through);
 }
 
@@ -219,10 +217,11 @@
 
 void EntryDuties::Finish(std::function<void()> done) {
   m_counter.Close();
+  m_counter.SendAgain();
   SendCounts();
   m_finish_timer =
       m_deps.loop.After(kFinishDelay, [this, done = std::move(done)]() mutable {
-        m_counter.SetHolder(0);  // Sends the counts again.
+        m_counter.SendAgain();
         SendCounts();
         m_finish_timer = m_deps.loop.After(kFinishDelay, std::move(done));
       });
--- a/packages/duties/src/usage_counter.cc
+++ b/packages/duties/src/usage_counter.cc
@@ -83,9 +83,12 @@
 }
 
 void UsageCounter::SetHolder(std::uint64_t fencing_token) {
-  if (std::exchange(m_holder_token, fencing_token) == fencing_token) {
-    return;
+  if (std::exchange(m_holder_token, fencing_token) != fencing_token) {
+    SendAgain();
   }
+}
+
+void UsageCounter::SendAgain() {
   for (auto& [number, window] : m_windows) {
     window.sent_total.reset();
     window.sent_at.reset();
--- a/packages/duties/tests/usage_counter_test.cc
+++ b/packages/duties/tests/usage_counter_test.cc
@@ -94,6 +94,23 @@
   BOOST_TEST((due.front().window == Next(fixture.window)));
 }
 
+// The holder's own counts, which it has confirmed to itself, are the standby's
+// once it has no lease any more.
+BOOST_AUTO_TEST_CASE(without_a_holder_confirmed_counts_are_due_again) {
+  CounterFixture fixture;
+  fixture.counter.SetHolder(1);
+  fixture.Advance(seconds(5));
+  for (const UsageCounts& counts : fixture.counter.TakeDue()) {
+    fixture.counter.Confirm({counts.window, 1});
+  }
+  fixture.counter.SetHolder(0);
+  BOOST_REQUIRE(fixture.counter.TakeDue().size() == 1U);
+  // Nobody confirms them: 0 is no holder.
+  fixture.counter.Confirm({fixture.window, 1});
+  fixture.Advance(milliseconds(400));
+  BOOST_TEST(fixture.counter.TakeDue().size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(the_counts_of_a_process_that_stops_are_final) {
   CounterFixture fixture;
   fixture.counter.CountRun(kFirst);
