An entry that stops sends its last counts to all entries

Ruled out: two standbys: three machines in turn would do the same. Change: the last counts go to all entries, twice.

--- a/packages/duties/include/bambooquay/duties/entry_duties.h
+++ b/packages/duties/include/bambooquay/duties/entry_duties.h
@@ -62,6 +62,9 @@
   /// Sends the counts that are due to the holder, and to the standby, so that
   /// they outlive the holder.
   void SendCounts();
+  /// Sends the counts that are not settled to all entries. While entries are
+  /// restarted in turn, any of them may be the next holder.
+  void SendLastCounts();
   void HandleMessage(const StatusMessage& message);
   void HandleNotice(const InstanceId& sender, const DutyNotice& notice);
   [[nodiscard]] std::vector<UsageSource> ListSources() const;
--- a/packages/duties/src/entry_duties.cc
+++ b/packages/duties/src/entry_duties.cc
@@ -217,16 +217,21 @@
 
 void EntryDuties::Finish(std::function<void()> done) {
   m_counter.Close();
-  m_counter.SendAgain();
-  SendCounts();
+  SendLastCounts();
   m_finish_timer =
       m_deps.loop.After(kFinishDelay, [this, done = std::move(done)]() mutable {
-        m_counter.SendAgain();
-        SendCounts();
+        SendLastCounts();
         m_finish_timer = m_deps.loop.After(kFinishDelay, std::move(done));
       });
 }
 
+void EntryDuties::SendLastCounts() {
+  m_counter.SendAgain();
+  for (const UsageCounts& counts : m_counter.TakeDue()) {
+    m_peers.SendToAll(counts);
+  }
+}
+
 std::string EntryDuties::StatusJson() const {
   return nlohmann::json{
       {"holds_duties", m_lease.is_holder()},
