--- a/packages/duties/src/entry_duties.cc
+++ b/packages/duties/src/entry_duties.cc
@@ -97,6 +97,9 @@
 
 void EntryDuties::Tick() {
   m_lease.Tick(Rank());
+  if (!m_lease.is_holder()) {
+    m_reporter.Resign();
+  }
   if (m_settings.reports_usage) {
     SendCounts();
     m_reporter.Tick(m_is_draining ? std::nullopt
@@ -183,22 +186,37 @@
     m_counter.SetHolder(m_holder_token);
   } else if (m_holder == m_self) {
     m_holder.reset();
+    m_counter.SetHolder(0);
   }
-  if (!m_holder.has_value()) {
+  const auto standby = Standby();
+  if (!m_holder.has_value() && !standby.has_value()) {
     return;
   }
   for (const UsageCounts& counts : m_counter.TakeDue()) {
-    if (*m_holder == m_self) {
+    if (m_holder == m_self) {
       m_reporter.Merge(m_self, m_peers.incarnation(), counts);
       if (counts.is_final) {
         m_counter.Confirm({counts.window, m_holder_token});
       }
-    } else {
+    } else if (m_holder.has_value()) {
       m_peers.SendTo(*m_holder, counts);
     }
+    if (standby.has_value()) {
+      m_peers.SendTo(*standby, counts);
+    }
   }
 }
 
+std::optional<InstanceId> EntryDuties::Standby() const {
+  const auto standby =
+      std::ranges::find_if(m_peers.peers(), [this](const auto& item) {
+        return item.first != m_holder && !m_peers.IsSilent(item.second) &&
+               !item.second.status.leaving;
+      });
+  return standby == m_peers.peers().end() ? std::nullopt
+                                          : std::optional(standby->first);
+}
+
 void EntryDuties::HandleMessage(const StatusMessage& message) {
   if (message.sender == m_self) {
     return;
@@ -206,11 +224,8 @@
   if (const auto* notice = std::get_if<DutyNotice>(&message.body)) {
     HandleNotice(message.sender, *notice);
   } else if (const auto* counts = std::get_if<UsageCounts>(&message.body)) {
-    if (!m_lease.is_holder()) {
-      return;
-    }
     m_reporter.Merge(message.sender, message.incarnation, *counts);
-    if (counts->is_final) {
+    if (counts->is_final && m_lease.is_holder()) {
       m_peers.SendTo(message.sender,
                      UsageReceipt{counts->window, m_lease.fencing_token()});
     }
@@ -226,11 +241,8 @@
     return;
   }
   m_holder_token = notice.lease.fencing_token;
-  m_holder.reset();
-  if (!notice.lease.released) {
-    m_holder = sender;
-    m_counter.SetHolder(m_holder_token);
-  }
+  m_holder = notice.lease.released ? std::nullopt : std::optional(sender);
+  m_counter.SetHolder(m_holder.has_value() ? m_holder_token : 0);
   m_counter.DropThrough(notice.settled_through);
 }
 
@@ -252,15 +264,21 @@
 
 void EntryDuties::Finish(std::function<void()> done) {
   m_counter.Close();
-  SendCounts();
+  SendLastCounts();
   m_finish_timer =
       m_deps.loop.After(kFinishDelay, [this, done = std::move(done)]() mutable {
-        m_counter.SetHolder(0);  // Sends the counts again.
-        SendCounts();
+        SendLastCounts();
         m_finish_timer = m_deps.loop.After(kFinishDelay, std::move(done));
       });
 }
 
+void EntryDuties::SendLastCounts() {
+  m_counter.SendAgain();
+  for (const UsageCounts& counts : m_counter.TakeDue()) {
+    m_peers.SendToAll(counts);
+  }
+}
+
 std::string EntryDuties::StatusJson() const {
   return nlohmann::json{
       {"holds_duties", m_lease.is_holder()},
