What a caller takes of its response is progress; organisations only for large requests

Cause: a response that is taken slowly counted as stalled, as its progress was not recorded. Asking for the organisation of each request that arrives in parts costs time, which ordinary requests need not spend.

--- a/packages/runtime/src/http_server_connection.cc
+++ b/packages/runtime/src/http_server_connection.cc
@@ -176,6 +176,7 @@
 void HttpServerConnection::SetState(State state) {
   m_state = state;
   m_state_since = m_server.m_loop.clock().Now();
+  m_response_bytes = evbuffer_get_length(output());
   switch (state) {
     case State::kIdle:
       SetPhase(evbuffer_get_length(output()) > 0 ? ConnectionPhase::kWriting
@@ -197,6 +198,14 @@
   UpdateHeld();
 }
 
+void HttpServerConnection::CheckWritten() {
+  const std::size_t unwritten = evbuffer_get_length(output());
+  if (m_exchange == nullptr && unwritten > 0) {
+    SetProgress(m_response_bytes - std::min(unwritten, m_response_bytes));
+    UpdateHeld();
+  }
+}
+
 void HttpServerConnection::UpdateHeld() {
   // The output of a response in progress is charged by the handler.
   const std::size_t unwritten =
@@ -281,7 +290,10 @@
   }
   if (m_state == State::kReading) {
     SetProgress(m_headers.total_bytes() + m_body.size());
-    if (!m_has_organisation && !m_body.empty() && m_server.m_organisation_of) {
+    // Not asked for an ordinary request, as it costs time.
+    const bool matters = m_body.size() > kSocketBufferBytes ||
+                         (!m_body.empty() && m_server.m_budget.IsShort());
+    if (!m_has_organisation && matters && m_server.m_organisation_of) {
       m_has_organisation = true;
       const std::string organisation =
           m_server.m_organisation_of(m_headers.headers());
@@ -310,6 +322,7 @@
   m_chunked = m_parser.http_major > 1 || m_parser.http_minor >= 1;
   m_is_head_request = request.method == "HEAD";
   http_parser_pause(&m_parser, 0);
+  m_has_organisation = false;
   m_served_bytes = request.body.capacity() + request.target.capacity() +
                    request.headers.allocated_bytes();
   if (request.body.size() > kSocketBufferBytes) {
@@ -454,6 +467,7 @@
 }
 
 void HttpServerConnection::CloseIfExpired(TimePoint now) {
+  CheckWritten();
   const HttpServerLimits& limits = m_server.m_limits;
   const Duration time_in_state = now - m_state_since;
   const bool is_reading_header = m_state == State::kReading && m_body.empty() &&
--- a/packages/runtime/src/http_server_connection.h
+++ b/packages/runtime/src/http_server_connection.h
@@ -76,6 +76,8 @@
   void SetState(State state);
   /// Charges what the connection holds to the server's budget.
   void UpdateHeld();
+  /// Records how much of a complete response the caller has taken.
+  void CheckWritten();
   /// Makes room for a part of the body. The string's own growth would take up
   /// to twice the size of the body.
   void ReserveBody(std::size_t part);
@@ -102,11 +104,13 @@
   std::string m_body;
   /// The most that the body may have: what the caller announces, or the limit.
   std::size_t m_body_limit = 0;
+  /// What was not written of responses when the connection entered its state.
+  std::size_t m_response_bytes = 0;
   /// What the request that is being served holds.
   std::size_t m_served_bytes = 0;
   /// Bytes that arrived after the last response.
   std::size_t m_discarded_bytes = 0;
-  /// Whether the connection is charged to an organisation.
+  /// Whether the organisation of the request was asked for.
   bool m_has_organisation = false;
   bool m_request_complete = false;
   /// Status code for a request that a parser callback rejected, or 0.
--- a/packages/runtime/tests/http_server_test.cc
+++ b/packages/runtime/tests/http_server_test.cc
@@ -314,6 +314,37 @@
   BOOST_TEST(!test.exchanges[1]->closed());
 }
 
+BOOST_AUTO_TEST_CASE(
+    a_request_that_arrives_in_parts_is_charged_to_its_organisation) {
+  TestServer test(SmallLimits());
+  int asked = 0;
+  test.server.SetOrganisationSource([&](const HttpHeaders& headers) {
+    ++asked;
+    return std::string(headers.Get("Key"));
+  });
+  const std::string head = "POST / HTTP/1.1\r\nContent-Length: 200000\r\nKey: ";
+  // Six requests of one organisation, and a larger one of another.
+  std::vector<std::unique_ptr<RawClient>> crowd;
+  for (int i = 0; i < 6; ++i) {
+    crowd.push_back(std::make_unique<RawClient>(
+        test.loop, test.endpoint,
+        head + "many\r\n\r\n" + std::string(90'000, 'x')));
+  }
+  RawClient other(test.loop, test.endpoint,
+                  head + "other\r\n\r\n" + std::string(150'000, 'x'));
+  BOOST_REQUIRE(test.loop.RunUntil([&] { return asked == 7; }, kTestTimeout));
+  crowd.push_back(std::make_unique<RawClient>(
+      test.loop, test.endpoint,
+      head + "many\r\n\r\n" + std::string(190'000, 'x')));
+  BOOST_TEST(test.loop.RunUntil(
+      [&] {
+        return std::ranges::any_of(
+            crowd, [](const auto& client) { return client->closed(); });
+      },
+      kTestTimeout));
+  BOOST_TEST(other.received() == "");
+}
+
 BOOST_AUTO_TEST_CASE(an_idle_connection_gives_way_to_a_new_one) {
   HttpServerLimits limits;
   limits.max_connections = 4;
