--- a/packages/core/include/bambooquay/core/engine_report.h
+++ b/packages/core/include/bambooquay/core/engine_report.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,16 @@
   friend bool operator==(const LoadedModel&, const LoadedModel&) = default;
 };
 
+/// A request that the engine has read and is responding to.
+struct EngineRun {
+  RequestId call;
+  double tokens = 0.0;  ///< In the engine's memory.
+  int events = 0;       ///< Sent so far.
+  int priority = 0;     ///< 0 is the most urgent.
+
+  friend bool operator==(const EngineRun&, const EngineRun&) = default;
+};
+
 /// The state of an engine, as reported by the engine.
 struct EngineReport {
   /// Start time of the engine in Unix milliseconds; a restart changes it.
@@ -27,6 +38,12 @@
   int running = 0;       ///< Requests being processed.
   int waiting = 0;       ///< Requests in the engine's queue.
   double kv_used = 0.0;  ///< KV cache in use, in the engine's own unit.
+  /// KV cache in the same unit; 0 if the engine does not say.
+  double kv_total = 0.0;
+  /// Tokens of the first request in the queue, if the engine says so.
+  std::optional<double> next_tokens;
+  /// The requests that have begun. Not sent to entries.
+  std::vector<EngineRun> runs;
   std::vector<LoadedModel> models;
   /// Adapters being transferred to the engine, as `model/adapter`.
   std::vector<std::string> incoming_adapters;
