Settings that switch on scheduling by predicted work

Cause: predicted work is to be used by some deployments only. Change: section scheduling of both processes; on where no loss of a data centre has to be borne, unless predicted_work says otherwise.

--- a/packages/serving/include/bambooquay/serving/serving_settings.h
+++ b/packages/serving/include/bambooquay/serving/serving_settings.h
@@ -15,6 +15,13 @@
 
 namespace bambooquay {
 
+/// How calls are scheduled. The same for entries and agents.
+struct SchedulingSettings {
+  /// Whether upstreams are chosen by the predicted work of engines, which the
+  /// agents estimate for this.
+  bool predicted_work = false;
+};
+
 enum class ServingRole : std::uint8_t { kEntry, kAgent };
 
 struct ServingSettings {
@@ -24,6 +31,7 @@
   Endpoint admin;  ///< Health, readiness and metrics.
   Endpoint store;
   LogSettings log;
+  SchedulingSettings scheduling;
   /// Upper limit on the duration of a planned stop.
   Duration drain_limit = std::chrono::seconds(8);
 
--- a/packages/serving/src/serving_settings.cc
+++ b/packages/serving/src/serving_settings.cc
@@ -11,6 +11,7 @@
 
 constexpr double kMaxSeconds = 86400.0;
 constexpr double kMaxRetries = 1e6;
+constexpr std::int64_t kMaxDataCentres = 1000;
 
 /// Reads the sections of a settings file into ServingSettings.
 class ServingSettingsReader {
@@ -39,6 +40,8 @@
       ReadListen(reader);
     } else if (name == "store") {
       m_settings.store = ReadEndpoint(reader, "address");
+    } else if (name == "scheduling") {
+      ReadScheduling(reader);
     } else if (name == "retries" && m_role == ServingRole::kEntry) {
       ReadRetries(reader);
     } else if (name == "engine" && m_role == ServingRole::kAgent) {
@@ -81,6 +84,19 @@
         "window_seconds", 0.1, kMaxSeconds, ToSeconds(limits.window)));
   }
 
+  // A deployment that does not say how many data centres it may lose keeps its
+  // scheduling, as does one that may lose any.
+  void ReadScheduling(IniSectionReader& reader) {
+    const bool says_losses =
+        !reader.Text("tolerated_datacentre_losses", "").empty();
+    const bool bears_loss =
+        !says_losses ||
+        reader.Integer("tolerated_datacentre_losses", 0, kMaxDataCentres, 0) >
+            0;
+    m_settings.scheduling.predicted_work =
+        reader.Flag("predicted_work", !bears_loss);
+  }
+
   void ReadEngine(IniSectionReader& reader) {
     m_settings.engine = ReadEndpoint(reader, "address");
     m_settings.service = ServiceName(reader.Text("service"));
