Entries choose engines by predicted work where that is on

Cause: Cost knows neither the prompt tokens that an engine has to read nor its speed. Change: the agent sends its estimate with the report; entries announce calls, carry the estimate on between two reports and choose by the predicted delay, with what a prompt does to the streams there.

--- a/packages/scheduling/include/bambooquay/scheduling/engine_work_estimator.h
+++ b/packages/scheduling/include/bambooquay/scheduling/engine_work_estimator.h
@@ -17,8 +17,8 @@
 /// The work of one engine. Prompts are assumed to be read in the order in which
 /// their calls were announced.
 ///
-/// Invariant: a call is unread from its announcement until a report shows it as
-/// begun, its entry releases it, or it expires.
+/// Invariant: a call is unread from its announcement until its entry or a
+/// report says that it has begun, its entry releases it, or it expires.
 ///
 /// @code
 /// EngineWorkEstimator estimator(clock);
@@ -35,6 +35,8 @@
   /// @param unread_tokens  prompt tokens that the engine has to read.
   void Announce(const RequestId& call, double prompt_tokens,
                 double unread_tokens);
+  /// Records that the call has sent its first event: its prompt has been read.
+  void RecordFirstEvent(const RequestId& call);
   /// Records that the call has ended or will not come.
   void Release(const RequestId& call);
   /// A report of another run of the engine discards what is known of the calls.
@@ -59,9 +61,9 @@
     double ms = 0.0;
   };
 
-  /// Moves the calls that have begun from the unread ones.
-  void RecordBegun(const EngineReport& report);
-  void RecordReading(double tokens, Duration time);
+  /// Records the unread calls that the report shows as begun.
+  void RecordRuns(const EngineReport& report);
+  void RecordBegin(const UnreadCall& call, TimePoint begun_at);
   /// Measures the event interval if no prompt was read since the last report.
   void RecordEvents(const EngineReport& report);
   void RemoveExpired(const EngineReport& report);
--- a/packages/scheduling/include/bambooquay/scheduling/work_prediction.h
+++ b/packages/scheduling/include/bambooquay/scheduling/work_prediction.h
@@ -1,7 +1,9 @@
 // Predicts how long an engine takes for a call, from the work that it has.
 #pragma once
 
+#include <cstdint>
 #include <optional>
+#include <string_view>
 
 #include "bambooquay/core/clock.h"
 #include "bambooquay/core/engine_work.h"
@@ -30,4 +32,16 @@
 [[nodiscard]] std::optional<PredictedTimes> PredictTimes(
     const EngineWork& engine, const CallWork& call) noexcept;
 
+/// How far a prediction was off.
+enum class PredictionError : std::uint8_t {
+  kWithinQuarter,  ///< By at most a quarter of what was measured.
+  kWithinDouble,   ///< Between half and twice of what was measured.
+  kBeyond,
+};
+
+[[nodiscard]] PredictionError JudgePrediction(Duration predicted,
+                                              Duration measured) noexcept;
+/// @returns the error as the value of a label.
+[[nodiscard]] std::string_view ToString(PredictionError error) noexcept;
+
 }  // namespace bambooquay
--- a/packages/scheduling/src/engine_work_estimator.cc
+++ b/packages/scheduling/src/engine_work_estimator.cc
@@ -19,8 +19,8 @@
 constexpr double kHalfConfidenceMs = 300.0;
 // The rate is given once it is at least this certain.
 constexpr double kMinConfidence = 0.4;
-// Shorter prompts say little about the rate: most of their time is the step
-// that they wait for.
+// A shorter prompt that is read alone says little about the rate: most of its
+// time is the step that it waits for.
 constexpr double kMinMeasuredTokens = 500.0;
 // Weight of the last measurement of the event interval.
 constexpr double kEventIntervalWeight = 0.3;
@@ -71,7 +71,7 @@
     m_report.reset();
   }
   RecordEvents(report);
-  RecordBegun(report);
+  RecordRuns(report);
   RemoveExpired(report);
   m_events.clear();
   std::ranges::for_each(report.runs, [this](const EngineRun& run) {
@@ -108,7 +108,16 @@
                         ToSeconds(interval) * kEventIntervalWeight);
 }
 
-void EngineWorkEstimator::RecordBegun(const EngineReport& report) {
+void EngineWorkEstimator::RecordFirstEvent(const RequestId& call) {
+  const auto found = std::ranges::find(m_unread, call, &UnreadCall::id);
+  if (found != m_unread.end()) {
+    const UnreadCall begun = *found;
+    m_unread.erase(found);
+    RecordBegin(begun, m_clock.Now());
+  }
+}
+
+void EngineWorkEstimator::RecordRuns(const EngineReport& report) {
   struct Begun {
     TimePoint at{};
     UnreadCall call;
@@ -122,25 +131,27 @@
     }
     // A run begins with its first event.
     const TimePoint at = now - m_event_interval * std::max(0, run.events - 1);
-    begun.push_back({std::max({at, m_reported_at, found->announced_at}),
-                     std::move(*found)});
+    begun.push_back(
+        {std::max({at, m_reported_at, found->announced_at}), *found});
     m_unread.erase(found);
   });
   std::ranges::sort(begun, {}, &Begun::at);
-  std::ranges::for_each(begun, [this](const Begun& item) {
-    const TimePoint start = std::max(item.call.announced_at, m_last_begun_at);
-    RecordReading(item.call.tokens, item.at - start);
-    m_last_begun_at = std::max(m_last_begun_at, item.at);
-  });
+  std::ranges::for_each(
+      begun, [this](const Begun& item) { RecordBegin(item.call, item.at); });
 }
 
-void EngineWorkEstimator::RecordReading(double tokens, Duration time) {
-  if (tokens < kMinMeasuredTokens || time <= Duration::zero()) {
+void EngineWorkEstimator::RecordBegin(const UnreadCall& call,
+                                      TimePoint begun_at) {
+  const Duration time = begun_at - std::max(call.announced_at, m_last_begun_at);
+  const bool was_alone = call.announced_at >= m_last_begun_at;
+  m_last_begun_at = std::max(m_last_begun_at, begun_at);
+  if ((was_alone && call.tokens < kMinMeasuredTokens) ||
+      time <= Duration::zero()) {
     return;
   }
   const double ms = ToSeconds(time) * 1000.0;
   const double kept = std::exp(-ms / kReadingMemoryMs);
-  m_reading.tokens = m_reading.tokens * kept + tokens;
+  m_reading.tokens = m_reading.tokens * kept + call.tokens;
   m_reading.ms = m_reading.ms * kept + ms;
 }
 
--- a/packages/scheduling/src/work_prediction.cc
+++ b/packages/scheduling/src/work_prediction.cc
@@ -1,6 +1,9 @@
 // Predicts how long an engine takes for a call, from the work that it has.
 #include "bambooquay/scheduling/work_prediction.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace bambooquay {
 
 std::optional<PredictedTimes> PredictTimes(const EngineWork& engine,
@@ -19,4 +22,28 @@
   return times;
 }
 
+PredictionError JudgePrediction(Duration predicted,
+                                Duration measured) noexcept {
+  constexpr double kQuarter = 0.25;
+  const double ratio =
+      ToSeconds(predicted) / std::max(ToSeconds(measured), 1e-9);
+  if (std::abs(ratio - 1.0) <= kQuarter) {
+    return PredictionError::kWithinQuarter;
+  }
+  return ratio >= 0.5 && ratio <= 2.0 ? PredictionError::kWithinDouble
+                                      : PredictionError::kBeyond;
+}
+
+std::string_view ToString(PredictionError error) noexcept {
+  switch (error) {
+    case PredictionError::kWithinQuarter:
+      return "quarter";
+    case PredictionError::kWithinDouble:
+      return "double";
+    case PredictionError::kBeyond:
+      break;
+  }
+  return "beyond";
+}
+
 }  // namespace bambooquay
--- a/packages/serving/include/bambooquay/serving/forwarded_call.h
+++ b/packages/serving/include/bambooquay/serving/forwarded_call.h
@@ -11,11 +11,13 @@
 #include <variant>
 
 #include "bambooquay/core/random.h"
+#include "bambooquay/peers/status_messages.h"
 #include "bambooquay/runtime/buffer_budget.h"
 #include "bambooquay/runtime/event_loop.h"
 #include "bambooquay/runtime/http_client.h"
 #include "bambooquay/runtime/http_server.h"
 #include "bambooquay/runtime/metrics.h"
+#include "bambooquay/scheduling/call_lengths.h"
 #include "bambooquay/serving/call_codec.h"
 #include "bambooquay/serving/event_stream.h"
 #include "bambooquay/serving/fleet_allowance.h"
@@ -61,6 +63,11 @@
   virtual void RequestPermit(const UpstreamId& upstream,
                              const PermitBounds& bounds,
                              std::function<void(bool, Duration)> done) = 0;
+  /// Tells the agent of an engine of a call that is sent to it. The agent
+  /// predicts the engine's work from this.
+  virtual void AnnounceCall(RoomRequest call) = 0;
+  /// Tells the agent that an announced call has ended.
+  virtual void ReleaseCall(const RoomRelease& call) = 0;
 };
 
 /// Counts requests and prompt tokens for the planning of placement.
@@ -90,6 +97,9 @@
   /// For the bytes of responses that are not sent to their callers yet.
   BufferBudget& response_buffers;
   std::function<RetryBudget&(const ServiceName&)> retry_budget_for;
+  CallLengths call_lengths;
+  /// Whether agents estimate the work of their engines.
+  bool predicted_work = false;
 };
 
 /// Authenticates one request, charges its organisation's allowance, tries
@@ -150,6 +160,10 @@
   /// Asks for a permit for an upstream and tries again with the reply.
   void RequestPermit(const UpstreamId& upstream);
   void StartAttempt(const UpstreamId& upstream);
+  /// Tells the agent of an engine of a call that is sent to it.
+  void AnnounceAttempt(const Upstream& upstream);
+  /// Compares the predicted time of the first event with the measured one.
+  void RecordPrediction();
   void HandleNoUpstream(PickFailure failure);
   /// Records what a response of the present upstream says about the calls that
   /// it takes.
@@ -215,6 +229,8 @@
                                   const std::optional<UpstreamId>& left);
   /// Sets m_query, the call's requirements on an upstream.
   void BuildQuery();
+  /// Sets what the caller still expects in m_query.
+  void UpdateNeeds();
 
   ServingContext& m_context;
   std::shared_ptr<const ActiveConfiguration> m_active_configuration;
@@ -262,6 +278,10 @@
   TimePoint m_progress_at{};
   /// When the current attempt began to respond, if it has.
   std::optional<TimePoint> m_attempt_begun_at;
+  /// When the current attempt was sent.
+  TimePoint m_attempt_sent_at{};
+  /// From that time to the attempt's first event, if it is predicted.
+  std::optional<Duration> m_predicted_first_event;
   /// Events that the current attempt has sent.
   int m_attempt_events = 0;
   /// What keeps the current attempt at its silent upstream, if it was logged.
--- a/packages/serving/include/bambooquay/serving/peer_exchange.h
+++ b/packages/serving/include/bambooquay/serving/peer_exchange.h
@@ -80,6 +80,8 @@
                           std::function<void(bool)> done) override;
   void RequestPermit(const UpstreamId& upstream, const PermitBounds& bounds,
                      std::function<void(bool, Duration)> done) override;
+  void AnnounceCall(RoomRequest call) override;
+  void ReleaseCall(const RoomRelease& call) override;
 
   /// @returns the number of entries that may be serving, this one included.
   [[nodiscard]] std::size_t member_count() const;
--- a/packages/serving/include/bambooquay/serving/serving_agent.h
+++ b/packages/serving/include/bambooquay/serving/serving_agent.h
@@ -13,6 +13,7 @@
 #include "bambooquay/peers/status_messages.h"
 #include "bambooquay/runtime/datagram_socket.h"
 #include "bambooquay/runtime/metrics.h"
+#include "bambooquay/scheduling/engine_work_estimator.h"
 #include "bambooquay/serving/document_codec.h"
 #include "bambooquay/serving/engine_memory_plan.h"
 #include "bambooquay/serving/model_load_limiter.h"
@@ -80,6 +81,9 @@
   void RefreshConfigurationIfModelUnknown();
   void HandlePermitRequest(const Endpoint& sender_address,
                            const PermitRequest& request);
+  /// Records a call that is on its way to the engine.
+  void HandleRoomRequest(const RoomRequest& request);
+  void HandleRoomRelease(const RoomRelease& release);
   void HandleOperatorRow(const TableRow& row);
   /// Fetches the engine's report, unless a fetch is still pending.
   void Poll();
@@ -118,6 +122,7 @@
   TableMirror m_operator_rows;
   ModelLoadLimiter m_load_limiter;
   PermitIssuer m_permits;
+  EngineWorkEstimator m_work;
   std::optional<FleetConfiguration> m_configuration;
   ReportSubscribers m_subscribers;
   UpstreamId m_upstream;
--- a/packages/serving/include/bambooquay/serving/serving_settings.h
+++ b/packages/serving/include/bambooquay/serving/serving_settings.h
@@ -15,13 +15,6 @@
 
 namespace bambooquay {
 
-/// How calls are scheduled. The same for entries and agents.
-struct SchedulingSettings {
-  /// Whether upstreams are chosen by the predicted work of engines, which the
-  /// agents estimate for this.
-  bool predicted_work = false;
-};
-
 enum class ServingRole : std::uint8_t { kEntry, kAgent };
 
 struct ServingSettings {
@@ -31,7 +24,9 @@
   Endpoint admin;  ///< Health, readiness and metrics.
   Endpoint store;
   LogSettings log;
-  SchedulingSettings scheduling;
+  /// Whether calls are scheduled by the predicted work of engines, which the
+  /// agents estimate for this.
+  bool predicted_work = false;
   /// Upper limit on the duration of a planned stop.
   Duration drain_limit = std::chrono::seconds(8);
 
--- a/packages/serving/include/bambooquay/serving/upstream_set.h
+++ b/packages/serving/include/bambooquay/serving/upstream_set.h
@@ -14,6 +14,8 @@
 #include "bambooquay/core/clock.h"
 #include "bambooquay/core/ids.h"
 #include "bambooquay/core/random.h"
+#include "bambooquay/scheduling/engine_choice.h"
+#include "bambooquay/scheduling/engine_work_view.h"
 #include "bambooquay/serving/call_codec.h"
 #include "bambooquay/serving/prompt_cache_view.h"
 #include "bambooquay/serving/stall_policy.h"
@@ -41,6 +43,8 @@
   AdapterName adapter;    ///< Empty for the base model.
   PromptPrefixes prompt;  ///< Empty if the service has no prompt cache.
   double prompt_tokens = 0.0;
+  int events = 0;  ///< Expected of the response; 0 if it is not a stream.
+  CallNeeds needs;
   std::size_t body_bytes = 0;
   /// Whether the call can wait until its adapter is loaded on another engine.
   bool may_load_adapter = false;
@@ -112,6 +116,7 @@
 
   std::optional<EngineReport> report;
   TimePoint reported_at{};
+  EngineWorkView work;
   /// Calls from this entry that have not ended.
   int in_flight = 0;
   /// When this entry last sent a call to it.
@@ -157,6 +162,8 @@
   /// Updates all of the report but the lists of models, which `report` omits.
   /// Ignored if there is no earlier report of the same incarnation.
   void MergeReport(const UpstreamId& id, const EngineReport& report);
+  /// @param work  what the agent estimates; ignored if it does not.
+  void SetWork(const UpstreamId& id, const std::optional<EngineWork>& work);
   void SetDataCentreDisabled(const DataCentreId& data_centre, bool disabled);
   /// @param self  id of this entry.
   /// @param entries  all entries that may be serving, this one included.
@@ -241,6 +248,10 @@
       const Upstream& upstream) const;
   /// @returns an estimate of the calls at the upstream, from all entries.
   [[nodiscard]] double EstimateLoad(const Upstream& upstream) const;
+  /// @returns what the call takes on the engine and costs there, by its agent's
+  ///   estimate; nothing if there is none that is recent.
+  [[nodiscard]] std::optional<PredictedCost> Predict(
+      const Upstream& upstream, const PickQuery& query) const;
 
  private:
   /// Limits what entries send to an upstream without a permit.
@@ -301,6 +312,12 @@
   [[nodiscard]] double EstimateUnreportedLoad(const Upstream& upstream) const;
   [[nodiscard]] double Cost(const Upstream& upstream,
                             const PickQuery& query) const;
+  /// @returns the delay by the calls that the engine has, and by the call's own
+  ///   prompt, in milliseconds, from constants instead of a prediction.
+  [[nodiscard]] double UnpredictedDelay(const Upstream& upstream,
+                                        const PickQuery& query) const;
+  /// Sets the usual work of each service's engines.
+  void UpdateUsualWork();
   /// Charges a call to the permits of an upstream that is cold or names a call
   /// limit, or to this entry's share of its rate. Always succeeds for others.
   [[nodiscard]] bool TryAdmit(Upstream& upstream);
@@ -356,6 +373,8 @@
   PickCounts m_last_counts;
   std::unordered_map<ServiceName, double> m_cold_rates;
   std::set<ServiceName> m_engine_services;
+  /// The median of what is known of each service's engines.
+  std::unordered_map<ServiceName, EngineWork> m_usual_work;
   UpstreamNotices m_notices;
 };
 
--- a/packages/serving/src/forwarded_call.cc
+++ b/packages/serving/src/forwarded_call.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <cstdio>
 #include <utility>
 
@@ -198,10 +199,13 @@
     m_query.adapter = m_call.adapter;
     m_query.may_load_adapter = true;
     m_query.prompt = MakePrefixes(m_call.model, m_call.adapter, m_call.prompt);
+    m_query.events = static_cast<int>(
+        std::lround(m_context.call_lengths.Expected(m_route->name)));
   }
 }
 
 void ForwardedCall::TryUpstream() {
+  UpdateNeeds();
   m_query.may_request_permit = true;
   const auto picked = m_context.upstreams.Pick(m_query);
   m_query.permitted.reset();
@@ -215,6 +219,16 @@
   }
 }
 
+void ForwardedCall::UpdateNeeds() {
+  m_query.needs = {
+      .first_event = m_first_event.has_value()
+                         ? Duration::zero()
+                         : std::max(m_route->target_latency - Elapsed(),
+                                    Duration(milliseconds(1))),
+      .max_pause = m_route->max_pause,
+      .time_limit = std::max(TimeLeft(), Duration(milliseconds(1)))};
+}
+
 void ForwardedCall::HandleNoUpstream(PickFailure failure) {
   if (failure == PickFailure::kAdapterCrowded) {
     // If the load fails, the call goes to an upstream that has the adapter.
@@ -346,7 +360,13 @@
   m_status = 0;
   m_attempt_begun_at.reset();
   m_attempt_events = 0;
+  m_attempt_sent_at = m_context.loop.clock().Now();
   m_held_by.reset();
+  UpdateNeeds();
+  const auto predicted = m_context.upstreams.Predict(*upstream, m_query);
+  m_predicted_first_event = predicted.has_value()
+                                ? std::optional(predicted->times.first_event)
+                                : std::nullopt;
   AttemptMetadata metadata;
   metadata.upstream = id;
   metadata.time_left = TimeLeft();
@@ -368,7 +388,9 @@
       .With("failure_share", upstream->failure_share)
       .With("kept_tokens", upstream->prompt_cache.CachedTokens(m_query.prompt))
       .With("prompt_tokens", m_call.prompt_tokens)
+      .WithMilliseconds("predicted_first_ms", m_predicted_first_event)
       .With("time_left_ms", TimeLeft() / milliseconds(1));
+  AnnounceAttempt(*upstream);
   const HttpRequest request = m_context.codec.EncodeAttempt(m_call, metadata);
   m_context.upstreams.RecordAttemptStart(id, m_query);
   m_attempt = m_context.client.Start(
@@ -379,6 +401,21 @@
   RestartStallTimer();
 }
 
+void ForwardedCall::AnnounceAttempt(const Upstream& upstream) {
+  if (!m_context.predicted_work || !upstream.has_engine) {
+    return;
+  }
+  RoomRequest request;
+  request.upstream = upstream.record.id;
+  request.call = m_call.id;
+  request.prompt_tokens = static_cast<std::uint32_t>(m_call.prompt_tokens);
+  request.unread_tokens = static_cast<std::uint32_t>(
+      std::max(0.0, m_call.prompt_tokens -
+                        upstream.prompt_cache.CachedTokens(m_query.prompt)));
+  request.priority = m_route->priority;
+  m_context.agents.AnnounceCall(std::move(request));
+}
+
 void ForwardedCall::HandleTimeLimit() {
   if (!m_reads_before_limit && m_attempt != nullptr &&
       m_attempt->HasUnreadInput()) {
--- a/packages/serving/src/forwarded_response.cc
+++ b/packages/serving/src/forwarded_response.cc
@@ -198,6 +198,9 @@
       if (m_attempt_events++ == 0 && m_attempt_begun_at.has_value()) {
         m_context.quarantine.RecordSurvival(m_call.prompt, *m_attempt_begun_at);
       }
+      if (m_attempt_events == 1) {
+        RecordPrediction();
+      }
       RecordEventTime();
       RelayBody(events);
       RestartStallTimer();
@@ -241,6 +244,25 @@
   m_last_event = now;
 }
 
+void ForwardedCall::RecordPrediction() {
+  if (m_context.predicted_work && m_service->engine.has_value()) {
+    m_context.agents.ReleaseCall({*m_upstream, m_call.id});
+  }
+  if (!m_predicted_first_event.has_value()) {
+    return;
+  }
+  const Duration measured = m_context.loop.clock().Now() - m_attempt_sent_at;
+  m_context.metrics.Increment("first_event_predictions_total{error=\"" +
+                              std::string(ToString(JudgePrediction(
+                                  *m_predicted_first_event, measured))) +
+                              "\"}");
+  LogEvent(LogLevel::kInfo, "first_event")
+      .With("request", m_call.id.value())
+      .With("upstream", m_upstream->value())
+      .WithMilliseconds("predicted_ms", m_predicted_first_event)
+      .With("measured_ms", measured / milliseconds(1));
+}
+
 void ForwardedCall::RelayBody(std::string_view bytes) {
   m_unsent_response_bytes += bytes.size();
   m_exchange->SendPart(bytes, [this] {
@@ -309,6 +331,9 @@
   } else {
     m_exchange->EndStream();
   }
+  if (m_event_stream && !failed) {
+    m_context.call_lengths.Record(m_route->name, m_attempt_events);
+  }
   Finish(failed ? "upstream_error" : "served", std::to_string(m_status));
 }
 
--- a/packages/serving/src/peer_exchange.cc
+++ b/packages/serving/src/peer_exchange.cc
@@ -341,6 +341,19 @@
   }
 }
 
+void PeerExchange::AnnounceCall(RoomRequest call) {
+  if (const auto agent = AgentAddress(call.upstream)) {
+    call.request_id = m_next_request_id++;
+    Send(*agent, {m_self, m_incarnation, std::move(call)});
+  }
+}
+
+void PeerExchange::ReleaseCall(const RoomRelease& call) {
+  if (const auto agent = AgentAddress(call.upstream)) {
+    Send(*agent, {m_self, m_incarnation, call});
+  }
+}
+
 void PeerExchange::HandleReply(const PermitReply& reply) {
   auto permit = m_pending_permits.extract(reply.request_id);
   if (permit.empty()) {
--- a/packages/serving/src/serving_agent.cc
+++ b/packages/serving/src/serving_agent.cc
@@ -46,6 +46,7 @@
           [this](const TableRow& row) { HandleOperatorRow(row); }),
       m_load_limiter(deps.loop, deps.table),
       m_permits(deps.loop.clock()),
+      m_work(deps.loop.clock()),
       m_subscribers(deps.loop.clock()),
       m_order_count(deps.loop.clock()) {}
 
@@ -74,6 +75,14 @@
   metrics.RegisterGauge("engine_waiting", [this] {
     return m_report.has_value() ? static_cast<double>(m_report->waiting) : 0.0;
   });
+  metrics.RegisterGauge("engine_prompt_tokens_per_second", [this] {
+    return m_work.Current().prompt_tokens_per_ms * 1000.0;
+  });
+  metrics.RegisterGauge("engine_unread_prompt_tokens", [this] {
+    return m_work.Current().unread_prompt_tokens;
+  });
+  metrics.RegisterGauge("engine_slowness",
+                        [this] { return m_work.Current().slowness; });
   metrics.RegisterGauge("orders_refused_in_row", [this] {
     return static_cast<double>(m_consecutive_refused_orders);
   });
@@ -115,6 +124,22 @@
     HandleAdapterRequest(sender_address, *request);
   } else if (const auto* permit = std::get_if<PermitRequest>(&message->body)) {
     HandlePermitRequest(sender_address, *permit);
+  } else if (const auto* room = std::get_if<RoomRequest>(&message->body)) {
+    HandleRoomRequest(*room);
+  } else if (const auto* release = std::get_if<RoomRelease>(&message->body)) {
+    HandleRoomRelease(*release);
+  }
+}
+
+void ServingAgent::HandleRoomRequest(const RoomRequest& request) {
+  if (request.upstream == m_upstream) {
+    m_work.Announce(request.call, request.prompt_tokens, request.unread_tokens);
+  }
+}
+
+void ServingAgent::HandleRoomRelease(const RoomRelease& release) {
+  if (release.upstream == m_upstream) {
+    m_work.RecordFirstEvent(release.call);
   }
 }
 
@@ -234,6 +259,7 @@
     m_report = report;
   }
   m_report_received_at = m_deps.loop.clock().Now();
+  m_work.RecordReport(report);
   Broadcast();
   Reconcile();
 }
@@ -256,9 +282,12 @@
       !m_subscribers.MarkListsSentIfDue(subscriber, m_lists_version);
   std::string& bytes = omit_lists ? encoded.without_lists : encoded.with_lists;
   if (bytes.empty()) {
-    bytes = EncodeStatus({m_settings.id, m_incarnation,
-                          EngineStatus{m_upstream, *m_report, m_lists_version,
-                                       omit_lists, std::nullopt}});
+    EngineStatus status{m_upstream, *m_report, m_lists_version, omit_lists,
+                        std::nullopt};
+    if (m_settings.predicted_work) {
+      status.work = m_work.Current();
+    }
+    bytes = EncodeStatus({m_settings.id, m_incarnation, std::move(status)});
   }
   m_socket.Send(subscriber.address, bytes);
 }
--- a/packages/serving/src/serving_settings.cc
+++ b/packages/serving/src/serving_settings.cc
@@ -90,11 +90,9 @@
     const bool says_losses =
         !reader.Text("tolerated_datacentre_losses", "").empty();
     const bool bears_loss =
-        !says_losses ||
-        reader.Integer("tolerated_datacentre_losses", 0, kMaxDataCentres, 0) >
-            0;
-    m_settings.scheduling.predicted_work =
-        reader.Flag("predicted_work", !bears_loss);
+        !says_losses || reader.Integer("tolerated_datacentre_losses", 0,
+                                       kMaxDataCentres, 0) > 0;
+    m_settings.predicted_work = reader.Flag("predicted_work", !bears_loss);
   }
 
   void ReadEngine(IniSectionReader& reader) {
--- a/packages/serving/src/upstream_choice.cc
+++ b/packages/serving/src/upstream_choice.cc
@@ -130,13 +130,38 @@
     // 100 ms at one call per slot.
     return cost + load / slots * 100.0;
   }
-  cost += (load + EstimateUnreportedLoad(upstream)) * kMsPerRunningRequest;
-  if (!query.prompt.empty()) {
-    cost += (query.prompt_tokens -
-             upstream.prompt_cache.CachedTokens(query.prompt)) /
-            kPromptTokensPerMs;
+  const auto predicted = Predict(upstream, query);
+  return cost + (predicted.has_value() ? predicted->ms
+                                       : UnpredictedDelay(upstream, query));
+}
+
+double UpstreamSet::UnpredictedDelay(const Upstream& upstream,
+                                     const PickQuery& query) const {
+  const double calls =
+      EstimateLoad(upstream) + EstimateUnreportedLoad(upstream);
+  const double tokens =
+      query.prompt.empty()
+          ? 0.0
+          : query.prompt_tokens -
+                upstream.prompt_cache.CachedTokens(query.prompt);
+  return calls * kMsPerRunningRequest + tokens / kPromptTokensPerMs;
+}
+
+std::optional<PredictedCost> UpstreamSet::Predict(
+    const Upstream& upstream, const PickQuery& query) const {
+  const auto usual = m_usual_work.find(upstream.record.service);
+  if (!HasFreshReport(upstream) || usual == m_usual_work.end()) {
+    return std::nullopt;
+  }
+  const double alike = static_cast<double>(std::min(
+      m_entries.empty() ? 0 : m_entries.size() - 1, kMaxEntriesChoosingAlike));
+  const auto work = upstream.work.Current(m_clock.Now(), usual->second, alike);
+  if (!work.has_value()) {
+    return std::nullopt;
   }
-  return cost;
+  const double kept = upstream.prompt_cache.CachedTokens(query.prompt);
+  return PredictCost(*work, {query.prompt_tokens - kept, query.events},
+                     query.needs);
 }
 
 std::vector<UpstreamSet::Candidate> UpstreamSet::FindCandidates(
--- a/packages/serving/src/upstream_set.cc
+++ b/packages/serving/src/upstream_set.cc
@@ -101,6 +101,7 @@
   std::erase_if(m_upstreams, [](const auto& item) {
     return !item.second.listed && item.second.in_flight == 0;
   });
+  UpdateUsualWork();
   m_notices.RemoveExpired([this](const UpstreamRun& run) {
     const Upstream* upstream = Find(run.id);
     return upstream != nullptr && RunOf(*upstream) == run;
@@ -140,6 +141,32 @@
   upstream.sent_since_report = 0;
 }
 
+void UpstreamSet::SetWork(const UpstreamId& id,
+                          const std::optional<EngineWork>& work) {
+  const auto found = m_upstreams.find(id);
+  if (found != m_upstreams.end() && work.has_value()) {
+    found->second.work.Record(*work, m_clock.Now());
+  }
+}
+
+void UpstreamSet::UpdateUsualWork() {
+  std::unordered_map<ServiceName, std::vector<EngineWork>> known;
+  std::ranges::for_each(m_upstreams, [&](const auto& item) {
+    const auto& work = item.second.work.last();
+    if (work.has_value() && work->prompt_tokens_per_ms > 0.0) {
+      known[item.second.record.service].push_back(*work);
+    }
+  });
+  std::ranges::for_each(known, [this](auto& item) {
+    auto& [service, works] = item;
+    const auto median =
+        works.begin() + static_cast<std::ptrdiff_t>(works.size() / 2);
+    std::ranges::nth_element(works, median, {},
+                             &EngineWork::prompt_tokens_per_ms);
+    m_usual_work[service] = *median;
+  });
+}
+
 void UpstreamSet::SetDataCentreDisabled(const DataCentreId& data_centre,
                                         bool disabled) {
   if (disabled) {
@@ -259,6 +286,8 @@
   }
   ++upstream.sent_since_report;
   upstream.last_attempt_at = now;
+  upstream.work.RecordSent(query.prompt_tokens -
+                           upstream.prompt_cache.CachedTokens(query.prompt));
   upstream.prompt_cache.RecordPrompt(query.prompt);
 }
 
--- a/packages/serving/tests/serving_settings_test.cc
+++ b/packages/serving/tests/serving_settings_test.cc
@@ -23,7 +23,7 @@
 bool PredictsWork(const std::string& scheduling) {
   const auto settings = Parse(scheduling);
   BOOST_REQUIRE(settings.has_value());
-  return settings->scheduling.predicted_work;
+  return settings->predicted_work;
 }
 
 BOOST_AUTO_TEST_SUITE(serving_settings)
