--- a/packages/serving/include/bambooquay/serving/upstream_set.h
+++ b/packages/serving/include/bambooquay/serving/upstream_set.h
@@ -248,6 +248,9 @@
       const Upstream& upstream) const;
   /// @returns an estimate of the calls at the upstream, from all entries.
   [[nodiscard]] double EstimateLoad(const Upstream& upstream) const;
+  /// @returns what the engine works on now; nothing without a recent estimate.
+  [[nodiscard]] std::optional<EngineWork> WorkOf(
+      const Upstream& upstream) const;
   /// @returns what the call takes on the engine and costs there, by its agent's
   ///   estimate; nothing if there is none that is recent.
   [[nodiscard]] std::optional<PredictedCost> Predict(
--- a/packages/serving/src/forwarded_call.cc
+++ b/packages/serving/src/forwarded_call.cc
@@ -363,6 +363,7 @@
   m_attempt_sent_at = m_context.loop.clock().Now();
   m_held_by.reset();
   UpdateNeeds();
+  const auto work = m_context.upstreams.WorkOf(*upstream);
   const auto predicted = m_context.upstreams.Predict(*upstream, m_query);
   m_predicted_first_event = predicted.has_value()
                                 ? std::optional(predicted->times.first_event)
@@ -389,6 +390,14 @@
       .With("kept_tokens", upstream->prompt_cache.CachedTokens(m_query.prompt))
       .With("prompt_tokens", m_call.prompt_tokens)
       .WithMilliseconds("predicted_first_ms", m_predicted_first_event)
+      .With("unread_tokens",
+            work.has_value() ? work->unread_prompt_tokens : 0.0)
+      .With("tokens_per_ms",
+            work.has_value() ? work->prompt_tokens_per_ms : 0.0)
+      .With("streams", work.has_value() ? work->streams : 0)
+      .WithMilliseconds(
+          "event_interval_ms",
+          work.has_value() ? std::optional(work->event_interval) : std::nullopt)
       .With("time_left_ms", TimeLeft() / milliseconds(1));
   AnnounceAttempt(*upstream);
   const HttpRequest request = m_context.codec.EncodeAttempt(m_call, metadata);
--- a/packages/serving/src/upstream_choice.cc
+++ b/packages/serving/src/upstream_choice.cc
@@ -147,15 +147,20 @@
   return calls * kMsPerRunningRequest + tokens / kPromptTokensPerMs;
 }
 
-std::optional<PredictedCost> UpstreamSet::Predict(
-    const Upstream& upstream, const PickQuery& query) const {
+std::optional<EngineWork> UpstreamSet::WorkOf(const Upstream& upstream) const {
   const auto usual = m_usual_work.find(upstream.record.service);
   if (!HasFreshReport(upstream) || usual == m_usual_work.end()) {
     return std::nullopt;
   }
-  const double alike = static_cast<double>(std::min(
-      m_entries.empty() ? 0 : m_entries.size() - 1, kMaxEntriesChoosingAlike));
-  const auto work = upstream.work.Current(m_clock.Now(), usual->second, alike);
+  const std::size_t others = m_entries.empty() ? 0 : m_entries.size() - 1;
+  return upstream.work.Current(
+      m_clock.Now(), usual->second,
+      static_cast<double>(std::min(others, kMaxEntriesChoosingAlike)));
+}
+
+std::optional<PredictedCost> UpstreamSet::Predict(
+    const Upstream& upstream, const PickQuery& query) const {
+  const auto work = WorkOf(upstream);
   if (!work.has_value()) {
     return std::nullopt;
   }
