Calls leave their data centre by predicted gain

Cause: another data centre costs a call 1 ms and 0.5 ms/KB, so that most calls leave although it gains them little.

--- a/packages/scheduling/include/bambooquay/scheduling/work_prediction.h
+++ b/packages/scheduling/include/bambooquay/scheduling/work_prediction.h
@@ -21,6 +21,8 @@
 struct PredictedTimes {
   Duration first_event{};
   Duration end{};
+  /// The longest time between two events of a stream on the engine.
+  Duration longest_pause{};
   /// How long reading the call's prompt delays the next event of each stream
   /// on the engine.
   Duration pause_of_streams{};
--- a/packages/scheduling/src/work_prediction.cc
+++ b/packages/scheduling/src/work_prediction.cc
@@ -18,6 +18,8 @@
   times.pause_of_streams = reading_time(call.unread_prompt_tokens);
   times.first_event =
       reading_time(engine.unread_prompt_tokens) + times.pause_of_streams;
+  // Prompts that are read without a gap delay the same event.
+  times.longest_pause = engine.event_interval + times.first_event;
   times.end = times.first_event + engine.event_interval * call.events;
   return times;
 }
--- a/packages/serving/include/bambooquay/serving/upstream_set.h
+++ b/packages/serving/include/bambooquay/serving/upstream_set.h
@@ -14,6 +14,7 @@
 #include "bambooquay/core/clock.h"
 #include "bambooquay/core/ids.h"
 #include "bambooquay/core/random.h"
+#include "bambooquay/scheduling/data_centre_policy.h"
 #include "bambooquay/scheduling/engine_choice.h"
 #include "bambooquay/scheduling/engine_work_view.h"
 #include "bambooquay/serving/call_codec.h"
@@ -275,6 +276,7 @@
   struct Candidate {
     Upstream* upstream = nullptr;
     double cost = 0.0;  ///< Expected delay in milliseconds.
+    std::optional<PredictedCost> predicted;
   };
   /// An upstream that could load an adapter.
   struct AdapterHost {
@@ -313,8 +315,16 @@
   ///   all entries send to the least loaded engine until its next report, and
   ///   the prompts of such a burst pause all of its streams.
   [[nodiscard]] double EstimateUnreportedLoad(const Upstream& upstream) const;
-  [[nodiscard]] double Cost(const Upstream& upstream,
-                            const PickQuery& query) const;
+  /// Raises the costs of either the candidates in this data centre or those in
+  /// others, so that they are the last choice.
+  void ChooseSide(std::vector<Candidate>& candidates, const PickQuery& query);
+  /// @returns a candidate with its cost.
+  [[nodiscard]] Candidate Weigh(Upstream& upstream,
+                                const PickQuery& query) const;
+  /// @param predicted  what Predict() returns for the query.
+  [[nodiscard]] double Cost(
+      const Upstream& upstream, const PickQuery& query,
+      const std::optional<PredictedCost>& predicted) const;
   /// @returns the delay by the calls that the engine has, and by the call's own
   ///   prompt, in milliseconds, from constants instead of a prediction.
   [[nodiscard]] double UnpredictedDelay(const Upstream& upstream,
@@ -378,6 +388,7 @@
   std::set<ServiceName> m_engine_services;
   /// The median of what is known of each service's engines.
   std::unordered_map<ServiceName, EngineWork> m_usual_work;
+  DataCentrePolicy m_data_centre_policy;
   UpstreamNotices m_notices;
 };
 
--- a/packages/serving/src/upstream_choice.cc
+++ b/packages/serving/src/upstream_choice.cc
@@ -24,6 +24,9 @@
 // Cost of sending to another data centre: latency, and transfer of the body.
 constexpr double kOtherDataCentreMs = 1.0;
 constexpr double kOtherDataCentreMsPerKb = 0.5;
+// Cost of the data centres that a call was decided not to go to: less than that
+// of a distrusted upstream, more than others.
+constexpr double kOtherSideMs = 5'000.0;
 // Cost of a new connection: its round trips, and the upstream's work for it.
 constexpr double kNewConnectionMs = 4.0;
 // Cost of a permit: a message to the process that issues it, and the reply.
@@ -54,6 +57,11 @@
   return seed;
 }
 
+double CrossingMs(const PickQuery& query) {
+  return kOtherDataCentreMs + static_cast<double>(query.body_bytes) / 1024.0 *
+                                  kOtherDataCentreMsPerKb;
+}
+
 }  // namespace
 
 bool UpstreamSet::IsKnownMissing(const Upstream& upstream,
@@ -104,8 +112,15 @@
          static_cast<double>(others);
 }
 
-double UpstreamSet::Cost(const Upstream& upstream,
-                         const PickQuery& query) const {
+UpstreamSet::Candidate UpstreamSet::Weigh(Upstream& upstream,
+                                          const PickQuery& query) const {
+  const auto predicted =
+      query.model.empty() ? std::nullopt : Predict(upstream, query);
+  return {&upstream, Cost(upstream, query, predicted), predicted};
+}
+
+double UpstreamSet::Cost(const Upstream& upstream, const PickQuery& query,
+                         const std::optional<PredictedCost>& predicted) const {
   const Duration since_failure = m_clock.Now() - upstream.last_failure_at;
   const double decay =
       std::exp(-ToSeconds(since_failure) / ToSeconds(kFailureDecayTime));
@@ -115,8 +130,7 @@
     cost += kDistrustedMs;
   }
   if (upstream.record.data_centre != m_own_data_centre) {
-    cost += kOtherDataCentreMs + static_cast<double>(query.body_bytes) /
-                                     1024.0 * kOtherDataCentreMsPerKb;
+    cost += CrossingMs(query);
   }
   if (!m_is_connected(upstream.record.address)) {
     cost += kNewConnectionMs;
@@ -130,7 +144,6 @@
     // 100 ms at one call per slot.
     return cost + load / slots * 100.0;
   }
-  const auto predicted = Predict(upstream, query);
   return cost + (predicted.has_value() ? predicted->ms
                                        : UnpredictedDelay(upstream, query));
 }
@@ -205,7 +218,7 @@
       continue;
     }
     counts.cold += IsColdLimited(upstream) ? 1 : 0;
-    candidates.push_back({&upstream, Cost(upstream, query)});
+    candidates.push_back(Weigh(upstream, query));
   }
   m_last_counts = counts;
   return candidates;
@@ -228,6 +241,37 @@
   }
 }
 
+void UpstreamSet::ChooseSide(std::vector<Candidate>& candidates,
+                             const PickQuery& query) {
+  const auto is_home = [this](const Candidate& candidate) {
+    return candidate.upstream->record.data_centre == m_own_data_centre;
+  };
+  const auto away = std::ranges::partition(candidates, is_home);
+  const auto home_end = away.begin();
+  if (home_end == candidates.begin() || home_end == candidates.end()) {
+    return;
+  }
+  const auto home = std::min_element(
+      candidates.begin(), home_end,
+      [](const auto& a, const auto& b) { return a.cost < b.cost; });
+  const auto best_away = std::ranges::min_element(away, {}, &Candidate::cost);
+  if (!home->predicted.has_value() || !best_away->predicted.has_value()) {
+    return;
+  }
+  const auto offer = [](const Candidate& candidate) {
+    const PredictedTimes& times = candidate.predicted->times;
+    return SideOffer{times.first_event, times.longest_pause, candidate.cost};
+  };
+  const CrossingCall call{query.needs.first_event, query.needs.max_pause,
+                          FromSeconds(CrossingMs(query) / 1000.0)};
+  const bool leaves =
+      m_data_centre_policy.ShouldLeave(AdapterKey(query.model, query.adapter),
+                                       call, offer(*home), offer(*best_away));
+  std::ranges::for_each(candidates, [&](Candidate& candidate) {
+    candidate.cost += is_home(candidate) == leaves ? kOtherSideMs : 0.0;
+  });
+}
+
 PickResult UpstreamSet::Pick(const PickQuery& query) {
   std::vector<Candidate> candidates = FindCandidates(query);
   if (m_last_counts.usable == 0) {
@@ -251,6 +295,7 @@
     return PickFailure::kAdapterCrowded;
   }
   ApplyPromptAffinity(candidates, query);
+  ChooseSide(candidates, query);
   // Costs are often equal when upstreams are idle; adds up to 1 ms to choose
   // randomly among such upstreams.
   std::ranges::for_each(candidates, [this](Candidate& candidate) {
@@ -287,7 +332,7 @@
     // Rendezvous hashing keeps an adapter on few engines: adds up to 100 ms.
     const std::size_t rank = CombineHash(CombineHash(0, key), id.value());
     const bool busy = HasFreshReport(upstream) && upstream.report->busy;
-    const double cost = Cost(upstream, query) +
+    const double cost = Cost(upstream, query, Predict(upstream, query)) +
                         static_cast<double>(rank % 1000) / 10.0 +
                         (busy ? kBusyEngineMs : 0.0);
     if (!best.has_value() || cost < best->cost) {
--- a/packages/serving/src/upstream_set.cc
+++ b/packages/serving/src/upstream_set.cc
@@ -38,6 +38,7 @@
       m_random(random),
       m_own_data_centre(std::move(own_data_centre)),
       m_is_connected(std::move(is_connected)),
+      m_data_centre_policy(clock, random),
       m_notices(clock) {}
 
 void UpstreamSet::Put(const UpstreamRecord& record) {
