An order for the calls that wait for room on an engine

Cause: entries choose alone by reports 200 ms old, and an engine's own queue keeps calls that can't end in time before those that can.

--- a/packages/peers/include/bambooquay/peers/status_messages.h
+++ b/packages/peers/include/bambooquay/peers/status_messages.h
@@ -153,18 +153,33 @@
   Duration wait{};  ///< Time until another request may be granted.
 };
 
+/// The leading parts of a prompt, up to and including one of them.
+struct AnnouncedPrefix {
+  std::uint64_t hash = 0;    ///< Over model, adapter and these parts.
+  std::uint32_t tokens = 0;  ///< Tokens of its last part.
+
+  friend bool operator==(const AnnouncedPrefix&,
+                         const AnnouncedPrefix&) = default;
+};
+
 /// Sent by an entry to an agent to get room on its engine for one call. The
-/// agent replies when there is room, or when there will be none in time. The
-/// message is not sent again.
+/// agent replies at once, and once more if the call has to wait. The message is
+/// not sent again.
 struct RoomRequest {
   std::uint64_t request_id = 0;  ///< Number of this message.
   UpstreamId upstream;
   RequestId call;
+  OrganisationId organisation;  ///< Empty on routes that need no API key.
   std::uint32_t prompt_tokens = 0;
-  /// Of these, those that the engine has to read.
+  /// One for each part of the prompt, in order. The agent has seen the prompts
+  /// of all entries, and so knows better what its engine has kept.
+  std::vector<AnnouncedPrefix> prompt;
+  /// Of the tokens, those that the engine has to read by what the entry knows.
   std::uint32_t unread_tokens = 0;
   std::uint32_t output_tokens = 0;  ///< Estimate.
   int priority = 0;                 ///< 0 is the most urgent.
+  /// Time left until the call's first event is late.
+  Duration target_wait{};
   /// How long the call can wait for room. Zero only announces the call, which
   /// is sent at once; there is no reply.
   Duration max_wait{};
@@ -175,6 +190,8 @@
   std::uint64_t request_id = 0;
   bool granted = false;
   Duration wait{};  ///< Time until room is expected, if not granted.
+  /// The call waits for room, and another reply follows.
+  bool queued = false;
 };
 
 /// Sent by an entry when a call does not use its room, or not any longer.
--- a/packages/peers/src/status_messages.cc
+++ b/packages/peers/src/status_messages.cc
@@ -361,11 +361,19 @@
   to.setNumber(from.request_id);
   to.setUpstream(from.upstream.value().c_str());
   to.setCall(from.call.value().c_str());
+  to.setOrganisation(from.organisation.value().c_str());
   to.setPromptTokens(from.prompt_tokens);
   to.setUnreadTokens(from.unread_tokens);
   to.setOutputTokens(from.output_tokens);
   to.setPriority(static_cast<std::uint8_t>(std::clamp(from.priority, 0, 255)));
+  to.setTargetWaitMs(ToMs(from.target_wait));
   to.setMaxWaitMs(ToMs(from.max_wait));
+  auto prompt = to.initPrompt(static_cast<unsigned>(from.prompt.size()));
+  unsigned index = 0;
+  for (const AnnouncedPrefix& prefix : from.prompt) {
+    prompt[index].setHash(prefix.hash);
+    prompt[index++].setTokens(prefix.tokens);
+  }
 }
 
 RoomRequest Read(status::RoomRequest::Reader from) {
@@ -377,7 +385,13 @@
   to.unread_tokens = from.getUnreadTokens();
   to.output_tokens = from.getOutputTokens();
   to.priority = from.getPriority();
+  to.organisation = OrganisationId(ToString(from.getOrganisation()));
+  to.target_wait = std::chrono::milliseconds(from.getTargetWaitMs());
   to.max_wait = std::chrono::milliseconds(from.getMaxWaitMs());
+  to.prompt.reserve(from.getPrompt().size());
+  for (const auto prefix : from.getPrompt()) {
+    to.prompt.push_back({prefix.getHash(), prefix.getTokens()});
+  }
   return to;
 }
 
@@ -385,10 +399,12 @@
   to.setNumber(from.request_id);
   to.setGranted(from.granted);
   to.setWaitMs(ToFloatMs(from.wait));
+  to.setQueued(from.queued);
 }
 
 RoomReply Read(status::RoomReply::Reader from) {
-  return {from.getNumber(), from.getGranted(), FromFloatMs(from.getWaitMs())};
+  return {from.getNumber(), from.getGranted(), FromFloatMs(from.getWaitMs()),
+          from.getQueued()};
 }
 
 void Write(status::RoomRelease::Builder to, const RoomRelease& from) {
--- a/packages/peers/status.capnp
+++ b/packages/peers/status.capnp
@@ -156,12 +156,22 @@
   priority @5 :UInt8;        # 0 is the most urgent
   maxWaitMs @6 :UInt32;      # 0: only announces the call, which is sent at once
   outputTokens @7 :UInt32;   # estimate
+  organisation @8 :Text;
+  targetWaitMs @9 :UInt32;   # time left until the call's first event is late
+  prompt @10 :List(PromptPrefix);  # in order
+}
+
+# The leading parts of a prompt, up to and including one of them.
+struct PromptPrefix {
+  hash @0 :UInt64;
+  tokens @1 :UInt32;         # of its last part
 }
 
 struct RoomReply {
   number @0 :UInt64;
   granted @1 :Bool;
   waitMs @2 :Float32;        # time until room is expected, if not granted
+  queued @3 :Bool;           # another reply follows
 }
 
 # The call does not use its room, or not any longer.
