--- a/packages/peers/include/bambooquay/peers/status_messages.h
+++ b/packages/peers/include/bambooquay/peers/status_messages.h
@@ -198,6 +198,8 @@
 struct RoomRelease {
   UpstreamId upstream;
   RequestId call;
+  /// The call has sent its first event, so that its prompt has been read.
+  bool begun = false;
 };
 
 /// One datagram.
--- a/packages/peers/src/status_messages.cc
+++ b/packages/peers/src/status_messages.cc
@@ -410,11 +410,12 @@
 void Write(status::RoomRelease::Builder to, const RoomRelease& from) {
   to.setUpstream(from.upstream.value().c_str());
   to.setCall(from.call.value().c_str());
+  to.setBegun(from.begun);
 }
 
 RoomRelease Read(status::RoomRelease::Reader from) {
   return {UpstreamId(ToString(from.getUpstream())),
-          RequestId(ToString(from.getCall()))};
+          RequestId(ToString(from.getCall())), from.getBegun()};
 }
 
 std::optional<StatusMessage> ReadMessage(status::Message::Reader from) {
--- a/packages/peers/status.capnp
+++ b/packages/peers/status.capnp
@@ -178,6 +178,7 @@
 struct RoomRelease {
   upstream @0 :Text;
   call @1 :Text;
+  begun @2 :Bool;            # the call has sent its first event
 }
 
 struct Message {
--- /dev/null
+++ b/packages/serving/include/bambooquay/serving/engine_rooms.h
@@ -0,0 +1,71 @@
+// The agent's part in giving out room on its engine: answers the entries'
+// requests by the order of RoomQueue.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+#include "bambooquay/core/engine_report.h"
+#include "bambooquay/peers/status_messages.h"
+#include "bambooquay/runtime/event_loop.h"
+#include "bambooquay/runtime/metrics.h"
+#include "bambooquay/scheduling/engine_work_estimator.h"
+#include "bambooquay/scheduling/room_queue.h"
+#include "bambooquay/serving/prompt_cache_view.h"
+
+namespace bambooquay {
+
+/// Room on one engine for the calls of all entries. Its state is lost with the
+/// agent: calls then go to the engine as if there were no agent, and those that
+/// come later build the state up again.
+class EngineRooms {
+ public:
+  using SendReply = std::function<void(const Endpoint&, const RoomReply&)>;
+
+  EngineRooms(EventLoop& loop, Metrics& metrics, EngineWorkEstimator& estimator,
+              SendReply send_reply);
+
+  void HandleRequest(const Endpoint& sender_address,
+                     const RoomRequest& request);
+  void HandleRelease(const RoomRelease& release);
+  /// Takes what bounds the room from a report that the estimator has got.
+  /// @param max_pause  the longest pause that streams of the engine's service
+  ///   may have; zero for no bound.
+  /// @param restarted  whether it is the first report of a run of the engine.
+  void RecordReport(const EngineReport& report, Duration max_pause,
+                    bool restarted);
+  /// @returns the work of the engine with that of the calls that wait for room.
+  [[nodiscard]] EngineWork TotalWork() const;
+
+ private:
+  /// A request that gets another reply.
+  struct PendingRequest {
+    Endpoint sender_address;
+    std::uint64_t request_id = 0;
+    RoomCall call;
+    PromptPrefixes prompt;
+    TimePoint asked_at{};
+  };
+
+  [[nodiscard]] double UnreadTokens(const RoomRequest& request,
+                                    const PromptPrefixes& prompt) const;
+  void Announce(const RoomCall& call, const PromptPrefixes& prompt);
+  void Send(const std::vector<RoomDecision>& decisions);
+  /// Has the queue decide now, and again later while calls wait.
+  void Decide();
+  void RestartTimer();
+
+  EventLoop& m_loop;
+  Metrics& m_metrics;
+  EngineWorkEstimator& m_estimator;
+  SendReply m_send_reply;
+  EngineRoom m_engine;
+  RoomQueue m_queue;
+  PromptCacheView m_prompt_cache;
+  std::unordered_map<RequestId, PendingRequest> m_pending;
+  std::unique_ptr<Timer> m_timer;
+};
+
+}  // namespace bambooquay
--- a/packages/serving/include/bambooquay/serving/forwarded_call.h
+++ b/packages/serving/include/bambooquay/serving/forwarded_call.h
@@ -11,11 +11,13 @@
 #include <variant>
 
 #include "bambooquay/core/random.h"
+#include "bambooquay/peers/status_messages.h"
 #include "bambooquay/runtime/buffer_budget.h"
 #include "bambooquay/runtime/event_loop.h"
 #include "bambooquay/runtime/http_client.h"
 #include "bambooquay/runtime/http_server.h"
 #include "bambooquay/runtime/metrics.h"
+#include "bambooquay/scheduling/room_search.h"
 #include "bambooquay/serving/call_codec.h"
 #include "bambooquay/serving/event_stream.h"
 #include "bambooquay/serving/fleet_allowance.h"
@@ -39,6 +41,17 @@
   RouteTable routes;
 };
 
+/// What has become of a request for room on an engine.
+struct RoomOutcome {
+  enum class Kind : std::uint8_t {
+    kGranted,
+    kDenied,
+    kUnanswered,  ///< The agent is lost, frozen or slow, or a message was lost.
+  };
+  Kind kind = Kind::kUnanswered;
+  Duration wait{};  ///< Time until room is expected, if denied.
+};
+
 /// Requests that calls send to the agents beside engines.
 class AgentClient {
  public:
@@ -61,6 +74,15 @@
   virtual void RequestPermit(const UpstreamId& upstream,
                              const PermitBounds& bounds,
                              std::function<void(bool, Duration)> done) = 0;
+  /// Asks the agent beside an engine for room for one call, or only announces
+  /// the call if it can't wait.
+  /// @param request  its number is set by this object.
+  /// @param done  gets the outcome, unless the room is released before.
+  virtual void RequestRoom(const RoomRequest& request,
+                           std::function<void(const RoomOutcome&)> done) = 0;
+  /// Gives back the room of a call that has sent its first event, has ended or
+  /// does not wait any longer.
+  virtual void ReleaseRoom(const RoomRelease& release) = 0;
 };
 
 /// Counts requests and prompt tokens for the planning of placement.
@@ -90,6 +112,8 @@
   /// For the bytes of responses that are not sent to their callers yet.
   BufferBudget& response_buffers;
   std::function<RetryBudget&(const ServiceName&)> retry_budget_for;
+  /// Whether calls ask for room on engines whose work is estimated.
+  bool predicted_work = false;
 };
 
 /// Authenticates one request, charges its organisation's allowance, tries
@@ -149,6 +173,20 @@
   void LoadAdapter();
   /// Asks for a permit for an upstream and tries again with the reply.
   void RequestPermit(const UpstreamId& upstream);
+  /// Asks for room on an engine and sends the call when it is granted; sends it
+  /// at once to an upstream that gives out none.
+  void SendWithRoom(const UpstreamId& upstream);
+  void HandleRoom(const UpstreamId& upstream, const RoomOutcome& outcome);
+  /// Looks for room on another engine, or waits for the engine at which room is
+  /// expected first, or ends the call if that is too late.
+  void HandleRoomDenied(const UpstreamId& upstream, Duration wait);
+  [[nodiscard]] RoomRequest MakeRoomRequest(const UpstreamId& upstream) const;
+  /// Tells the agent of an engine of a call that is sent without asking.
+  void AnnounceAttempt(const UpstreamId& upstream);
+  /// @param begun  whether the call has sent its first event.
+  void ReleaseRoom(bool begun);
+  /// Ends a call that no upstream can take in time.
+  void RefuseUnserved(std::string_view reason, Duration retry_after);
   void StartAttempt(const UpstreamId& upstream);
   void HandleNoUpstream(PickFailure failure);
   /// Records what a response of the present upstream says about the calls that
@@ -237,6 +275,12 @@
   /// Whether the call finds out if its prompt still crashes engines.
   bool m_is_trial = false;
 
+  RoomSearch m_room_search;
+  /// The engine that the call has room on, or waits for.
+  std::optional<UpstreamId> m_room_upstream;
+  TimePoint m_room_asked_at{};
+  /// How long the call has waited for room.
+  Duration m_room_wait{};
   std::optional<UpstreamId> m_upstream;
   std::unique_ptr<HttpCall> m_attempt;
   int m_status = 0;
--- a/packages/serving/include/bambooquay/serving/peer_exchange.h
+++ b/packages/serving/include/bambooquay/serving/peer_exchange.h
@@ -80,6 +80,9 @@
                           std::function<void(bool)> done) override;
   void RequestPermit(const UpstreamId& upstream, const PermitBounds& bounds,
                      std::function<void(bool, Duration)> done) override;
+  void RequestRoom(const RoomRequest& request,
+                   std::function<void(const RoomOutcome&)> done) override;
+  void ReleaseRoom(const RoomRelease& release) override;
 
   /// @returns the number of entries that may be serving, this one included.
   [[nodiscard]] std::size_t member_count() const;
@@ -122,6 +125,15 @@
     std::function<void(bool, Duration)> done;
   };
 
+  /// A request for room that has had no final reply yet.
+  struct PendingRoom {
+    RequestId call;
+    UpstreamId upstream;
+    Duration max_wait{};
+    TimePoint unanswered_at{};
+    std::function<void(const RoomOutcome&)> done;
+  };
+
   void Receive(const Endpoint& sender_address, std::string_view bytes);
   void HandleEntryStatus(const Endpoint& sender_address,
                          const StatusMessage& message,
@@ -129,6 +141,8 @@
   void HandleReply(const AdapterReply& reply);
   void HandleReply(const PermitReply& reply);
   void ExpirePermitRequests();
+  void HandleReply(const RoomReply& reply);
+  void ExpireRoomRequests();
   void Tick();
   void ResendLoadRequests();
   void Send(const Endpoint& to, const StatusMessage& message);
@@ -165,6 +179,7 @@
   std::uint64_t m_next_request_id = 1;
   std::map<std::uint64_t, PendingLoad> m_pending_loads;
   std::map<std::uint64_t, PendingPermit> m_pending_permits;
+  std::map<std::uint64_t, PendingRoom> m_pending_rooms;
   EntryPermits m_entry_permits;
   std::unique_ptr<Timer> m_status_timer;
   std::unique_ptr<Timer> m_request_timer;
--- a/packages/serving/include/bambooquay/serving/serving_agent.h
+++ b/packages/serving/include/bambooquay/serving/serving_agent.h
@@ -13,8 +13,10 @@
 #include "bambooquay/peers/status_messages.h"
 #include "bambooquay/runtime/datagram_socket.h"
 #include "bambooquay/runtime/metrics.h"
+#include "bambooquay/scheduling/engine_work_estimator.h"
 #include "bambooquay/serving/document_codec.h"
 #include "bambooquay/serving/engine_memory_plan.h"
+#include "bambooquay/serving/engine_rooms.h"
 #include "bambooquay/serving/model_load_limiter.h"
 #include "bambooquay/serving/order_count.h"
 #include "bambooquay/serving/permit_issuer.h"
@@ -80,6 +82,9 @@
   void RefreshConfigurationIfModelUnknown();
   void HandlePermitRequest(const Endpoint& sender_address,
                            const PermitRequest& request);
+  /// @returns the longest pause that the streams of the engine's service may
+  ///   have; zero if no route names one.
+  [[nodiscard]] Duration MaxPauseOfStreams() const;
   void HandleOperatorRow(const TableRow& row);
   /// Fetches the engine's report, unless a fetch is still pending.
   void Poll();
@@ -118,6 +123,8 @@
   TableMirror m_operator_rows;
   ModelLoadLimiter m_load_limiter;
   PermitIssuer m_permits;
+  EngineWorkEstimator m_work;
+  EngineRooms m_rooms;
   std::optional<FleetConfiguration> m_configuration;
   ReportSubscribers m_subscribers;
   UpstreamId m_upstream;
--- a/packages/serving/include/bambooquay/serving/serving_settings.h
+++ b/packages/serving/include/bambooquay/serving/serving_settings.h
@@ -24,6 +24,9 @@
   Endpoint admin;  ///< Health, readiness and metrics.
   Endpoint store;
   LogSettings log;
+  /// Whether agents estimate their engine's work, and entries ask them for room
+  /// before they send a call.
+  bool predicted_work = false;
   /// Upper limit on the duration of a planned stop.
   Duration drain_limit = std::chrono::seconds(8);
 
--- a/packages/serving/include/bambooquay/serving/upstream_set.h
+++ b/packages/serving/include/bambooquay/serving/upstream_set.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "bambooquay/core/clock.h"
+#include "bambooquay/core/engine_work.h"
 #include "bambooquay/core/ids.h"
 #include "bambooquay/core/random.h"
 #include "bambooquay/serving/call_codec.h"
@@ -112,6 +113,13 @@
 
   std::optional<EngineReport> report;
   TimePoint reported_at{};
+  /// From its last report; nothing if its agent does not estimate it.
+  std::optional<EngineWork> work;
+  /// When room on it is expected, by the last denial.
+  TimePoint room_expected_at{};
+  /// Its agent has left a request for room unanswered and gets none before this
+  /// time.
+  TimePoint no_room_requests_until{};
   /// Calls from this entry that have not ended.
   int in_flight = 0;
   /// When this entry last sent a call to it.
@@ -157,6 +165,19 @@
   /// Updates all of the report but the lists of models, which `report` omits.
   /// Ignored if there is no earlier report of the same incarnation.
   void MergeReport(const UpstreamId& id, const EngineReport& report);
+  /// @param work  what the agent estimates; nothing if it does not.
+  void SetWork(const UpstreamId& id, const std::optional<EngineWork>& work);
+  /// @returns whether calls to it should ask its agent for room first. Calls
+  ///   that need a permit don't.
+  [[nodiscard]] bool GivesOutRoom(const UpstreamId& id) const;
+  /// Records that a request for room was denied, with `wait` as the time until
+  /// room is expected.
+  void RecordRoomDenial(const UpstreamId& id, Duration wait);
+  void RecordRoomUnanswered(const UpstreamId& id);
+  /// @returns whether a call that was chosen for an upstream a while ago may
+  ///   still be sent to it. Charges the call to the upstream's permits.
+  [[nodiscard]] bool TryAdmitLater(const UpstreamId& id,
+                                   const PickQuery& query);
   void SetDataCentreDisabled(const DataCentreId& data_centre, bool disabled);
   /// @param self  id of this entry.
   /// @param entries  all entries that may be serving, this one included.
--- /dev/null
+++ b/packages/serving/src/engine_rooms.cc
@@ -0,0 +1,153 @@
+// The agent's part in giving out room on its engine.
+#include "bambooquay/serving/engine_rooms.h"
+
+#include <algorithm>
+#include <array>
+#include <string>
+#include <utility>
+
+namespace bambooquay {
+namespace {
+
+// Interval at which waiting calls are decided on if nothing else happens: room
+// expires, and calls become too late.
+constexpr Duration kDecisionInterval = std::chrono::milliseconds(50);
+
+PromptPrefixes ToPrefixes(const std::vector<AnnouncedPrefix>& announced) {
+  PromptPrefixes prefixes;
+  prefixes.reserve(announced.size());
+  std::ranges::transform(
+      announced, std::back_inserter(prefixes),
+      [](const AnnouncedPrefix& prefix) {
+        return PromptPrefix{prefix.hash, static_cast<double>(prefix.tokens)};
+      });
+  return prefixes;
+}
+
+}  // namespace
+
+EngineRooms::EngineRooms(EventLoop& loop, Metrics& metrics,
+                         EngineWorkEstimator& estimator, SendReply send_reply)
+    : m_loop(loop),
+      m_metrics(metrics),
+      m_estimator(estimator),
+      m_send_reply(std::move(send_reply)),
+      m_queue(loop.clock()) {}
+
+double EngineRooms::UnreadTokens(const RoomRequest& request,
+                                 const PromptPrefixes& prompt) const {
+  // Neither knows what the engine has dropped, so the larger saving counts.
+  return std::min(static_cast<double>(request.unread_tokens),
+                  std::max(0.0, static_cast<double>(request.prompt_tokens) -
+                                    m_prompt_cache.CachedTokens(prompt)));
+}
+
+void EngineRooms::HandleRequest(const Endpoint& sender_address,
+                                const RoomRequest& request) {
+  PromptPrefixes prompt = ToPrefixes(request.prompt);
+  const RoomCall call{
+      request.call,
+      request.organisation,
+      request.priority,
+      UnreadTokens(request, prompt),
+      static_cast<double>(request.prompt_tokens) + request.output_tokens,
+      request.target_wait,
+      request.max_wait};
+  if (request.max_wait == Duration::zero()) {
+    m_queue.Announce(call);
+    Announce(call, prompt);
+    m_metrics.Increment("room_requests_total{result=\"announced\"}");
+    return;
+  }
+  m_pending[request.call] = {sender_address, request.request_id, call,
+                             std::move(prompt), m_loop.clock().Now()};
+  m_engine.work = m_estimator.Current();
+  m_queue.SetEngine(m_engine);
+  Send(m_queue.Ask(call));
+  RestartTimer();
+}
+
+void EngineRooms::HandleRelease(const RoomRelease& release) {
+  if (!release.begun) {
+    m_estimator.Release(release.call);
+  }
+  m_pending.erase(release.call);
+  m_queue.Release(release.call);
+  Decide();
+}
+
+void EngineRooms::RecordReport(const EngineReport& report, Duration max_pause,
+                               bool restarted) {
+  if (restarted) {
+    m_queue.RecordRestart();
+    m_prompt_cache = {};
+  }
+  // A release may be lost, or its entry may have died.
+  std::ranges::for_each(report.runs, [this](const EngineRun& run) {
+    if (!m_pending.contains(run.call)) {
+      m_queue.Release(run.call);
+    }
+  });
+  m_engine = {
+      m_estimator.Current(), max_pause, report.waiting,
+      report.kv_total > 0.0
+          ? std::optional(std::max(0.0, report.kv_total - report.kv_used))
+          : std::nullopt};
+  Decide();
+}
+
+EngineWork EngineRooms::TotalWork() const {
+  EngineWork work = m_estimator.Current();
+  work.unread_prompt_tokens += m_queue.WaitingTokens();
+  return work;
+}
+
+void EngineRooms::Announce(const RoomCall& call, const PromptPrefixes& prompt) {
+  m_estimator.Announce(call.id, call.memory_tokens, call.unread_tokens);
+  m_prompt_cache.RecordPrompt(prompt);
+}
+
+void EngineRooms::Decide() {
+  m_engine.work = m_estimator.Current();
+  m_queue.SetEngine(m_engine);
+  Send(m_queue.Decide());
+  RestartTimer();
+}
+
+void EngineRooms::Send(const std::vector<RoomDecision>& decisions) {
+  constexpr std::array kResults = {"granted", "queued", "denied"};
+  for (const RoomDecision& decision : decisions) {
+    const auto found = m_pending.find(decision.call);
+    if (found == m_pending.end()) {
+      continue;
+    }
+    const PendingRequest& pending = found->second;
+    const bool granted = decision.verdict == RoomVerdict::kGranted;
+    const bool queued = decision.verdict == RoomVerdict::kQueued;
+    m_metrics.Increment(
+        std::string("room_requests_total{result=\"") +
+        kResults.at(static_cast<std::size_t>(decision.verdict)) + "\"}");
+    m_send_reply(pending.sender_address,
+                 {pending.request_id, granted, decision.wait, queued});
+    if (queued) {
+      continue;
+    }
+    m_metrics.Observe("room_wait_seconds{granted=\"" +
+                          std::string(granted ? "yes" : "no") + "\"}",
+                      m_loop.clock().Now() - pending.asked_at);
+    if (granted) {
+      Announce(pending.call, pending.prompt);
+    }
+    m_pending.erase(found);
+  }
+}
+
+void EngineRooms::RestartTimer() {
+  if (m_queue.waiting_count() == 0) {
+    m_timer = nullptr;
+  } else if (m_timer == nullptr) {
+    m_timer = m_loop.Every(kDecisionInterval, [this] { Decide(); });
+  }
+}
+
+}  // namespace bambooquay
--- a/packages/serving/src/forwarded_call.cc
+++ b/packages/serving/src/forwarded_call.cc
@@ -207,7 +207,7 @@
   m_query.permitted.reset();
   m_query.may_request_permit = false;
   if (const auto* upstream = std::get_if<UpstreamId>(&picked)) {
-    StartAttempt(*upstream);
+    SendWithRoom(*upstream);
   } else if (const auto* needed = std::get_if<PermitNeeded>(&picked)) {
     RequestPermit(needed->upstream);
   } else {
@@ -263,8 +263,14 @@
   constexpr std::array kReasons = {"no_upstream", "model_missing",
                                    "adapter_missing", "adapter_crowded",
                                    "upstreams_full"};
+  RefuseUnserved(kReasons.at(static_cast<std::size_t>(failure)),
+                 RetryDelay(failure));
+}
+
+void ForwardedCall::RefuseUnserved(std::string_view reason,
+                                   Duration retry_after) {
   if (m_relaying) {
-    AbortRelay(kReasons.at(static_cast<std::size_t>(failure)));
+    AbortRelay(reason);
     return;
   }
   if (m_may_have_run) {
@@ -272,8 +278,7 @@
            Duration::zero());
     return;
   }
-  Refuse(ToCode(HttpStatus::kServiceUnavailable),
-         kReasons.at(static_cast<std::size_t>(failure)), RetryDelay(failure));
+  Refuse(ToCode(HttpStatus::kServiceUnavailable), reason, retry_after);
 }
 
 Duration ForwardedCall::RetryDelay(PickFailure failure) {
@@ -339,6 +344,10 @@
 
 void ForwardedCall::StartAttempt(const UpstreamId& id) {
   const Upstream* upstream = m_context.upstreams.Find(id);
+  if (m_room_upstream != id) {
+    AnnounceAttempt(id);
+  }
+  m_room_search.Reset();
   ++m_attempt_count;
   m_query.excluded.insert(id);
   m_query.may_load_adapter = false;
@@ -461,6 +470,7 @@
             m_organisation == nullptr ? "" : m_organisation->name.value())
       .With("model", AdapterKey(m_call.model, m_call.adapter))
       .With("attempts", m_attempt_count)
+      .With("waited_ms", m_room_wait / milliseconds(1))
       .With("held_by", m_held_by.has_value() ? ToString(*m_held_by) : "")
       .With("configuration",
             m_active_configuration == nullptr
@@ -476,6 +486,7 @@
   m_limit_timer = nullptr;
   m_stall_timer = nullptr;
   m_wait_timer = nullptr;
+  ReleaseRoom(false);
   RecordOutcome(outcome, reason);
   m_on_finished(*this);
 }
--- a/packages/serving/src/forwarded_response.cc
+++ b/packages/serving/src/forwarded_response.cc
@@ -198,6 +198,7 @@
       if (m_attempt_events++ == 0 && m_attempt_begun_at.has_value()) {
         m_context.quarantine.RecordSurvival(m_call.prompt, *m_attempt_begun_at);
       }
+      ReleaseRoom(true);
       RecordEventTime();
       RelayBody(events);
       RestartStallTimer();
@@ -343,6 +344,7 @@
 }
 
 void ForwardedCall::EndAttempt(AttemptResult result) {
+  ReleaseRoom(false);
   m_stall_timer = nullptr;
   m_attempt = nullptr;
   if (m_upstream.has_value()) {
--- a/packages/serving/src/peer_exchange.cc
+++ b/packages/serving/src/peer_exchange.cc
@@ -29,6 +29,9 @@
 // for another engine, and the agent is not asked again for kPermitRetryDelay.
 constexpr Duration kPermitTimeout = milliseconds(60);
 constexpr Duration kPermitRetryDelay = milliseconds(200);
+// An agent replies to a request for room within some milliseconds, also if the
+// call has to wait. Its last reply may come so much later than announced.
+constexpr Duration kRoomTimeout = milliseconds(60);
 
 }  // namespace
 
@@ -52,6 +55,7 @@
   m_request_timer = m_loop.Every(kLoadResendInterval / 2, [this] {
     ResendLoadRequests();
     ExpirePermitRequests();
+    ExpireRoomRequests();
   });
   return m_socket.Bind(endpoint);
 }
@@ -353,6 +357,66 @@
   permit.mapped().done(reply.granted && in_time, reply.wait);
 }
 
+void PeerExchange::RequestRoom(const RoomRequest& request,
+                               std::function<void(const RoomOutcome&)> done) {
+  const auto agent = AgentAddress(request.upstream);
+  if (!agent.has_value()) {
+    done({RoomOutcome::Kind::kUnanswered, {}});
+    return;
+  }
+  RoomRequest numbered = request;
+  numbered.request_id = m_next_request_id++;
+  if (request.max_wait > Duration::zero()) {
+    m_pending_rooms[numbered.request_id] = {
+        request.call, request.upstream, request.max_wait,
+        m_loop.clock().Now() + kRoomTimeout, std::move(done)};
+  }
+  Send(*agent, {m_self, m_incarnation, std::move(numbered)});
+}
+
+void PeerExchange::ReleaseRoom(const RoomRelease& release) {
+  std::erase_if(m_pending_rooms, [&](const auto& item) {
+    return item.second.call == release.call &&
+           item.second.upstream == release.upstream;
+  });
+  if (const auto agent = AgentAddress(release.upstream)) {
+    Send(*agent, {m_self, m_incarnation, release});
+  }
+}
+
+void PeerExchange::HandleReply(const RoomReply& reply) {
+  const auto found = m_pending_rooms.find(reply.request_id);
+  if (found == m_pending_rooms.end()) {
+    return;
+  }
+  if (reply.queued) {
+    found->second.unanswered_at =
+        m_loop.clock().Now() + found->second.max_wait + kRoomTimeout;
+    return;
+  }
+  auto room = m_pending_rooms.extract(found);
+  room.mapped().done(
+      {reply.granted ? RoomOutcome::Kind::kGranted : RoomOutcome::Kind::kDenied,
+       reply.wait});
+}
+
+void PeerExchange::ExpireRoomRequests() {
+  const TimePoint now = m_loop.clock().Now();
+  std::vector<std::uint64_t> expired;
+  for (const auto& [request_id, room] : m_pending_rooms) {
+    if (room.unanswered_at < now) {
+      expired.push_back(request_id);
+    }
+  }
+  for (const std::uint64_t request_id : expired) {
+    auto room = m_pending_rooms.extract(request_id);
+    // An earlier one may have released this one.
+    if (!room.empty()) {
+      room.mapped().done({RoomOutcome::Kind::kUnanswered, {}});
+    }
+  }
+}
+
 void PeerExchange::Receive(const Endpoint& sender_address,
                            std::string_view bytes) {
   const auto message = DecodeStatus(bytes);
@@ -369,6 +433,8 @@
     HandleReply(*reply);
   } else if (const auto* permit = std::get_if<PermitReply>(&message->body)) {
     HandleReply(*permit);
+  } else if (const auto* room = std::get_if<RoomReply>(&message->body)) {
+    HandleReply(*room);
   } else if (const auto* request = std::get_if<PermitRequest>(&message->body)) {
     Send(sender_address,
          {m_self, m_incarnation, m_entry_permits.Issue(*request)});
--- a/packages/serving/src/serving_agent.cc
+++ b/packages/serving/src/serving_agent.cc
@@ -46,6 +46,12 @@
           [this](const TableRow& row) { HandleOperatorRow(row); }),
       m_load_limiter(deps.loop, deps.table),
       m_permits(deps.loop.clock()),
+      m_work(deps.loop.clock()),
+      m_rooms(deps.loop, deps.metrics, m_work,
+              [this](const Endpoint& entry, const RoomReply& reply) {
+                m_socket.Send(
+                    entry, EncodeStatus({m_settings.id, m_incarnation, reply}));
+              }),
       m_subscribers(deps.loop.clock()),
       m_order_count(deps.loop.clock()) {}
 
@@ -115,6 +121,14 @@
     HandleAdapterRequest(sender_address, *request);
   } else if (const auto* permit = std::get_if<PermitRequest>(&message->body)) {
     HandlePermitRequest(sender_address, *permit);
+  } else if (!m_settings.predicted_work) {
+    return;
+  } else if (const auto* room = std::get_if<RoomRequest>(&message->body)) {
+    if (room->upstream == m_upstream) {
+      m_rooms.HandleRequest(sender_address, *room);
+    }
+  } else if (const auto* release = std::get_if<RoomRelease>(&message->body)) {
+    m_rooms.HandleRelease(*release);
   }
 }
 
@@ -160,6 +174,24 @@
                 EncodeStatus({m_settings.id, m_incarnation, reply}));
 }
 
+Duration ServingAgent::MaxPauseOfStreams() const {
+  Duration shortest{};
+  if (!m_configuration.has_value()) {
+    return shortest;
+  }
+  for (const ServingRoute& route : m_configuration->routes) {
+    const bool is_served_here =
+        std::ranges::find(route.services, m_settings.service,
+                          &ServiceShare::service) != route.services.end();
+    if (is_served_here && route.max_pause > Duration::zero()) {
+      shortest = shortest == Duration::zero()
+                     ? route.max_pause
+                     : std::min(shortest, route.max_pause);
+    }
+  }
+  return shortest;
+}
+
 void ServingAgent::HandleOperatorRow(const TableRow& row) {
   const OperatorRow kind = m_deps.document_codec.ClassifyOperatorRow(row.key);
   if (!std::holds_alternative<ConfigurationRow>(kind) || row.deleted) {
@@ -234,6 +266,10 @@
     m_report = report;
   }
   m_report_received_at = m_deps.loop.clock().Now();
+  if (m_settings.predicted_work) {
+    m_work.RecordReport(report);
+    m_rooms.RecordReport(report, MaxPauseOfStreams(), restarted);
+  }
   Broadcast();
   Reconcile();
 }
@@ -256,9 +292,12 @@
       !m_subscribers.MarkListsSentIfDue(subscriber, m_lists_version);
   std::string& bytes = omit_lists ? encoded.without_lists : encoded.with_lists;
   if (bytes.empty()) {
-    bytes = EncodeStatus({m_settings.id, m_incarnation,
-                          EngineStatus{m_upstream, *m_report, m_lists_version,
-                                       omit_lists, std::nullopt}});
+    bytes = EncodeStatus(
+        {m_settings.id, m_incarnation,
+         EngineStatus{m_upstream, *m_report, m_lists_version, omit_lists,
+                      m_settings.predicted_work
+                          ? std::optional(m_rooms.TotalWork())
+                          : std::nullopt}});
   }
   m_socket.Send(subscriber.address, bytes);
 }
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -96,7 +96,8 @@
                 m_response_buffers,
                 [this](const ServiceName& service) -> RetryBudget& {
                   return RetryBudgetFor(service);
-                }},
+                },
+                settings.predicted_work},
       m_peer_table(deps.loop, [this] { return m_peers.NextLivePeer(); }),
       m_reader_table(deps.loop, [this] { return TableReader(); }),
       m_shared_table(deps.loop.clock(), deps.table, m_reader_table,
@@ -171,6 +172,7 @@
     } else {
       m_upstreams.SetReport(status.upstream, status.report);
     }
+    m_upstreams.SetWork(status.upstream, status.work);
   });
 }
 
--- a/packages/serving/src/upstream_choice.cc
+++ b/packages/serving/src/upstream_choice.cc
@@ -131,6 +131,8 @@
     return cost + load / slots * 100.0;
   }
   cost += (load + EstimateUnreportedLoad(upstream)) * kMsPerRunningRequest;
+  const Duration until_room = upstream.room_expected_at - m_clock.Now();
+  cost += std::max(0.0, ToSeconds(until_room) * 1000.0);
   if (!query.prompt.empty()) {
     cost += (query.prompt_tokens -
              upstream.prompt_cache.CachedTokens(query.prompt)) /
