--- a/packages/serving/include/bambooquay/serving/forwarded_call.h
+++ b/packages/serving/include/bambooquay/serving/forwarded_call.h
@@ -17,6 +17,7 @@
 #include "bambooquay/runtime/http_client.h"
 #include "bambooquay/runtime/http_server.h"
 #include "bambooquay/runtime/metrics.h"
+#include "bambooquay/scheduling/call_lengths.h"
 #include "bambooquay/scheduling/room_search.h"
 #include "bambooquay/serving/call_codec.h"
 #include "bambooquay/serving/event_stream.h"
@@ -112,7 +113,8 @@
   /// For the bytes of responses that are not sent to their callers yet.
   BufferBudget& response_buffers;
   std::function<RetryBudget&(const ServiceName&)> retry_budget_for;
-  /// Whether calls ask for room on engines whose work is estimated.
+  CallLengths call_lengths;
+  /// Whether agents estimate the work of their engines.
   bool predicted_work = false;
 };
 
@@ -188,6 +190,8 @@
   /// Ends a call that no upstream can take in time.
   void RefuseUnserved(std::string_view reason, Duration retry_after);
   void StartAttempt(const UpstreamId& upstream);
+  /// Compares the predicted time of the first event with the measured one.
+  void RecordPrediction();
   void HandleNoUpstream(PickFailure failure);
   /// Records what a response of the present upstream says about the calls that
   /// it takes.
@@ -253,6 +257,8 @@
                                   const std::optional<UpstreamId>& left);
   /// Sets m_query, the call's requirements on an upstream.
   void BuildQuery();
+  /// Sets what the caller still expects in m_query.
+  void UpdateNeeds();
 
   ServingContext& m_context;
   std::shared_ptr<const ActiveConfiguration> m_active_configuration;
@@ -306,6 +312,10 @@
   TimePoint m_progress_at{};
   /// When the current attempt began to respond, if it has.
   std::optional<TimePoint> m_attempt_begun_at;
+  /// When the current attempt was sent.
+  TimePoint m_attempt_sent_at{};
+  /// From that time to the attempt's first event, if it is predicted.
+  std::optional<Duration> m_predicted_first_event;
   /// Events that the current attempt has sent.
   int m_attempt_events = 0;
   /// What keeps the current attempt at its silent upstream, if it was logged.
--- a/packages/serving/include/bambooquay/serving/serving_settings.h
+++ b/packages/serving/include/bambooquay/serving/serving_settings.h
@@ -24,8 +24,8 @@
   Endpoint admin;  ///< Health, readiness and metrics.
   Endpoint store;
   LogSettings log;
-  /// Whether agents estimate their engine's work, and entries ask them for room
-  /// before they send a call.
+  /// Whether calls are scheduled by the predicted work of engines, which the
+  /// agents estimate for this.
   bool predicted_work = false;
   /// Upper limit on the duration of a planned stop.
   Duration drain_limit = std::chrono::seconds(8);
--- a/packages/serving/src/engine_rooms.cc
+++ b/packages/serving/src/engine_rooms.cc
@@ -68,7 +68,9 @@
 }
 
 void EngineRooms::HandleRelease(const RoomRelease& release) {
-  if (!release.begun) {
+  if (release.begun) {
+    m_estimator.RecordFirstEvent(release.call);
+  } else {
     m_estimator.Release(release.call);
   }
   m_pending.erase(release.call);
--- a/packages/serving/src/forwarded_room.cc
+++ b/packages/serving/src/forwarded_room.cc
@@ -54,14 +54,14 @@
     return;
   }
   RoomRequest request = MakeRoomRequest(id);
-  const EngineWork& work = *m_context.upstreams.Find(id)->work;
-  const Duration reading_time =
-      work.prompt_tokens_per_ms > 0.0
-          ? FromSeconds(request.unread_tokens / work.prompt_tokens_per_ms /
-                        1000.0)
-          : Duration::zero();
-  request.max_wait = m_room_search.MaxWait(
-      {request.target_wait, TimeLeft(), reading_time, Duration::zero()});
+  PredictedTimes times;
+  if (const auto predicted =
+          m_context.upstreams.Predict(*m_context.upstreams.Find(id), m_query)) {
+    times = predicted->times;
+  }
+  request.max_wait = m_room_search.MaxWait({request.target_wait, TimeLeft(),
+                                            times.pause_of_streams,
+                                            times.end - times.first_event});
   if (request.max_wait < milliseconds(1)) {
     RefuseUnserved("too_late", kRetryAfter);
     return;
@@ -133,7 +133,7 @@
     return;
   }
   const Upstream* upstream = m_context.upstreams.Find(id);
-  if (upstream != nullptr && upstream->work.has_value()) {
+  if (upstream != nullptr && upstream->work.last().has_value()) {
     m_room_upstream = id;
     m_context.agents.RequestRoom(MakeRoomRequest(id), {});
   }
--- a/packages/serving/src/serving_agent.cc
+++ b/packages/serving/src/serving_agent.cc
@@ -80,6 +80,14 @@
   metrics.RegisterGauge("engine_waiting", [this] {
     return m_report.has_value() ? static_cast<double>(m_report->waiting) : 0.0;
   });
+  metrics.RegisterGauge("engine_prompt_tokens_per_second", [this] {
+    return m_work.Current().prompt_tokens_per_ms * 1000.0;
+  });
+  metrics.RegisterGauge("engine_unread_prompt_tokens", [this] {
+    return m_work.Current().unread_prompt_tokens;
+  });
+  metrics.RegisterGauge("engine_slowness",
+                        [this] { return m_work.Current().slowness; });
   metrics.RegisterGauge("orders_refused_in_row", [this] {
     return static_cast<double>(m_consecutive_refused_orders);
   });
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -97,6 +97,7 @@
                 [this](const ServiceName& service) -> RetryBudget& {
                   return RetryBudgetFor(service);
                 },
+                {},
                 settings.predicted_work},
       m_peer_table(deps.loop, [this] { return m_peers.NextLivePeer(); }),
       m_reader_table(deps.loop, [this] { return TableReader(); }),
@@ -172,7 +173,9 @@
     } else {
       m_upstreams.SetReport(status.upstream, status.report);
     }
-    m_upstreams.SetWork(status.upstream, status.work);
+    if (m_settings.predicted_work) {
+      m_upstreams.SetWork(status.upstream, status.work);
+    }
   });
 }
 
--- a/packages/serving/src/upstream_rooms.cc
+++ b/packages/serving/src/upstream_rooms.cc
@@ -10,17 +10,9 @@
 
 }  // namespace
 
-void UpstreamSet::SetWork(const UpstreamId& id,
-                          const std::optional<EngineWork>& work) {
-  const auto found = m_upstreams.find(id);
-  if (found != m_upstreams.end()) {
-    found->second.work = work;
-  }
-}
-
 bool UpstreamSet::GivesOutRoom(const UpstreamId& id) const {
   const Upstream* upstream = Find(id);
-  return upstream != nullptr && upstream->work.has_value() &&
+  return upstream != nullptr && upstream->work.last().has_value() &&
          HasFreshReport(*upstream) &&
          upstream->no_room_requests_until <= m_clock.Now() &&
          !IsColdLimited(*upstream) && !CallLimitOf(*upstream).has_value();
