--- a/packages/serving/include/bambooquay/serving/serving_agent.h
+++ b/packages/serving/include/bambooquay/serving/serving_agent.h
@@ -16,6 +16,7 @@
 #include "bambooquay/scheduling/engine_work_estimator.h"
 #include "bambooquay/serving/document_codec.h"
 #include "bambooquay/serving/engine_memory_plan.h"
+#include "bambooquay/serving/engine_rooms.h"
 #include "bambooquay/serving/model_load_limiter.h"
 #include "bambooquay/serving/order_count.h"
 #include "bambooquay/serving/permit_issuer.h"
@@ -81,9 +82,9 @@
   void RefreshConfigurationIfModelUnknown();
   void HandlePermitRequest(const Endpoint& sender_address,
                            const PermitRequest& request);
-  /// Records a call that is on its way to the engine.
-  void HandleRoomRequest(const RoomRequest& request);
-  void HandleRoomRelease(const RoomRelease& release);
+  /// @returns the longest pause that the streams of the engine's service may
+  ///   have; zero if no route names one.
+  [[nodiscard]] Duration MaxPauseOfStreams() const;
   void HandleOperatorRow(const TableRow& row);
   /// Fetches the engine's report, unless a fetch is still pending.
   void Poll();
@@ -123,6 +124,7 @@
   ModelLoadLimiter m_load_limiter;
   PermitIssuer m_permits;
   EngineWorkEstimator m_work;
+  EngineRooms m_rooms;
   std::optional<FleetConfiguration> m_configuration;
   ReportSubscribers m_subscribers;
   UpstreamId m_upstream;
--- a/packages/serving/src/forwarded_call.cc
+++ b/packages/serving/src/forwarded_call.cc
@@ -211,7 +211,7 @@
   m_query.permitted.reset();
   m_query.may_request_permit = false;
   if (const auto* upstream = std::get_if<UpstreamId>(&picked)) {
-    StartAttempt(*upstream);
+    SendWithRoom(*upstream);
   } else if (const auto* needed = std::get_if<PermitNeeded>(&picked)) {
     RequestPermit(needed->upstream);
   } else {
@@ -277,8 +277,14 @@
   constexpr std::array kReasons = {"no_upstream", "model_missing",
                                    "adapter_missing", "adapter_crowded",
                                    "upstreams_full"};
+  RefuseUnserved(kReasons.at(static_cast<std::size_t>(failure)),
+                 RetryDelay(failure));
+}
+
+void ForwardedCall::RefuseUnserved(std::string_view reason,
+                                   Duration retry_after) {
   if (m_relaying) {
-    AbortRelay(kReasons.at(static_cast<std::size_t>(failure)));
+    AbortRelay(reason);
     return;
   }
   if (m_may_have_run) {
@@ -286,8 +292,7 @@
            Duration::zero());
     return;
   }
-  Refuse(ToCode(HttpStatus::kServiceUnavailable),
-         kReasons.at(static_cast<std::size_t>(failure)), RetryDelay(failure));
+  Refuse(ToCode(HttpStatus::kServiceUnavailable), reason, retry_after);
 }
 
 Duration ForwardedCall::RetryDelay(PickFailure failure) {
@@ -353,6 +358,10 @@
 
 void ForwardedCall::StartAttempt(const UpstreamId& id) {
   const Upstream* upstream = m_context.upstreams.Find(id);
+  if (m_room_upstream != id) {
+    AnnounceAttempt(id);
+  }
+  m_room_search.Reset();
   ++m_attempt_count;
   m_query.excluded.insert(id);
   m_query.may_load_adapter = false;
@@ -399,7 +408,6 @@
           "event_interval_ms",
           work.has_value() ? std::optional(work->event_interval) : std::nullopt)
       .With("time_left_ms", TimeLeft() / milliseconds(1));
-  AnnounceAttempt(*upstream);
   const HttpRequest request = m_context.codec.EncodeAttempt(m_call, metadata);
   m_context.upstreams.RecordAttemptStart(id, m_query);
   m_attempt = m_context.client.Start(
@@ -410,21 +418,6 @@
   RestartStallTimer();
 }
 
-void ForwardedCall::AnnounceAttempt(const Upstream& upstream) {
-  if (!m_context.predicted_work || !upstream.has_engine) {
-    return;
-  }
-  RoomRequest request;
-  request.upstream = upstream.record.id;
-  request.call = m_call.id;
-  request.prompt_tokens = static_cast<std::uint32_t>(m_call.prompt_tokens);
-  request.unread_tokens = static_cast<std::uint32_t>(
-      std::max(0.0, m_call.prompt_tokens -
-                        upstream.prompt_cache.CachedTokens(m_query.prompt)));
-  request.priority = m_route->priority;
-  m_context.agents.AnnounceCall(std::move(request));
-}
-
 void ForwardedCall::HandleTimeLimit() {
   if (!m_reads_before_limit && m_attempt != nullptr &&
       m_attempt->HasUnreadInput()) {
@@ -507,6 +500,7 @@
             m_organisation == nullptr ? "" : m_organisation->name.value())
       .With("model", AdapterKey(m_call.model, m_call.adapter))
       .With("attempts", m_attempt_count)
+      .With("waited_ms", m_room_wait / milliseconds(1))
       .With("held_by", m_held_by.has_value() ? ToString(*m_held_by) : "")
       .With("configuration",
             m_active_configuration == nullptr
@@ -522,6 +516,7 @@
   m_limit_timer = nullptr;
   m_stall_timer = nullptr;
   m_wait_timer = nullptr;
+  ReleaseRoom(false);
   RecordOutcome(outcome, reason);
   m_on_finished(*this);
 }
--- a/packages/serving/src/forwarded_response.cc
+++ b/packages/serving/src/forwarded_response.cc
@@ -198,6 +198,7 @@
       if (m_attempt_events++ == 0 && m_attempt_begun_at.has_value()) {
         m_context.quarantine.RecordSurvival(m_call.prompt, *m_attempt_begun_at);
       }
+      ReleaseRoom(true);
       if (m_attempt_events == 1) {
         RecordPrediction();
       }
@@ -245,9 +246,6 @@
 }
 
 void ForwardedCall::RecordPrediction() {
-  if (m_context.predicted_work && m_service->engine.has_value()) {
-    m_context.agents.ReleaseCall({*m_upstream, m_call.id});
-  }
   if (!m_predicted_first_event.has_value()) {
     return;
   }
@@ -368,6 +366,7 @@
 }
 
 void ForwardedCall::EndAttempt(AttemptResult result) {
+  ReleaseRoom(false);
   m_stall_timer = nullptr;
   m_attempt = nullptr;
   if (m_upstream.has_value()) {
--- a/packages/serving/src/serving_agent.cc
+++ b/packages/serving/src/serving_agent.cc
@@ -47,6 +47,11 @@
       m_load_limiter(deps.loop, deps.table),
       m_permits(deps.loop.clock()),
       m_work(deps.loop.clock()),
+      m_rooms(deps.loop, deps.metrics, m_work,
+              [this](const Endpoint& entry, const RoomReply& reply) {
+                m_socket.Send(
+                    entry, EncodeStatus({m_settings.id, m_incarnation, reply}));
+              }),
       m_subscribers(deps.loop.clock()),
       m_order_count(deps.loop.clock()) {}
 
@@ -124,22 +129,14 @@
     HandleAdapterRequest(sender_address, *request);
   } else if (const auto* permit = std::get_if<PermitRequest>(&message->body)) {
     HandlePermitRequest(sender_address, *permit);
+  } else if (!m_settings.predicted_work) {
+    return;
   } else if (const auto* room = std::get_if<RoomRequest>(&message->body)) {
-    HandleRoomRequest(*room);
+    if (room->upstream == m_upstream) {
+      m_rooms.HandleRequest(sender_address, *room);
+    }
   } else if (const auto* release = std::get_if<RoomRelease>(&message->body)) {
-    HandleRoomRelease(*release);
-  }
-}
-
-void ServingAgent::HandleRoomRequest(const RoomRequest& request) {
-  if (request.upstream == m_upstream) {
-    m_work.Announce(request.call, request.prompt_tokens, request.unread_tokens);
-  }
-}
-
-void ServingAgent::HandleRoomRelease(const RoomRelease& release) {
-  if (release.upstream == m_upstream) {
-    m_work.RecordFirstEvent(release.call);
+    m_rooms.HandleRelease(*release);
   }
 }
 
@@ -185,6 +182,24 @@
                 EncodeStatus({m_settings.id, m_incarnation, reply}));
 }
 
+Duration ServingAgent::MaxPauseOfStreams() const {
+  Duration shortest{};
+  if (!m_configuration.has_value()) {
+    return shortest;
+  }
+  for (const ServingRoute& route : m_configuration->routes) {
+    const bool is_served_here =
+        std::ranges::find(route.services, m_settings.service,
+                          &ServiceShare::service) != route.services.end();
+    if (is_served_here && route.max_pause > Duration::zero()) {
+      shortest = shortest == Duration::zero()
+                     ? route.max_pause
+                     : std::min(shortest, route.max_pause);
+    }
+  }
+  return shortest;
+}
+
 void ServingAgent::HandleOperatorRow(const TableRow& row) {
   const OperatorRow kind = m_deps.document_codec.ClassifyOperatorRow(row.key);
   if (!std::holds_alternative<ConfigurationRow>(kind) || row.deleted) {
@@ -259,7 +274,10 @@
     m_report = report;
   }
   m_report_received_at = m_deps.loop.clock().Now();
-  m_work.RecordReport(report);
+  if (m_settings.predicted_work) {
+    m_work.RecordReport(report);
+    m_rooms.RecordReport(report, MaxPauseOfStreams(), restarted);
+  }
   Broadcast();
   Reconcile();
 }
@@ -282,12 +300,12 @@
       !m_subscribers.MarkListsSentIfDue(subscriber, m_lists_version);
   std::string& bytes = omit_lists ? encoded.without_lists : encoded.with_lists;
   if (bytes.empty()) {
-    EngineStatus status{m_upstream, *m_report, m_lists_version, omit_lists,
-                        std::nullopt};
-    if (m_settings.predicted_work) {
-      status.work = m_work.Current();
-    }
-    bytes = EncodeStatus({m_settings.id, m_incarnation, std::move(status)});
+    bytes = EncodeStatus(
+        {m_settings.id, m_incarnation,
+         EngineStatus{m_upstream, *m_report, m_lists_version, omit_lists,
+                      m_settings.predicted_work
+                          ? std::optional(m_rooms.TotalWork())
+                          : std::nullopt}});
   }
   m_socket.Send(subscriber.address, bytes);
 }
--- a/packages/serving/src/upstream_choice.cc
+++ b/packages/serving/src/upstream_choice.cc
@@ -144,6 +144,8 @@
     // 100 ms at one call per slot.
     return cost + load / slots * 100.0;
   }
+  const Duration until_room = upstream.room_expected_at - m_clock.Now();
+  cost += std::max(0.0, ToSeconds(until_room) * 1000.0);
   return cost + (predicted.has_value() ? predicted->ms
                                        : UnpredictedDelay(upstream, query));
 }
