Agents tell entries which shared parts their engines have read

Cause: an entry knows only of the prompts that it sent itself; parts that an engine has read for other entries are read again elsewhere, and predictions are off by them. Change: with an engine's work its agent sends the shared parts announced a moment ago; the view of the prompt cache is bounded by the engine's memory.

--- a/packages/core/include/bambooquay/core/engine_work.h
+++ b/packages/core/include/bambooquay/core/engine_work.h
@@ -20,6 +20,7 @@
   /// Time that work takes, as a multiple of what it takes when the engine is at
   /// its best; 1 for an engine that has not slowed down.
   double slowness = 1.0;
+  double memory_tokens = 0.0;  ///< Size of the KV cache; 0 if it is not known.
 
   friend bool operator==(const EngineWork&, const EngineWork&) = default;
 };
--- a/packages/peers/include/bambooquay/peers/status_messages.h
+++ b/packages/peers/include/bambooquay/peers/status_messages.h
@@ -98,6 +98,15 @@
   Duration report_period{};
 };
 
+/// The leading parts of a prompt, up to and including one of them.
+struct AnnouncedPrefix {
+  std::uint64_t hash = 0;    ///< Over model, adapter and these parts.
+  std::uint32_t tokens = 0;  ///< Tokens of its last part.
+
+  friend bool operator==(const AnnouncedPrefix&,
+                         const AnnouncedPrefix&) = default;
+};
+
 /// Sent by each agent to the entries from which it receives targets.
 struct EngineStatus {
   UpstreamId upstream;
@@ -111,6 +120,9 @@
   bool omits_lists = false;
   /// Unset if the agent does not estimate work.
   std::optional<EngineWork> work;
+  /// Shared parts of prompts that were announced a moment ago, in order; the
+  /// engine has them in its prompt cache now. Sent only with `work`.
+  std::vector<AnnouncedPrefix> read_prefixes;
 };
 
 /// Sent by an entry to an agent to have an adapter loaded, and sent again until
@@ -153,15 +165,6 @@
   Duration wait{};  ///< Time until another request may be granted.
 };
 
-/// The leading parts of a prompt, up to and including one of them.
-struct AnnouncedPrefix {
-  std::uint64_t hash = 0;    ///< Over model, adapter and these parts.
-  std::uint32_t tokens = 0;  ///< Tokens of its last part.
-
-  friend bool operator==(const AnnouncedPrefix&,
-                         const AnnouncedPrefix&) = default;
-};
-
 /// Sent by an entry to an agent to get room on its engine for one call. The
 /// agent replies at once, and once more if the call has to wait. The message is
 /// not sent again.
--- a/packages/peers/src/status_messages.cc
+++ b/packages/peers/src/status_messages.cc
@@ -236,13 +236,33 @@
   to.setStreams(
       static_cast<std::uint16_t>(std::clamp(from.streams, 0, kMaxStreams)));
   to.setSlowness(static_cast<float>(from.slowness));
+  to.setMemoryTokens(static_cast<float>(from.memory_tokens));
+}
+
+void Write(capnp::List<status::PromptPrefix>::Builder to,
+           const std::vector<AnnouncedPrefix>& from) {
+  unsigned index = 0;
+  for (const AnnouncedPrefix& prefix : from) {
+    to[index].setHash(prefix.hash);
+    to[index++].setTokens(prefix.tokens);
+  }
+}
+
+std::vector<AnnouncedPrefix> Read(
+    capnp::List<status::PromptPrefix>::Reader from) {
+  std::vector<AnnouncedPrefix> to;
+  to.reserve(from.size());
+  for (const auto prefix : from) {
+    to.push_back({prefix.getHash(), prefix.getTokens()});
+  }
+  return to;
 }
 
 /// @returns nothing if a number makes no sense.
 std::optional<EngineWork> Read(status::EngineWork::Reader from) {
-  const std::array<float, 4> numbers = {
+  const std::array<float, 5> numbers = {
       from.getPromptTokensPerMs(), from.getEventIntervalMs(),
-      from.getUnreadTokens(), from.getSlowness()};
+      from.getUnreadTokens(), from.getSlowness(), from.getMemoryTokens()};
   const bool is_sound = std::ranges::all_of(numbers, [](float number) {
     return number >= 0.0F && number <= kMaxWorkNumber;
   });
@@ -251,7 +271,8 @@
   }
   return EngineWork{
       from.getPromptTokensPerMs(), FromFloatMs(from.getEventIntervalMs()),
-      from.getUnreadTokens(), from.getStreams(), from.getSlowness()};
+      from.getUnreadTokens(),      from.getStreams(),
+      from.getSlowness(),          from.getMemoryTokens()};
 }
 
 void Write(status::EngineStatus::Builder to, const EngineStatus& from) {
@@ -266,7 +287,11 @@
   to.setLists(from.lists_version);
   to.setBrief(from.omits_lists);
   if (from.work.has_value()) {
-    Write(to.initWork(), *from.work);
+    auto work = to.initWork();
+    Write(work, *from.work);
+    Write(
+        work.initReadPrefixes(static_cast<unsigned>(from.read_prefixes.size())),
+        from.read_prefixes);
   }
   if (from.omits_lists) {
     return;
@@ -307,6 +332,7 @@
   report.in_host_memory = ReadTextList<ModelName>(from.getInHostMemory());
   if (from.hasWork()) {
     to.work = Read(from.getWork());
+    to.read_prefixes = Read(from.getWork().getReadPrefixes());
   }
   return to;
 }
@@ -368,12 +394,7 @@
   to.setPriority(static_cast<std::uint8_t>(std::clamp(from.priority, 0, 255)));
   to.setTargetWaitMs(ToMs(from.target_wait));
   to.setMaxWaitMs(ToMs(from.max_wait));
-  auto prompt = to.initPrompt(static_cast<unsigned>(from.prompt.size()));
-  unsigned index = 0;
-  for (const AnnouncedPrefix& prefix : from.prompt) {
-    prompt[index].setHash(prefix.hash);
-    prompt[index++].setTokens(prefix.tokens);
-  }
+  Write(to.initPrompt(static_cast<unsigned>(from.prompt.size())), from.prompt);
 }
 
 RoomRequest Read(status::RoomRequest::Reader from) {
@@ -388,10 +409,7 @@
   to.organisation = OrganisationId(ToString(from.getOrganisation()));
   to.target_wait = std::chrono::milliseconds(from.getTargetWaitMs());
   to.max_wait = std::chrono::milliseconds(from.getMaxWaitMs());
-  to.prompt.reserve(from.getPrompt().size());
-  for (const auto prefix : from.getPrompt()) {
-    to.prompt.push_back({prefix.getHash(), prefix.getTokens()});
-  }
+  to.prompt = Read(from.getPrompt());
   return to;
 }
 
--- a/packages/peers/status.capnp
+++ b/packages/peers/status.capnp
@@ -93,6 +93,9 @@
   unreadTokens @2 :Float32;       # prompt tokens accepted and not read yet
   streams @3 :UInt16;             # runs that have sent an event
   slowness @4 :Float32;           # against the engine's own best; 1: as fast
+  # Shared parts of prompts that were announced a moment ago, with their tokens.
+  readPrefixes @5 :List(PromptPrefix);
+  memoryTokens @6 :Float32;       # KV cache, in tokens; 0: not known
 }
 
 # Sent by each agent to each entry from which it receives targets.
--- a/packages/scheduling/src/engine_work_estimator.cc
+++ b/packages/scheduling/src/engine_work_estimator.cc
@@ -205,6 +205,7 @@
   EngineWork work;
   work.prompt_tokens_per_ms = Rate();
   work.event_interval = m_event_interval;
+  work.memory_tokens = m_report.has_value() ? m_report->kv_total : 0.0;
   work.streams = static_cast<int>(m_events.size());
   work.unread_prompt_tokens = std::accumulate(
       m_unread.begin(), m_unread.end(), UnannouncedTokens(),
--- a/packages/serving/include/bambooquay/serving/engine_rooms.h
+++ b/packages/serving/include/bambooquay/serving/engine_rooms.h
@@ -2,9 +2,11 @@
 // requests by the order of RoomQueue.
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "bambooquay/core/engine_report.h"
@@ -38,6 +40,9 @@
                     bool restarted);
   /// @returns the work of the engine with that of the calls that wait for room.
   [[nodiscard]] EngineWork TotalWork() const;
+  /// @returns the shared parts of the prompts that were announced since about
+  ///   two reports.
+  [[nodiscard]] std::vector<AnnouncedPrefix> TakeReadPrefixes();
 
  private:
   /// A request that gets another reply.
@@ -64,6 +69,8 @@
   EngineRoom m_engine;
   RoomQueue m_queue;
   PromptCacheView m_prompt_cache;
+  /// Shared parts of announced prompts, with the times of their announcement.
+  std::deque<std::pair<TimePoint, AnnouncedPrefix>> m_read_prefixes;
   std::unordered_map<RequestId, PendingRequest> m_pending;
   std::unique_ptr<Timer> m_timer;
 };
--- a/packages/serving/include/bambooquay/serving/upstream_set.h
+++ b/packages/serving/include/bambooquay/serving/upstream_set.h
@@ -170,7 +170,9 @@
   /// Ignored if there is no earlier report of the same incarnation.
   void MergeReport(const UpstreamId& id, const EngineReport& report);
   /// @param work  what the agent estimates; nothing if it does not.
-  void SetWork(const UpstreamId& id, const std::optional<EngineWork>& work);
+  /// @param read  parts of prompts that the engine has read for any entry.
+  void SetWork(const UpstreamId& id, const std::optional<EngineWork>& work,
+               const PromptPrefixes& read = {});
   /// @returns whether calls to it should ask its agent for room first. Calls
   ///   that need a permit don't.
   [[nodiscard]] bool GivesOutRoom(const UpstreamId& id) const;
--- a/packages/serving/src/engine_rooms.cc
+++ b/packages/serving/src/engine_rooms.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <string>
 #include <utility>
 
@@ -13,16 +14,9 @@
 // expires, and calls become too late.
 constexpr Duration kDecisionInterval = std::chrono::milliseconds(50);
 
-PromptPrefixes ToPrefixes(const std::vector<AnnouncedPrefix>& announced) {
-  PromptPrefixes prefixes;
-  prefixes.reserve(announced.size());
-  std::ranges::transform(
-      announced, std::back_inserter(prefixes),
-      [](const AnnouncedPrefix& prefix) {
-        return PromptPrefix{prefix.hash, static_cast<double>(prefix.tokens)};
-      });
-  return prefixes;
-}
+// How long the shared parts of a prompt are sent to entries, so that one that
+// misses a report still learns of them.
+constexpr Duration kReadPrefixRepeatTime = std::chrono::milliseconds(450);
 
 }  // namespace
 
@@ -90,6 +84,7 @@
       m_queue.Release(run.call);
     }
   });
+  m_prompt_cache.SetMemory(report.kv_total);
   m_engine = {
       m_estimator.Current(), max_pause, report.waiting,
       report.kv_total > 0.0
@@ -107,6 +102,26 @@
 void EngineRooms::Announce(const RoomCall& call, const PromptPrefixes& prompt) {
   m_estimator.Announce(call.id, call.memory_tokens, call.unread_tokens);
   m_prompt_cache.RecordPrompt(prompt);
+  // The last part is the call's own.
+  std::for_each(
+      prompt.begin(), prompt.empty() ? prompt.end() : prompt.end() - 1,
+      [this](const PromptPrefix& prefix) {
+        m_read_prefixes.emplace_back(
+            m_loop.clock().Now(),
+            AnnouncedPrefix{prefix.hash,
+                            static_cast<std::uint32_t>(prefix.tokens)});
+      });
+}
+
+std::vector<AnnouncedPrefix> EngineRooms::TakeReadPrefixes() {
+  const TimePoint oldest = m_loop.clock().Now() - kReadPrefixRepeatTime;
+  while (!m_read_prefixes.empty() && m_read_prefixes.front().first < oldest) {
+    m_read_prefixes.pop_front();
+  }
+  std::vector<AnnouncedPrefix> prefixes;
+  std::ranges::transform(m_read_prefixes, std::back_inserter(prefixes),
+                         [](const auto& item) { return item.second; });
+  return prefixes;
 }
 
 void EngineRooms::Decide() {
--- a/packages/serving/src/serving_agent.cc
+++ b/packages/serving/src/serving_agent.cc
@@ -300,12 +300,13 @@
       !m_subscribers.MarkListsSentIfDue(subscriber, m_lists_version);
   std::string& bytes = omit_lists ? encoded.without_lists : encoded.with_lists;
   if (bytes.empty()) {
-    bytes = EncodeStatus(
-        {m_settings.id, m_incarnation,
-         EngineStatus{m_upstream, *m_report, m_lists_version, omit_lists,
-                      m_settings.predicted_work
-                          ? std::optional(m_rooms.TotalWork())
-                          : std::nullopt}});
+    EngineStatus status{m_upstream, *m_report,    m_lists_version,
+                        omit_lists, std::nullopt, {}};
+    if (m_settings.predicted_work) {
+      status.work = m_rooms.TotalWork();
+      status.read_prefixes = m_rooms.TakeReadPrefixes();
+    }
+    bytes = EncodeStatus({m_settings.id, m_incarnation, std::move(status)});
   }
   m_socket.Send(subscriber.address, bytes);
 }
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -174,7 +174,8 @@
       m_upstreams.SetReport(status.upstream, status.report);
     }
     if (m_settings.predicted_work) {
-      m_upstreams.SetWork(status.upstream, status.work);
+      m_upstreams.SetWork(status.upstream, status.work,
+                          ToPrefixes(status.read_prefixes));
     }
   });
 }
--- a/packages/serving/src/upstream_set.cc
+++ b/packages/serving/src/upstream_set.cc
@@ -143,10 +143,13 @@
 }
 
 void UpstreamSet::SetWork(const UpstreamId& id,
-                          const std::optional<EngineWork>& work) {
+                          const std::optional<EngineWork>& work,
+                          const PromptPrefixes& read) {
   const auto found = m_upstreams.find(id);
   if (found != m_upstreams.end() && work.has_value()) {
     found->second.work.Record(*work, m_clock.Now());
+    found->second.prompt_cache.SetMemory(work->memory_tokens);
+    found->second.prompt_cache.RecordPrompt(read);
   }
 }
 
