Prompts that wait for room count apart from accepted ones

Cause: predictions at the time of sending counted the calls that wait for room, also the call itself, and six entries that send alike. Change: EngineWork names both; the time to the engine's next step counts.

--- a/packages/core/include/bambooquay/core/engine_work.h
+++ b/packages/core/include/bambooquay/core/engine_work.h
@@ -16,6 +16,8 @@
   Duration event_interval{};
   /// Prompt tokens of accepted calls that the engine has not read yet.
   double unread_prompt_tokens = 0.0;
+  /// Prompt tokens of the calls that wait for room on the engine.
+  double waiting_prompt_tokens = 0.0;
   int streams = 0;  ///< Runs that have sent an event.
   /// Time that work takes, as a multiple of what it takes when the engine is at
   /// its best; 1 for an engine that has not slowed down.
--- a/packages/peers/src/status_messages.cc
+++ b/packages/peers/src/status_messages.cc
@@ -236,6 +236,7 @@
   to.setStreams(
       static_cast<std::uint16_t>(std::clamp(from.streams, 0, kMaxStreams)));
   to.setSlowness(static_cast<float>(from.slowness));
+  to.setWaitingTokens(static_cast<float>(from.waiting_prompt_tokens));
   to.setMemoryTokens(static_cast<float>(from.memory_tokens));
 }
 
@@ -260,19 +261,23 @@
 
 /// @returns nothing if a number makes no sense.
 std::optional<EngineWork> Read(status::EngineWork::Reader from) {
-  const std::array<float, 5> numbers = {
+  const std::array<float, 6> numbers = {
       from.getPromptTokensPerMs(), from.getEventIntervalMs(),
-      from.getUnreadTokens(), from.getSlowness(), from.getMemoryTokens()};
+      from.getUnreadTokens(),      from.getWaitingTokens(),
+      from.getSlowness(),          from.getMemoryTokens()};
   const bool is_sound = std::ranges::all_of(numbers, [](float number) {
     return number >= 0.0F && number <= kMaxWorkNumber;
   });
   if (!is_sound) {
     return std::nullopt;
   }
-  return EngineWork{
-      from.getPromptTokensPerMs(), FromFloatMs(from.getEventIntervalMs()),
-      from.getUnreadTokens(),      from.getStreams(),
-      from.getSlowness(),          from.getMemoryTokens()};
+  return EngineWork{.prompt_tokens_per_ms = from.getPromptTokensPerMs(),
+                    .event_interval = FromFloatMs(from.getEventIntervalMs()),
+                    .unread_prompt_tokens = from.getUnreadTokens(),
+                    .waiting_prompt_tokens = from.getWaitingTokens(),
+                    .streams = from.getStreams(),
+                    .slowness = from.getSlowness(),
+                    .memory_tokens = from.getMemoryTokens()};
 }
 
 void Write(status::EngineStatus::Builder to, const EngineStatus& from) {
--- a/packages/peers/status.capnp
+++ b/packages/peers/status.capnp
@@ -96,6 +96,7 @@
   # Shared parts of prompts that were announced a moment ago, with their tokens.
   readPrefixes @5 :List(PromptPrefix);
   memoryTokens @6 :Float32;       # KV cache, in tokens; 0: not known
+  waitingTokens @7 :Float32;      # prompt tokens that wait for room
 }
 
 # Sent by each agent to each entry from which it receives targets.
--- a/packages/scheduling/src/work_prediction.cc
+++ b/packages/scheduling/src/work_prediction.cc
@@ -16,10 +16,12 @@
   };
   PredictedTimes times;
   times.pause_of_streams = reading_time(call.unread_prompt_tokens);
+  // A prompt begins to be read with the engine's next step.
   times.first_event =
-      reading_time(engine.unread_prompt_tokens) + times.pause_of_streams;
+      reading_time(engine.unread_prompt_tokens + engine.waiting_prompt_tokens) +
+      times.pause_of_streams + engine.event_interval / 2;
   // Prompts that are read without a gap delay the same event.
-  times.longest_pause = engine.event_interval + times.first_event;
+  times.longest_pause = engine.event_interval / 2 + times.first_event;
   times.end = times.first_event + engine.event_interval * call.events;
   return times;
 }
--- a/packages/serving/include/bambooquay/serving/forwarded_call.h
+++ b/packages/serving/include/bambooquay/serving/forwarded_call.h
@@ -190,6 +190,9 @@
   /// Ends a call that no upstream can take in time.
   void RefuseUnserved(std::string_view reason, Duration retry_after);
   void StartAttempt(const UpstreamId& upstream);
+  /// @returns the time to the first event of an attempt that is sent now.
+  [[nodiscard]] std::optional<Duration> PredictFirstEvent(
+      std::optional<EngineWork> work, const Upstream& upstream) const;
   /// Compares the predicted time of the first event with the measured one.
   void RecordPrediction();
   void HandleNoUpstream(PickFailure failure);
--- a/packages/serving/src/engine_rooms.cc
+++ b/packages/serving/src/engine_rooms.cc
@@ -95,7 +95,7 @@
 
 EngineWork EngineRooms::TotalWork() const {
   EngineWork work = m_estimator.Current();
-  work.unread_prompt_tokens += m_queue.WaitingTokens();
+  work.waiting_prompt_tokens = m_queue.WaitingTokens();
   return work;
 }
 
--- a/packages/serving/src/forwarded_call.cc
+++ b/packages/serving/src/forwarded_call.cc
@@ -356,6 +356,19 @@
       });
 }
 
+std::optional<Duration> ForwardedCall::PredictFirstEvent(
+    std::optional<EngineWork> work, const Upstream& upstream) const {
+  if (!work.has_value()) {
+    return std::nullopt;
+  }
+  // The call has room, so those that wait for it come later.
+  work->waiting_prompt_tokens = 0.0;
+  const double kept = upstream.prompt_cache.CachedTokens(m_query.prompt);
+  const auto times =
+      PredictTimes(*work, {m_query.prompt_tokens - kept, m_query.events});
+  return times.has_value() ? std::optional(times->first_event) : std::nullopt;
+}
+
 void ForwardedCall::StartAttempt(const UpstreamId& id) {
   const Upstream* upstream = m_context.upstreams.Find(id);
   if (m_room_upstream != id) {
@@ -373,10 +386,7 @@
   m_held_by.reset();
   UpdateNeeds();
   const auto work = m_context.upstreams.WorkOf(*upstream);
-  const auto predicted = m_context.upstreams.Predict(*upstream, m_query);
-  m_predicted_first_event = predicted.has_value()
-                                ? std::optional(predicted->times.first_event)
-                                : std::nullopt;
+  m_predicted_first_event = PredictFirstEvent(work, *upstream);
   AttemptMetadata metadata;
   metadata.upstream = id;
   metadata.time_left = TimeLeft();
--- a/packages/serving/src/upstream_choice.cc
+++ b/packages/serving/src/upstream_choice.cc
@@ -37,6 +37,9 @@
 // reports. In a large fleet each entry sends so few calls that their choices
 // hardly meet.
 constexpr std::size_t kMaxEntriesChoosingAlike = 5;
+// The same where agents estimate the work: those that choose the same engine
+// are soon told by its agent that it has no room.
+constexpr double kEntriesSendingAlike = 1.0;
 // An adapter is loaded on one more engine if calls are served sooner there by
 // more than this. Covers the load, the memory it takes from other adapters, and
 // the prompts that have to be processed again. Load it answers: one engine
@@ -167,10 +170,9 @@
   if (!HasFreshReport(upstream) || usual == m_usual_work.end()) {
     return std::nullopt;
   }
-  const std::size_t others = m_entries.empty() ? 0 : m_entries.size() - 1;
   return upstream.work.Current(
       m_clock.Now(), usual->second,
-      static_cast<double>(std::min(others, kMaxEntriesChoosingAlike)));
+      m_entries.size() > 1 ? kEntriesSendingAlike : 0.0);
 }
 
 std::optional<PredictedCost> UpstreamSet::Predict(
