--- a/packages/serving/include/bambooquay/serving/upstream_set.h
+++ b/packages/serving/include/bambooquay/serving/upstream_set.h
@@ -251,6 +251,10 @@
   }
   /// @returns whether new calls may be sent to `upstream` at all.
   [[nodiscard]] bool IsUsable(const Upstream& upstream) const;
+  /// @returns whether calls to `upstream` leave the entry's data centre.
+  [[nodiscard]] bool IsElsewhere(const Upstream& upstream) const {
+    return upstream.record.data_centre != m_own_data_centre;
+  }
   /// @returns whether its last report is recent enough to rely on.
   [[nodiscard]] bool HasFreshReport(const Upstream& upstream) const;
   /// @returns the time since its last report, if there is one.
--- a/packages/serving/src/forwarded_call.cc
+++ b/packages/serving/src/forwarded_call.cc
@@ -406,6 +406,8 @@
       .WithMilliseconds("report_age_ms",
                         m_context.upstreams.ReportAge(*upstream))
       .With("failure_share", upstream->failure_share)
+      .With("elsewhere",
+            m_context.upstreams.IsElsewhere(*upstream) ? "yes" : "no")
       .With("kept_tokens", upstream->prompt_cache.CachedTokens(m_query.prompt))
       .With("prompt_tokens", m_call.prompt_tokens)
       .WithMilliseconds("predicted_first_ms", m_predicted_first_event)
@@ -418,6 +420,10 @@
           "event_interval_ms",
           work.has_value() ? std::optional(work->event_interval) : std::nullopt)
       .With("time_left_ms", TimeLeft() / milliseconds(1));
+  if (m_context.upstreams.IsElsewhere(*upstream)) {
+    m_context.metrics.Increment("calls_left_data_centre_total{service=\"" +
+                                m_service->name.value() + "\"}");
+  }
   const HttpRequest request = m_context.codec.EncodeAttempt(m_call, metadata);
   m_context.upstreams.RecordAttemptStart(id, m_query);
   m_attempt = m_context.client.Start(
--- a/packages/serving/src/upstream_choice.cc
+++ b/packages/serving/src/upstream_choice.cc
@@ -132,7 +132,7 @@
       FindSignOfLife(upstream) == SignOfLife::kNone) {
     cost += kDistrustedMs;
   }
-  if (upstream.record.data_centre != m_own_data_centre) {
+  if (IsElsewhere(upstream)) {
     cost += CrossingMs(query);
   }
   if (!m_is_connected(upstream.record.address)) {
@@ -248,7 +248,7 @@
 void UpstreamSet::ChooseSide(std::vector<Candidate>& candidates,
                              const PickQuery& query) {
   const auto is_home = [this](const Candidate& candidate) {
-    return candidate.upstream->record.data_centre == m_own_data_centre;
+    return !IsElsewhere(*candidate.upstream);
   };
   const auto away = std::ranges::partition(candidates, is_home);
   const auto home_end = away.begin();
