Engines whose events are too far apart while they read get a rest between prompts

Ruled out: a bound on what waits alone; the next prompt follows without a gap. Change: ReadingPause measures that distance from reports; where it is over the longest pause, RoomQueue gives out one bound of tokens and waits until all is read.

--- a/packages/scheduling/include/bambooquay/scheduling/room_queue.h
+++ b/packages/scheduling/include/bambooquay/scheduling/room_queue.h
@@ -29,6 +29,9 @@
   EngineWork work;
   /// Longest pause that the streams on the engine may have; zero for no bound.
   Duration max_pause{};
+  /// Time between two events while the engine reads without a rest; zero if it
+  /// is not known.
+  Duration reading_interval{};
   int queued = 0;  ///< Calls in the engine's own queue.
   /// Memory for further calls, in tokens, if the engine reports it.
   std::optional<double> free_tokens;
@@ -61,7 +64,9 @@
 ///
 /// Invariants: the tokens of calls that have room and have sent no event stay
 /// within what the engine reads in the longest pause, unless only one call has
-/// room. A call that a decision denies isn't known any more.
+/// room. On an engine whose events are further apart than that while it reads,
+/// this holds for all that it reads until it rests. A call that a decision
+/// denies isn't known any more.
 ///
 /// @code
 /// RoomQueue queue(clock);
@@ -123,6 +128,8 @@
     return m_engine.work.prompt_tokens_per_ms > 0.0;
   }
   [[nodiscard]] Duration ReadingTime(double tokens) const;
+  /// @returns how long the engine may read without delaying an event too much.
+  [[nodiscard]] Duration ReadingBound() const;
   [[nodiscard]] bool Fits(const RoomCall& call) const;
   [[nodiscard]] Position PositionOf(const WaitingCall& waiting) const;
   [[nodiscard]] Duration RecentUsage(const OrganisationId& organisation) const;
@@ -145,6 +152,8 @@
   std::unordered_map<OrganisationId, Usage> m_usage;
   /// When the engine will have read what has room.
   TimePoint m_busy_until{};
+  /// Tokens of the calls that have got room since the engine rested.
+  double m_tokens_since_rest = 0.0;
   std::uint64_t m_arrivals = 0;
   int m_grants_in_order = 0;
 };
--- a/packages/scheduling/src/room_queue.cc
+++ b/packages/scheduling/src/room_queue.cc
@@ -84,6 +84,11 @@
                          [](auto& item) { return std::move(item.second); });
 }
 
+Duration RoomQueue::ReadingBound() const {
+  return std::max(Duration::zero(),
+                  m_engine.max_pause - m_engine.work.event_interval);
+}
+
 bool RoomQueue::Fits(const RoomCall& call) const {
   if (m_rooms.empty() || !KnowsRate()) {
     return true;
@@ -101,8 +106,12 @@
   if (m_engine.free_tokens.has_value() && memory > *m_engine.free_tokens) {
     return false;
   }
+  const bool needs_rest = m_engine.reading_interval > m_engine.max_pause;
+  const double tokens =
+      needs_rest ? std::max(unread, m_tokens_since_rest + call.unread_tokens)
+                 : unread;
   return m_engine.max_pause == Duration::zero() ||
-         ReadingTime(unread) <= m_engine.max_pause;
+         ReadingTime(tokens) <= ReadingBound();
 }
 
 Duration RoomQueue::PredictWait(const RoomCall& call,
@@ -111,7 +120,7 @@
       std::max(Duration::zero(), m_busy_until - m_clock.Now());
   const Duration wait =
       busy + ReadingTime(tokens_ahead + call.unread_tokens) -
-      std::max(m_engine.max_pause, ReadingTime(call.unread_tokens));
+      std::max(ReadingBound(), ReadingTime(call.unread_tokens));
   return std::max(
       {Duration::zero(), wait,
        m_engine.queued > kMaxQueuedInEngine ? kBlockedWait : Duration::zero()});
@@ -121,6 +130,8 @@
   const TimePoint now = m_clock.Now();
   const Duration time = ReadingTime(call.unread_tokens);
   m_busy_until = std::max(m_busy_until, now) + time;
+  m_tokens_since_rest =
+      call.unread_tokens + (m_rooms.empty() ? 0.0 : m_tokens_since_rest);
   m_rooms[call.id] = {call.unread_tokens, call.memory_tokens, now,
                       now + std::max(kMinLifetime, kLifetimeInReadingTimes *
                                                        (m_busy_until - now))};
--- a/packages/serving/include/bambooquay/serving/engine_rooms.h
+++ b/packages/serving/include/bambooquay/serving/engine_rooms.h
@@ -12,6 +12,7 @@
 #include "bambooquay/runtime/event_loop.h"
 #include "bambooquay/runtime/metrics.h"
 #include "bambooquay/scheduling/engine_work_estimator.h"
+#include "bambooquay/scheduling/reading_pause.h"
 #include "bambooquay/scheduling/room_queue.h"
 #include "bambooquay/serving/prompt_cache_view.h"
 
@@ -63,6 +64,9 @@
   SendReply m_send_reply;
   EngineRoom m_engine;
   RoomQueue m_queue;
+  ReadingPause m_reading_pause;
+  /// Whether calls have had room all the time since the last report.
+  bool m_has_read = false;
   PromptCacheView m_prompt_cache;
   std::unordered_map<RequestId, PendingRequest> m_pending;
   std::unique_ptr<Timer> m_timer;
--- a/packages/serving/src/engine_rooms.cc
+++ b/packages/serving/src/engine_rooms.cc
@@ -75,6 +75,7 @@
   }
   m_pending.erase(release.call);
   m_queue.Release(release.call);
+  m_has_read = m_has_read && m_queue.room_count() > 0;
   Decide();
 }
 
@@ -90,11 +91,15 @@
       m_queue.Release(run.call);
     }
   });
-  m_engine = {
-      m_estimator.Current(), max_pause, report.waiting,
-      report.kv_total > 0.0
-          ? std::optional(std::max(0.0, report.kv_total - report.kv_used))
-          : std::nullopt};
+  m_reading_pause.RecordReport(report, m_has_read, m_loop.clock().Now());
+  m_has_read = m_queue.room_count() > 0;
+  m_engine.max_pause = max_pause;
+  m_engine.reading_interval = m_reading_pause.EventInterval();
+  m_engine.queued = report.waiting;
+  m_engine.free_tokens.reset();
+  if (report.kv_total > 0.0) {
+    m_engine.free_tokens = std::max(0.0, report.kv_total - report.kv_used);
+  }
   Decide();
 }
 
