--- a/packages/scheduling/src/room_queue.cc
+++ b/packages/scheduling/src/room_queue.cc
@@ -13,6 +13,10 @@
 
 using std::chrono::milliseconds;
 
+// Share of the longest pause from which on an engine needs a rest between
+// prompts. The measured interval is a mean over streams, and single events are
+// further apart.
+constexpr double kRestFromPauseShare = 0.75;
 // After so many rooms in order one goes to the call that has waited longest.
 constexpr int kGrantsInOrder = 7;
 // Calls in the engine's own queue above which it gets no more: it lacks memory
@@ -106,7 +110,8 @@
   if (m_engine.free_tokens.has_value() && memory > *m_engine.free_tokens) {
     return false;
   }
-  const bool needs_rest = m_engine.reading_interval > m_engine.max_pause;
+  const bool needs_rest = ToSeconds(m_engine.reading_interval) >
+                          kRestFromPauseShare * ToSeconds(m_engine.max_pause);
   const double tokens =
       needs_rest ? std::max(unread, m_tokens_since_rest + call.unread_tokens)
                  : unread;
