--- a/packages/scheduling/include/bambooquay/scheduling/room_queue.h
+++ b/packages/scheduling/include/bambooquay/scheduling/room_queue.h
@@ -33,6 +33,8 @@
   /// is not known.
   Duration reading_interval{};
   int queued = 0;  ///< Calls in the engine's own queue.
+  /// Places for calls that have not begun yet, if the number is known.
+  std::optional<std::size_t> free_places;
   /// Memory for further calls, in tokens, if the engine reports it.
   std::optional<double> free_tokens;
 };
--- a/packages/scheduling/src/room_queue.cc
+++ b/packages/scheduling/src/room_queue.cc
@@ -17,6 +17,9 @@
 // prompts. The measured interval is a mean over streams, and single events are
 // further apart.
 constexpr double kRestFromPauseShare = 0.75;
+// Share of the longest pause that an engine may read for; the rest is for the
+// tokens of the event itself, which take the longer the more streams there are.
+constexpr double kReadingShare = 0.7;
 // After so many rooms in order one goes to the call that has waited longest.
 constexpr int kGrantsInOrder = 7;
 // Calls in the engine's own queue above which it gets no more: it lacks memory
@@ -89,15 +92,19 @@
 }
 
 Duration RoomQueue::ReadingBound() const {
-  return std::max(Duration::zero(),
-                  m_engine.max_pause - m_engine.work.event_interval);
+  const Duration share =
+      FromSeconds(kReadingShare * ToSeconds(m_engine.max_pause));
+  return std::clamp(m_engine.max_pause - m_engine.work.event_interval,
+                    Duration::zero(), share);
 }
 
 bool RoomQueue::Fits(const RoomCall& call) const {
   if (m_rooms.empty() || !KnowsRate()) {
     return true;
   }
-  if (m_engine.queued > kMaxQueuedInEngine) {
+  if (m_engine.queued > kMaxQueuedInEngine ||
+      (m_engine.free_places.has_value() &&
+       m_rooms.size() >= *m_engine.free_places)) {
     return false;
   }
   const auto [unread, memory] = std::accumulate(
--- a/packages/serving/include/bambooquay/serving/engine_rooms.h
+++ b/packages/serving/include/bambooquay/serving/engine_rooms.h
@@ -18,6 +18,13 @@
 
 namespace bambooquay {
 
+/// What the configuration says of the room on an engine.
+struct RoomBounds {
+  /// Longest pause that the streams of its service may have; zero for no bound.
+  Duration max_pause{};
+  std::size_t places = 0;  ///< Calls that run at the same time; 0 if unknown.
+};
+
 /// Room on one engine for the calls of all entries. Its state is lost with the
 /// agent: calls then go to the engine as if there were no agent, and those that
 /// come later build the state up again.
@@ -32,10 +39,8 @@
                      const RoomRequest& request);
   void HandleRelease(const RoomRelease& release);
   /// Takes what bounds the room from a report that the estimator has got.
-  /// @param max_pause  the longest pause that streams of the engine's service
-  ///   may have; zero for no bound.
   /// @param restarted  whether it is the first report of a run of the engine.
-  void RecordReport(const EngineReport& report, Duration max_pause,
+  void RecordReport(const EngineReport& report, const RoomBounds& bounds,
                     bool restarted);
   /// @returns the work of the engine with that of the calls that wait for room.
   [[nodiscard]] EngineWork TotalWork() const;
--- a/packages/serving/include/bambooquay/serving/serving_agent.h
+++ b/packages/serving/include/bambooquay/serving/serving_agent.h
@@ -82,9 +82,8 @@
   void RefreshConfigurationIfModelUnknown();
   void HandlePermitRequest(const Endpoint& sender_address,
                            const PermitRequest& request);
-  /// @returns the longest pause that the streams of the engine's service may
-  ///   have; zero if no route names one.
-  [[nodiscard]] Duration MaxPauseOfStreams() const;
+  /// @returns what the configuration says of the room on the engine.
+  [[nodiscard]] RoomBounds FindRoomBounds() const;
   void HandleOperatorRow(const TableRow& row);
   /// Fetches the engine's report, unless a fetch is still pending.
   void Poll();
--- a/packages/serving/src/engine_rooms.cc
+++ b/packages/serving/src/engine_rooms.cc
@@ -79,21 +79,26 @@
   Decide();
 }
 
-void EngineRooms::RecordReport(const EngineReport& report, Duration max_pause,
-                               bool restarted) {
+void EngineRooms::RecordReport(const EngineReport& report,
+                               const RoomBounds& bounds, bool restarted) {
   if (restarted) {
     m_queue.RecordRestart();
     m_prompt_cache = {};
   }
   // A release may be lost, or its entry may have died.
   std::ranges::for_each(report.runs, [this](const EngineRun& run) {
-    if (!m_pending.contains(run.call)) {
+    if (run.events > 0 && !m_pending.contains(run.call)) {
       m_queue.Release(run.call);
     }
   });
   m_reading_pause.RecordReport(report, m_has_read, m_loop.clock().Now());
   m_has_read = m_queue.room_count() > 0;
-  m_engine.max_pause = max_pause;
+  m_engine.max_pause = bounds.max_pause;
+  m_engine.free_places.reset();
+  if (bounds.places > 0) {
+    m_engine.free_places =
+        bounds.places - std::min(bounds.places, report.runs.size());
+  }
   m_engine.reading_interval = m_reading_pause.EventInterval();
   m_engine.queued = report.waiting;
   m_engine.free_tokens.reset();
--- a/packages/serving/src/serving_agent.cc
+++ b/packages/serving/src/serving_agent.cc
@@ -182,22 +182,25 @@
                 EncodeStatus({m_settings.id, m_incarnation, reply}));
 }
 
-Duration ServingAgent::MaxPauseOfStreams() const {
-  Duration shortest{};
+RoomBounds ServingAgent::FindRoomBounds() const {
+  RoomBounds bounds;
   if (!m_configuration.has_value()) {
-    return shortest;
+    return bounds;
   }
   for (const ServingRoute& route : m_configuration->routes) {
     const bool is_served_here =
         std::ranges::find(route.services, m_settings.service,
                           &ServiceShare::service) != route.services.end();
     if (is_served_here && route.max_pause > Duration::zero()) {
-      shortest = shortest == Duration::zero()
-                     ? route.max_pause
-                     : std::min(shortest, route.max_pause);
+      bounds.max_pause = bounds.max_pause == Duration::zero()
+                             ? route.max_pause
+                             : std::min(bounds.max_pause, route.max_pause);
     }
   }
-  return shortest;
+  if (const EngineProfile* profile = FindProfile()) {
+    bounds.places = static_cast<std::size_t>(std::max(0, profile->slots));
+  }
+  return bounds;
 }
 
 void ServingAgent::HandleOperatorRow(const TableRow& row) {
@@ -276,7 +279,7 @@
   m_report_received_at = m_deps.loop.clock().Now();
   if (m_settings.predicted_work) {
     m_work.RecordReport(report);
-    m_rooms.RecordReport(report, MaxPauseOfStreams(), restarted);
+    m_rooms.RecordReport(report, FindRoomBounds(), restarted);
   }
   Broadcast();
   Reconcile();
