--- a/packages/scheduling/src/reading_pause.cc
+++ b/packages/scheduling/src/reading_pause.cc
@@ -14,6 +14,13 @@
 // shows what it would do without.
 constexpr double kDecline = 0.995;
 
+void Average(Duration& average, Duration measured) {
+  average = average == Duration::zero()
+                ? measured
+                : FromSeconds((1.0 - kWeight) * ToSeconds(average) +
+                              kWeight * ToSeconds(measured));
+}
+
 }  // namespace
 
 void ReadingPause::RecordReport(const EngineReport& report, bool has_read,
@@ -27,14 +34,18 @@
       events += std::max(0, run.events - before->second);
     }
   });
-  if (has_read && events > 0) {
+  if (events > 0) {
     const Duration measured = (now - m_reported_at) * streams / events;
-    m_interval = m_interval == Duration::zero()
-                     ? measured
-                     : FromSeconds((1.0 - kWeight) * ToSeconds(m_interval) +
-                                   kWeight * ToSeconds(measured));
-  } else {
-    m_interval = FromSeconds(kDecline * ToSeconds(m_interval));
+    Average(m_mean_interval, measured);
+    if (has_read) {
+      Average(m_reading_interval, measured);
+    }
+  }
+  if (!has_read || events == 0) {
+    m_reading_interval = FromSeconds(kDecline * ToSeconds(m_reading_interval));
+  }
+  if (report.runs.empty()) {
+    m_mean_interval = Duration::zero();
   }
   m_events.clear();
   std::ranges::for_each(report.runs, [this](const EngineRun& run) {
--- a/packages/serving/src/engine_rooms.cc
+++ b/packages/serving/src/engine_rooms.cc
@@ -99,7 +99,7 @@
     m_engine.free_places =
         bounds.places - std::min(bounds.places, report.runs.size());
   }
-  m_engine.reading_interval = m_reading_pause.EventInterval();
+  m_engine.reading_interval = m_reading_pause.ReadingInterval();
   m_engine.queued = report.waiting;
   m_engine.free_tokens.reset();
   if (report.kv_total > 0.0) {
@@ -111,6 +111,9 @@
 EngineWork EngineRooms::TotalWork() const {
   EngineWork work = m_estimator.Current();
   work.unread_prompt_tokens += m_queue.WaitingTokens();
+  // Entries predict when a response ends under the present load.
+  work.event_interval =
+      std::max(work.event_interval, m_reading_pause.MeanInterval());
   return work;
 }
 
