--- a/packages/scheduling/include/bambooquay/scheduling/reading_pause.h
+++ b/packages/scheduling/include/bambooquay/scheduling/reading_pause.h
@@ -25,17 +25,11 @@
   [[nodiscard]] Duration ReadingInterval() const noexcept {
     return m_reading_interval;
   }
-  /// @returns the time between two events under the present load; zero if it is
-  ///   not known.
-  [[nodiscard]] Duration MeanInterval() const noexcept {
-    return m_mean_interval;
-  }
 
  private:
   std::unordered_map<RequestId, int> m_events;  ///< In the last report.
   TimePoint m_reported_at{};
   Duration m_reading_interval{};
-  Duration m_mean_interval{};
 };
 
 }  // namespace bambooquay
--- a/packages/scheduling/src/reading_pause.cc
+++ b/packages/scheduling/src/reading_pause.cc
@@ -14,13 +14,6 @@
 // shows what it would do without.
 constexpr double kDecline = 0.995;
 
-void Average(Duration& average, Duration measured) {
-  average = average == Duration::zero()
-                ? measured
-                : FromSeconds((1.0 - kWeight) * ToSeconds(average) +
-                              kWeight * ToSeconds(measured));
-}
-
 }  // namespace
 
 void ReadingPause::RecordReport(const EngineReport& report, bool has_read,
@@ -34,19 +27,16 @@
       events += std::max(0, run.events - before->second);
     }
   });
-  if (events > 0) {
+  if (has_read && events > 0) {
     const Duration measured = (now - m_reported_at) * streams / events;
-    Average(m_mean_interval, measured);
-    if (has_read) {
-      Average(m_reading_interval, measured);
-    }
-  }
-  if (!has_read || events == 0) {
+    m_reading_interval =
+        m_reading_interval == Duration::zero()
+            ? measured
+            : FromSeconds((1.0 - kWeight) * ToSeconds(m_reading_interval) +
+                          kWeight * ToSeconds(measured));
+  } else {
     m_reading_interval = FromSeconds(kDecline * ToSeconds(m_reading_interval));
   }
-  if (report.runs.empty()) {
-    m_mean_interval = Duration::zero();
-  }
   m_events.clear();
   std::ranges::for_each(report.runs, [this](const EngineRun& run) {
     m_events.emplace(run.call, run.events);
--- a/packages/serving/src/engine_rooms.cc
+++ b/packages/serving/src/engine_rooms.cc
@@ -111,9 +111,6 @@
 EngineWork EngineRooms::TotalWork() const {
   EngineWork work = m_estimator.Current();
   work.unread_prompt_tokens += m_queue.WaitingTokens();
-  // Entries predict when a response ends under the present load.
-  work.event_interval =
-      std::max(work.event_interval, m_reading_pause.MeanInterval());
   return work;
 }
 
--- a/packages/serving/src/forwarded_room.cc
+++ b/packages/serving/src/forwarded_room.cc
@@ -59,9 +59,9 @@
           m_context.upstreams.Predict(*m_context.upstreams.Find(id), m_query)) {
     times = predicted->times;
   }
-  request.max_wait =
-      m_room_search.MaxWait({request.target_wait, TimeLeft(),
-                             times.pause_of_streams, Duration::zero()});
+  request.max_wait = m_room_search.MaxWait({request.target_wait, TimeLeft(),
+                                            times.pause_of_streams,
+                                            times.end - times.first_event});
   if (request.max_wait < milliseconds(1)) {
     RefuseUnserved("too_late", kRetryAfter);
     return;
