Merge room on engines; engines that do not answer their agent give no room

Cause: after an engine's crash each entry finds out by calls of its own. Change: the agent denies room from the first report that it misses.

--- a/packages/scheduling/src/room_queue.cc
+++ b/packages/scheduling/src/room_queue.cc
@@ -13,6 +13,13 @@
 
 using std::chrono::milliseconds;
 
+// Share of the longest pause from which on an engine needs a rest between
+// prompts. The measured interval is a mean over streams, and single events are
+// further apart.
+constexpr double kRestFromPauseShare = 0.6;
+// Share of the longest pause that an engine may read for; the rest is for the
+// tokens of the event itself, which take the longer the more streams there are.
+constexpr double kReadingShare = 0.7;
 // After so many rooms in order one goes to the call that has waited longest.
 constexpr int kGrantsInOrder = 7;
 // Calls in the engine's own queue above which it gets no more: it lacks memory
@@ -84,11 +91,20 @@
                          [](auto& item) { return std::move(item.second); });
 }
 
+Duration RoomQueue::ReadingBound() const {
+  const Duration share =
+      FromSeconds(kReadingShare * ToSeconds(m_engine.max_pause));
+  return std::clamp(m_engine.max_pause - m_engine.work.event_interval,
+                    Duration::zero(), share);
+}
+
 bool RoomQueue::Fits(const RoomCall& call) const {
   if (m_rooms.empty() || !KnowsRate()) {
     return true;
   }
-  if (m_engine.queued > kMaxQueuedInEngine) {
+  if (m_engine.queued > kMaxQueuedInEngine ||
+      (m_engine.free_places.has_value() &&
+       m_rooms.size() >= *m_engine.free_places)) {
     return false;
   }
   const auto [unread, memory] = std::accumulate(
@@ -101,8 +117,13 @@
   if (m_engine.free_tokens.has_value() && memory > *m_engine.free_tokens) {
     return false;
   }
+  const bool needs_rest = ToSeconds(m_engine.reading_interval) >
+                          kRestFromPauseShare * ToSeconds(m_engine.max_pause);
+  const double tokens =
+      needs_rest ? std::max(unread, m_tokens_since_rest + call.unread_tokens)
+                 : unread;
   return m_engine.max_pause == Duration::zero() ||
-         ReadingTime(unread) <= m_engine.max_pause;
+         ReadingTime(tokens) <= ReadingBound();
 }
 
 Duration RoomQueue::PredictWait(const RoomCall& call,
@@ -111,7 +132,7 @@
       std::max(Duration::zero(), m_busy_until - m_clock.Now());
   const Duration wait =
       busy + ReadingTime(tokens_ahead + call.unread_tokens) -
-      std::max(m_engine.max_pause, ReadingTime(call.unread_tokens));
+      std::max(ReadingBound(), ReadingTime(call.unread_tokens));
   return std::max(
       {Duration::zero(), wait,
        m_engine.queued > kMaxQueuedInEngine ? kBlockedWait : Duration::zero()});
@@ -121,6 +142,8 @@
   const TimePoint now = m_clock.Now();
   const Duration time = ReadingTime(call.unread_tokens);
   m_busy_until = std::max(m_busy_until, now) + time;
+  m_tokens_since_rest =
+      call.unread_tokens + (m_rooms.empty() ? 0.0 : m_tokens_since_rest);
   m_rooms[call.id] = {call.unread_tokens, call.memory_tokens, now,
                       now + std::max(kMinLifetime, kLifetimeInReadingTimes *
                                                        (m_busy_until - now))};
--- a/packages/serving/src/engine_rooms.cc
+++ b/packages/serving/src/engine_rooms.cc
@@ -14,6 +14,9 @@
 // expires, and calls become too late.
 constexpr Duration kDecisionInterval = std::chrono::milliseconds(50);
 
+// Load it answers: an engine crashes, and each entry finds out by calls of its
+// own, again and again. Several reports pass before it is asked again.
+constexpr Duration kUnreachableWait = std::chrono::milliseconds(600);
 // How long the shared parts of a prompt are sent to entries, so that one that
 // misses a report still learns of them.
 constexpr Duration kReadPrefixRepeatTime = std::chrono::milliseconds(450);
@@ -53,6 +56,10 @@
     m_metrics.Increment("room_requests_total{result=\"announced\"}");
     return;
   }
+  if (!m_is_reachable) {
+    DenyUnreachable(sender_address, request.request_id);
+    return;
+  }
   m_pending[request.call] = {sender_address, request.request_id, call,
                              std::move(prompt), m_loop.clock().Now()};
   m_engine.work = m_estimator.Current();
@@ -61,6 +68,21 @@
   RestartTimer();
 }
 
+void EngineRooms::DenyUnreachable(const Endpoint& sender_address,
+                                  std::uint64_t request_id) {
+  m_metrics.Increment("room_requests_total{result=\"unreachable\"}");
+  m_send_reply(sender_address, {request_id, false, kUnreachableWait, false});
+}
+
+void EngineRooms::RecordMissedReport() {
+  m_is_reachable = false;
+  std::ranges::for_each(m_pending, [this](const auto& item) {
+    m_queue.Release(item.first);
+    DenyUnreachable(item.second.sender_address, item.second.request_id);
+  });
+  m_pending.clear();
+}
+
 void EngineRooms::HandleRelease(const RoomRelease& release) {
   if (release.begun) {
     m_estimator.RecordFirstEvent(release.call);
@@ -69,27 +91,38 @@
   }
   m_pending.erase(release.call);
   m_queue.Release(release.call);
+  m_has_read = m_has_read && m_queue.room_count() > 0;
   Decide();
 }
 
-void EngineRooms::RecordReport(const EngineReport& report, Duration max_pause,
-                               bool restarted) {
+void EngineRooms::RecordReport(const EngineReport& report,
+                               const RoomBounds& bounds, bool restarted) {
   if (restarted) {
     m_queue.RecordRestart();
     m_prompt_cache = {};
   }
   // A release may be lost, or its entry may have died.
   std::ranges::for_each(report.runs, [this](const EngineRun& run) {
-    if (!m_pending.contains(run.call)) {
+    if (run.events > 0 && !m_pending.contains(run.call)) {
       m_queue.Release(run.call);
     }
   });
+  m_is_reachable = true;
   m_prompt_cache.SetMemory(report.kv_total);
-  m_engine = {
-      m_estimator.Current(), max_pause, report.waiting,
-      report.kv_total > 0.0
-          ? std::optional(std::max(0.0, report.kv_total - report.kv_used))
-          : std::nullopt};
+  m_reading_pause.RecordReport(report, m_has_read, m_loop.clock().Now());
+  m_has_read = m_queue.room_count() > 0;
+  m_engine.max_pause = bounds.max_pause;
+  m_engine.free_places.reset();
+  if (bounds.places > 0) {
+    m_engine.free_places =
+        bounds.places - std::min(bounds.places, report.runs.size());
+  }
+  m_engine.reading_interval = m_reading_pause.ReadingInterval();
+  m_engine.queued = report.waiting;
+  m_engine.free_tokens.reset();
+  if (report.kv_total > 0.0) {
+    m_engine.free_tokens = std::max(0.0, report.kv_total - report.kv_used);
+  }
   Decide();
 }
 
