--- a/packages/peers/include/bambooquay/peers/status_messages.h
+++ b/packages/peers/include/bambooquay/peers/status_messages.h
@@ -24,6 +24,9 @@
   ModelName model;
   double requests_per_second = 0.0;
   double prompt_tokens_per_second = 0.0;
+  /// Rate at which engines read prompts of the model, in tokens per
+  /// millisecond; 0 if it is not known.
+  double reading_rate = 0.0;
 };
 
 /// A call with these parts had begun and sent no event when its upstream broke.
--- a/packages/peers/src/status_messages.cc
+++ b/packages/peers/src/status_messages.cc
@@ -183,6 +183,7 @@
     out.setRequestsPerSecond(static_cast<float>(item.requests_per_second));
     out.setPromptTokensPerSecond(
         static_cast<float>(item.prompt_tokens_per_second));
+    out.setReadingRate(static_cast<float>(item.reading_rate));
   }
 }
 
@@ -200,10 +201,10 @@
         item.getTokens()};
   }
   for (const auto item : from.getDemand()) {
-    to.demand.push_back({ServiceName(ToString(item.getService())),
-                         ModelName(ToString(item.getModel())),
-                         item.getRequestsPerSecond(),
-                         item.getPromptTokensPerSecond()});
+    to.demand.push_back(
+        {ServiceName(ToString(item.getService())),
+         ModelName(ToString(item.getModel())), item.getRequestsPerSecond(),
+         item.getPromptTokensPerSecond(), item.getReadingRate()});
   }
   return to;
 }
--- a/packages/peers/status.capnp
+++ b/packages/peers/status.capnp
@@ -18,6 +18,9 @@
   model @1 :Text;
   requestsPerSecond @2 :Float32;
   promptTokensPerSecond @3 :Float32;
+  # Rate at which engines read prompts of the model, in tokens per millisecond;
+  # 0 if the sender does not know it.
+  readingRate @4 :Float32;
 }
 
 # A call with these parts had begun and sent no event when its upstream broke.
--- a/packages/serving/include/bambooquay/serving/demand_meter.h
+++ b/packages/serving/include/bambooquay/serving/demand_meter.h
@@ -7,6 +7,7 @@
 
 #include "bambooquay/core/clock.h"
 #include "bambooquay/peers/status_messages.h"
+#include "bambooquay/scheduling/reading_rate.h"
 #include "bambooquay/serving/forwarded_call.h"
 
 namespace bambooquay {
@@ -19,6 +20,12 @@
 
   void Count(const ServiceName& service, const ModelName& model,
              double prompt_tokens) override;
+  void RecordReading(const ServiceName& service, const ModelName& model,
+                     double unread_tokens, Duration time) override;
+  /// Sets whether rates include how fast engines read prompts.
+  void SetMeasuresReading(bool measures) noexcept {
+    m_measures_reading = measures;
+  }
   /// @returns the current rates, without models that have almost no demand.
   [[nodiscard]] std::vector<ModelDemand> Rates();
 
@@ -39,6 +46,8 @@
 
   const Clock& m_clock;
   std::map<std::pair<ServiceName, ModelName>, ModelRates> m_rates;
+  std::map<std::pair<ServiceName, ModelName>, ReadingRate> m_reading_rates;
+  bool m_measures_reading = false;
 };
 
 }  // namespace bambooquay
--- a/packages/serving/include/bambooquay/serving/forwarded_call.h
+++ b/packages/serving/include/bambooquay/serving/forwarded_call.h
@@ -73,6 +73,10 @@
 
   virtual void Count(const ServiceName& service, const ModelName& model,
                      double prompt_tokens) = 0;
+  /// Records that an engine has sent a call's first event after `time`.
+  /// @param unread_tokens  prompt tokens that the engine had not kept.
+  virtual void RecordReading(const ServiceName& service, const ModelName& model,
+                             double unread_tokens, Duration time) = 0;
 };
 
 /// Objects that all forwarded calls of an entry share.
@@ -198,6 +202,8 @@
   void HandleCallerDisconnect();
   void Refuse(int status, std::string_view code, Duration retry_after);
   void RecordEventTime();
+  /// Records what the first event of an attempt says about its upstream.
+  void RecordFirstEvent();
   /// Logs the outcome and updates the metrics.
   void RecordOutcome(std::string_view outcome, std::string_view reason);
   void Finish(std::string_view outcome, std::string_view reason);
@@ -260,6 +266,9 @@
   Duration m_longest_pause{};
   /// When the current attempt was sent, or sent its last event.
   TimePoint m_progress_at{};
+  TimePoint m_attempt_sent_at{};
+  /// Prompt tokens that the upstream of the current attempt had not kept.
+  double m_unread_tokens = 0.0;
   /// When the current attempt began to respond, if it has.
   std::optional<TimePoint> m_attempt_begun_at;
   /// Events that the current attempt has sent.
--- a/packages/serving/src/demand_meter.cc
+++ b/packages/serving/src/demand_meter.cc
@@ -45,6 +45,15 @@
   model_rates.Add(prompt_tokens);
 }
 
+void DemandMeter::RecordReading(const ServiceName& service,
+                                const ModelName& model, double unread_tokens,
+                                Duration time) {
+  if (m_measures_reading && !model.empty()) {
+    m_reading_rates.try_emplace({service, model}, m_clock)
+        .first->second.Record(unread_tokens, time);
+  }
+}
+
 std::vector<ModelDemand> DemandMeter::Rates() {
   const TimePoint now = m_clock.Now();
   std::vector<ModelDemand> rates;
@@ -53,9 +62,13 @@
     const double requests =
         std::max(model_rates.fast.requests, model_rates.slow.requests);
     if (requests >= kMinReportedRate) {
+      const auto reading = m_reading_rates.find(key);
       rates.push_back({key.first, key.second, requests,
                        std::max(model_rates.fast.prompt_tokens,
-                                model_rates.slow.prompt_tokens)});
+                                model_rates.slow.prompt_tokens),
+                       reading == m_reading_rates.end()
+                           ? 0.0
+                           : reading->second.TokensPerMs()});
     }
   }
   return rates;
--- a/packages/serving/src/fleet_planner.cc
+++ b/packages/serving/src/fleet_planner.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "bambooquay/runtime/log.h"
+#include "bambooquay/scheduling/reading_rate.h"
 
 namespace bambooquay {
 namespace {
@@ -29,6 +30,27 @@
              : kUnloadTime + slowest->load_time * kLoadsPerPlan;
 }
 
+/// @returns the demand for the models of a service, in tokens of a typical
+///   model.
+std::vector<ModelDemand> WeighByWork(const ServiceName& service,
+                                     std::vector<ModelDemand> demand) {
+  std::vector<ReadingRateReport> reports;
+  for (const ModelDemand& item : demand) {
+    if (item.service == service) {
+      reports.push_back(
+          {item.model, item.reading_rate, item.requests_per_second});
+    }
+  }
+  const WorkFactors factors = FindWorkFactors(reports);
+  for (ModelDemand& item : demand) {
+    const auto factor = factors.find(item.model);
+    if (item.service == service && factor != factors.end()) {
+      item.prompt_tokens_per_second *= factor->second;
+    }
+  }
+  return demand;
+}
+
 }  // namespace
 
 PlacementTargets FleetPlanner::Plan(const FleetConfiguration& configuration,
@@ -46,9 +68,10 @@
                                const std::vector<ModelDemand>& demand,
                                PlacementTargets& targets) {
   const std::vector<EngineView> engines = BuildEngineViews(service);
+  const std::vector<ModelDemand> work = WeighByWork(service.name, demand);
   const PlanLimits limits = UpdateLimits(service, engines);
   for (auto& [id, models] :
-       PlanPlacement(*service.engine, engines, demand, limits)) {
+       PlanPlacement(*service.engine, engines, work, limits)) {
     EnginePlan& plan = m_plans[id];
     // The models are sorted by demand. If only their order differs, the plan
     // has not changed and its timeout is not restarted.
@@ -115,6 +138,7 @@
     engine_list = {std::move(ids), now};
   }
   PlanLimits limits;
+  limits.by_engine_load = m_by_engine_load;
   limits.may_evict = now - engine_list.changed_at > kEngineListSettleTime;
   limits.max_store_loads = std::max(
       2,
--- a/packages/serving/src/forwarded_call.cc
+++ b/packages/serving/src/forwarded_call.cc
@@ -346,6 +346,9 @@
   m_status = 0;
   m_attempt_begun_at.reset();
   m_attempt_events = 0;
+  m_attempt_sent_at = m_context.loop.clock().Now();
+  m_unread_tokens = m_call.prompt_tokens -
+                    upstream->prompt_cache.CachedTokens(m_query.prompt);
   m_held_by.reset();
   AttemptMetadata metadata;
   metadata.upstream = id;
--- a/packages/serving/src/forwarded_response.cc
+++ b/packages/serving/src/forwarded_response.cc
@@ -195,8 +195,8 @@
   if (m_event_stream) {
     const std::string events = m_events.Append(bytes);
     if (!events.empty()) {
-      if (m_attempt_events++ == 0 && m_attempt_begun_at.has_value()) {
-        m_context.quarantine.RecordSurvival(m_call.prompt, *m_attempt_begun_at);
+      if (m_attempt_events++ == 0) {
+        RecordFirstEvent();
       }
       RecordEventTime();
       RelayBody(events);
@@ -231,6 +231,15 @@
                    m_unsent_response_bytes);
 }
 
+void ForwardedCall::RecordFirstEvent() {
+  if (m_attempt_begun_at.has_value()) {
+    m_context.quarantine.RecordSurvival(m_call.prompt, *m_attempt_begun_at);
+  }
+  m_context.demand.RecordReading(
+      m_service->name, m_query.model, m_unread_tokens,
+      m_context.loop.clock().Now() - m_attempt_sent_at);
+}
+
 void ForwardedCall::RecordEventTime() {
   const Duration now = Elapsed();
   if (m_first_event.has_value()) {
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -138,6 +138,7 @@
     m_table_relay.Serve(*mirror);
   }
   RegisterGauges();
+  m_demand.SetMeasuresReading(true);
   m_upstream_rows.SetExpiryGrace(m_expiry_grace);
   m_peers.SetStatusSource([this] { return MakeStatus(); });
   // A new peer needs all totals, so all are sent again.
