--- a/packages/serving/include/bambooquay/serving/fleet_planner.h
+++ b/packages/serving/include/bambooquay/serving/fleet_planner.h
@@ -20,6 +20,11 @@
   FleetPlanner(const Clock& clock, const UpstreamSet& upstreams)
       : m_clock(clock), m_upstreams(upstreams) {}
 
+  /// Sets whether replicas are placed by the predicted work of engines, instead
+  /// of the demand for each model by itself.
+  void SetByEngineLoad(bool by_engine_load) noexcept {
+    m_by_engine_load = by_engine_load;
+  }
   /// @param demand  summed over all entries.
   /// @returns the targets of all engines with a recent report.
   [[nodiscard]] PlacementTargets Plan(const FleetConfiguration& configuration,
@@ -58,6 +63,7 @@
 
   const Clock& m_clock;
   const UpstreamSet& m_upstreams;
+  bool m_by_engine_load = false;
   std::unordered_map<ServiceName, EngineList> m_engine_lists;
   std::map<UpstreamId, EnginePlan> m_plans;
 };
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -138,7 +138,8 @@
     m_table_relay.Serve(*mirror);
   }
   RegisterGauges();
-  m_demand.SetMeasuresReading(true);
+  m_demand.SetMeasuresReading(settings.scheduling.predicted_work);
+  m_planner.SetByEngineLoad(settings.scheduling.predicted_work);
   m_upstream_rows.SetExpiryGrace(m_expiry_grace);
   m_peers.SetStatusSource([this] { return MakeStatus(); });
   // A new peer needs all totals, so all are sent again.
