--- a/packages/serving/src/placement_planner.cc
+++ b/packages/serving/src/placement_planner.cc
@@ -38,8 +38,8 @@
 // Cost of each replica that the data centre already has, in the same unit:
 // replicas in one data centre are lost together.
 constexpr double kSameDataCentreCost = 500.0;
-// By engine load, a replica is moved only to an engine whose load will be lower
-// than that of the model's least loaded engine by this factor.
+// By engine load, a model gets a further replica only on an engine whose other
+// models load it less, by this factor, than the model's least loaded engine is.
 constexpr double kMinLoadRatio = 1.5;
 // Upper limit on evictions in one plan, as a share of the engines of the
 // service. At least one is allowed.
@@ -179,9 +179,9 @@
         models.begin(), models.end(), 0.0, [&](double sum, ModelIndex model) {
           const bool is_evicted =
               std::ranges::find(evicted, model) != evicted.end();
-          return is_evicted ? sum
-                            : sum + DemandPerReplica(
-                                        model, m_state.replicas(model));
+          return is_evicted
+                     ? sum
+                     : sum + DemandPerReplica(model, m_state.replicas(model));
         });
     return demand / m_engines[engine].speed;
   }
@@ -244,8 +244,8 @@
                           [this](double sum, ModelIndex victim) {
                             return sum + EvictionLoss(victim);
                           });
-      const double cost = PlacementCost(engine, model) + loss +
-                          SharingCost(engine, evicted);
+      const double cost =
+          PlacementCost(engine, model) + loss + SharingCost(engine, evicted);
       if (cost < best.cost) {
         best = {engine, std::move(evicted), loss, cost};
       }
@@ -406,14 +406,6 @@
     }
   }
 
-  /// @returns the load of the candidate's engine with a replica of `model`.
-  [[nodiscard]] double LoadAfter(const Candidate& candidate,
-                                 ModelIndex model) const {
-    return EngineLoad(candidate.engine, candidate.evicted) +
-           DemandPerReplica(model, m_state.replicas(model) + 1) /
-               m_engines[candidate.engine].speed;
-  }
-
   /// Replaces a replica of another model by one of `model` if the limits on
   /// evictions allow it.
   /// @returns whether a replica was replaced.
@@ -426,11 +418,12 @@
     if (!candidate.has_value()) {
       return false;
     }
-    const double gain =
-        m_limits.by_engine_load ? LeastLoadOf(model) : demand;
-    if (gain < candidate->eviction_loss * kMinEvictionGainRatio ||
-        (m_limits.by_engine_load &&
-         gain < LoadAfter(*candidate, model) * kMinLoadRatio)) {
+    if (demand < candidate->eviction_loss * kMinEvictionGainRatio) {
+      return false;
+    }
+    if (m_limits.by_engine_load &&
+        LeastLoadOf(model) <
+            EngineLoad(candidate->engine, candidate->evicted) * kMinLoadRatio) {
       return false;
     }
     Apply(*candidate, model);
