--- a/packages/serving/tests/fleet_planner_test.cc
+++ b/packages/serving/tests/fleet_planner_test.cc
@@ -96,6 +96,27 @@
   BOOST_TEST(!TargetHas(fixture.Plan({}), "b", "m3"));
 }
 
+// Load: model m3 has less demand in tokens than m0, but engines read prompts of
+// m0 five times as fast: m3 needs the second replica.
+BOOST_AUTO_TEST_CASE(demand_counts_by_the_work_that_it_takes) {
+  const auto demand = [](double rate_of_m0) {
+    const ServiceName names("names");
+    return std::vector<ModelDemand>{
+        {names, ModelName("m0"), 10.0, 150000.0, rate_of_m0},
+        {names, ModelName("m1"), 10.0, 70000.0, 40.0},
+        {names, ModelName("m2"), 10.0, 80000.0, 40.0},
+        {names, ModelName("m3"), 10.0, 120000.0, 40.0}};
+  };
+  Fixture as_demanded;
+  const PlacementTargets same_rates = as_demanded.Plan(demand(40.0));
+  BOOST_TEST(TargetHas(same_rates, "b", "m0"));
+  BOOST_TEST(!TargetHas(same_rates, "b", "m3"));
+  Fixture by_work;
+  const PlacementTargets faster = by_work.Plan(demand(200.0));
+  BOOST_TEST(!TargetHas(faster, "b", "m0"));
+  BOOST_TEST(TargetHas(faster, "b", "m3"));
+}
+
 // Load: models that take 4.2 s to load, and demand that moves on meanwhile. A
 // model that has just been loaded must not be unloaded for that.
 BOOST_AUTO_TEST_CASE(a_plan_stays_in_force_for_as_long_as_loads_take) {
