--- a/packages/serving/src/fleet_planner.cc
+++ b/packages/serving/src/fleet_planner.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "bambooquay/runtime/log.h"
+#include "bambooquay/scheduling/reading_rate.h"
 
 namespace bambooquay {
 namespace {
@@ -21,6 +22,11 @@
 // that the weight store allows.
 constexpr double kLoadHorizonSeconds = 1.5;
 
+// Speeds of engines against the median beyond these are more likely errors of
+// their estimates.
+constexpr double kMinSpeed = 0.25;
+constexpr double kMaxSpeed = 4.0;
+
 Duration PlanTimeout(const EngineProfile& profile) {
   const auto slowest =
       std::ranges::max_element(profile.models, {}, &ServingModel::load_time);
@@ -29,6 +35,27 @@
              : kUnloadTime + slowest->load_time * kLoadsPerPlan;
 }
 
+/// @returns the demand for the models of a service, in tokens of a typical
+///   model.
+std::vector<ModelDemand> WeighByWork(const ServiceName& service,
+                                     std::vector<ModelDemand> demand) {
+  std::vector<ReadingRateReport> reports;
+  for (const ModelDemand& item : demand) {
+    if (item.service == service) {
+      reports.push_back(
+          {item.model, item.reading_rate, item.requests_per_second});
+    }
+  }
+  const WorkFactors factors = FindWorkFactors(reports);
+  for (ModelDemand& item : demand) {
+    const auto factor = factors.find(item.model);
+    if (item.service == service && factor != factors.end()) {
+      item.prompt_tokens_per_second *= factor->second;
+    }
+  }
+  return demand;
+}
+
 }  // namespace
 
 PlacementTargets FleetPlanner::Plan(const FleetConfiguration& configuration,
@@ -46,9 +73,10 @@
                                const std::vector<ModelDemand>& demand,
                                PlacementTargets& targets) {
   const std::vector<EngineView> engines = BuildEngineViews(service);
+  const std::vector<ModelDemand> work = WeighByWork(service.name, demand);
   const PlanLimits limits = UpdateLimits(service, engines);
   for (auto& [id, models] :
-       PlanPlacement(*service.engine, engines, demand, limits)) {
+       PlanPlacement(*service.engine, engines, work, limits)) {
     EnginePlan& plan = m_plans[id];
     // The models are sorted by demand. If only their order differs, the plan
     // has not changed and its timeout is not restarted.
@@ -77,9 +105,38 @@
     }
   }
   std::ranges::sort(engines, {}, &EngineView::id);
+  if (m_by_engine_load) {
+    SetSpeeds(engines);
+  }
   return engines;
 }
 
+void FleetPlanner::SetSpeeds(std::vector<EngineView>& engines) const {
+  const auto event_interval = [this](const EngineView& view) {
+    const auto& work = m_upstreams.Find(view.id)->work.last();
+    return work.has_value() ? work->event_interval : Duration::zero();
+  };
+  std::vector<Duration> known;
+  for (const EngineView& view : engines) {
+    if (event_interval(view) > Duration::zero()) {
+      known.push_back(event_interval(view));
+    }
+  }
+  if (known.empty()) {
+    return;
+  }
+  const auto median =
+      known.begin() + static_cast<std::ptrdiff_t>(known.size() / 2);
+  std::ranges::nth_element(known, median);
+  for (EngineView& view : engines) {
+    const Duration interval = event_interval(view);
+    if (interval > Duration::zero()) {
+      view.speed = std::clamp(ToSeconds(*median) / ToSeconds(interval),
+                              kMinSpeed, kMaxSpeed);
+    }
+  }
+}
+
 EngineView FleetPlanner::BuildEngineView(const UpstreamId& id,
                                          const Upstream& upstream,
                                          Duration plan_timeout) const {
@@ -115,6 +172,7 @@
     engine_list = {std::move(ids), now};
   }
   PlanLimits limits;
+  limits.by_engine_load = m_by_engine_load;
   limits.may_evict = now - engine_list.changed_at > kEngineListSettleTime;
   limits.max_store_loads = std::max(
       2,
