--- a/packages/serving/include/bambooquay/serving/fleet_planner.h
+++ b/packages/serving/include/bambooquay/serving/fleet_planner.h
@@ -20,11 +20,6 @@
   FleetPlanner(const Clock& clock, const UpstreamSet& upstreams)
       : m_clock(clock), m_upstreams(upstreams) {}
 
-  /// Sets whether replicas are placed by the predicted work of engines, instead
-  /// of the demand for each model by itself.
-  void SetByEngineLoad(bool by_engine_load) noexcept {
-    m_by_engine_load = by_engine_load;
-  }
   /// @param demand  summed over all entries.
   /// @returns the targets of all engines with a recent report.
   [[nodiscard]] PlacementTargets Plan(const FleetConfiguration& configuration,
@@ -56,8 +51,6 @@
   [[nodiscard]] EngineView BuildEngineView(const UpstreamId& id,
                                            const Upstream& upstream,
                                            Duration plan_timeout) const;
-  /// Sets the engines' speeds from the times between events of their streams.
-  void SetSpeeds(std::vector<EngineView>& engines) const;
   /// Records whether the list of engines has changed since the last plan.
   /// @returns the limits for the next plan.
   [[nodiscard]] PlanLimits UpdateLimits(const ServingService& service,
@@ -65,7 +58,6 @@
 
   const Clock& m_clock;
   const UpstreamSet& m_upstreams;
-  bool m_by_engine_load = false;
   std::unordered_map<ServiceName, EngineList> m_engine_lists;
   std::map<UpstreamId, EnginePlan> m_plans;
 };
--- a/packages/serving/include/bambooquay/serving/placement_planner.h
+++ b/packages/serving/include/bambooquay/serving/placement_planner.h
@@ -25,8 +25,6 @@
   /// Models whose weights are in host memory or on disk, so that they load
   /// without the weight store.
   std::vector<ModelName> local_copies;
-  /// Work that the engine does in a time, against a typical engine.
-  double speed = 1.0;
 };
 
 /// Limits on the changes that one plan may make.
@@ -38,9 +36,6 @@
   bool may_evict = true;
   /// Upper limit on loads from the weight store that are planned or running.
   int max_store_loads = 2;
-  /// Whether replicas are placed by the work of whole engines, with all of
-  /// their models, instead of the demand for each model by itself.
-  bool by_engine_load = false;
 };
 
 /// The models that each engine should have loaded.
--- a/packages/serving/src/fleet_planner.cc
+++ b/packages/serving/src/fleet_planner.cc
@@ -22,11 +22,6 @@
 // that the weight store allows.
 constexpr double kLoadHorizonSeconds = 1.5;
 
-// Speeds of engines against the median beyond these are more likely errors of
-// their estimates.
-constexpr double kMinSpeed = 0.25;
-constexpr double kMaxSpeed = 4.0;
-
 Duration PlanTimeout(const EngineProfile& profile) {
   const auto slowest =
       std::ranges::max_element(profile.models, {}, &ServingModel::load_time);
@@ -105,38 +100,9 @@
     }
   }
   std::ranges::sort(engines, {}, &EngineView::id);
-  if (m_by_engine_load) {
-    SetSpeeds(engines);
-  }
   return engines;
 }
 
-void FleetPlanner::SetSpeeds(std::vector<EngineView>& engines) const {
-  const auto event_interval = [this](const EngineView& view) {
-    const auto& work = m_upstreams.Find(view.id)->work.last();
-    return work.has_value() ? work->event_interval : Duration::zero();
-  };
-  std::vector<Duration> known;
-  for (const EngineView& view : engines) {
-    if (event_interval(view) > Duration::zero()) {
-      known.push_back(event_interval(view));
-    }
-  }
-  if (known.empty()) {
-    return;
-  }
-  const auto median =
-      known.begin() + static_cast<std::ptrdiff_t>(known.size() / 2);
-  std::ranges::nth_element(known, median);
-  for (EngineView& view : engines) {
-    const Duration interval = event_interval(view);
-    if (interval > Duration::zero()) {
-      view.speed = std::clamp(ToSeconds(*median) / ToSeconds(interval),
-                              kMinSpeed, kMaxSpeed);
-    }
-  }
-}
-
 EngineView FleetPlanner::BuildEngineView(const UpstreamId& id,
                                          const Upstream& upstream,
                                          Duration plan_timeout) const {
@@ -172,7 +138,6 @@
     engine_list = {std::move(ids), now};
   }
   PlanLimits limits;
-  limits.by_engine_load = m_by_engine_load;
   limits.may_evict = now - engine_list.changed_at > kEngineListSettleTime;
   limits.max_store_loads = std::max(
       2,
--- a/packages/serving/src/placement_planner.cc
+++ b/packages/serving/src/placement_planner.cc
@@ -38,9 +38,6 @@
 // Cost of each replica that the data centre already has, in the same unit:
 // replicas in one data centre are lost together.
 constexpr double kSameDataCentreCost = 500.0;
-// By engine load, a model gets a further replica only on an engine whose other
-// models load it less, by this factor, than the model's least loaded engine is.
-constexpr double kMinLoadRatio = 1.5;
 // Upper limit on evictions in one plan, as a share of the engines of the
 // service. At least one is allowed.
 constexpr double kMaxEvictionsShare = 0.25;
@@ -169,44 +166,6 @@
                m_state.replicas_in_data_centre_of(engine, model);
   }
 
-  /// @returns the demand that an engine serves, in tokens per second of a
-  ///   typical engine: equal parts of the demand for each of its models.
-  /// @param evicted  models that do not count.
-  [[nodiscard]] double EngineLoad(
-      EngineIndex engine, const std::vector<ModelIndex>& evicted) const {
-    const auto& models = m_state.target(engine);
-    const double demand = std::accumulate(
-        models.begin(), models.end(), 0.0, [&](double sum, ModelIndex model) {
-          const bool is_evicted =
-              std::ranges::find(evicted, model) != evicted.end();
-          return is_evicted
-                     ? sum
-                     : sum + DemandPerReplica(model, m_state.replicas(model));
-        });
-    return demand / m_engines[engine].speed;
-  }
-
-  /// @returns the cost of the load that a further replica would meet on an
-  ///   engine. Load it answers: models in demand that share their engines,
-  ///   while other engines have only models that hardly anyone calls.
-  [[nodiscard]] double SharingCost(
-      EngineIndex engine, const std::vector<ModelIndex>& evicted) const {
-    return m_limits.by_engine_load ? EngineLoad(engine, evicted) : 0.0;
-  }
-
-  /// @returns the load of the least loaded engine that has the model, where its
-  ///   calls are best sent; zero if no engine has it.
-  [[nodiscard]] double LeastLoadOf(ModelIndex model) const {
-    std::optional<double> least;
-    for (EngineIndex engine = 0; engine < m_engines.size(); ++engine) {
-      if (m_state.IsInTarget(engine, model)) {
-        const double load = EngineLoad(engine, {});
-        least = std::min(least.value_or(load), load);
-      }
-    }
-    return least.value_or(0.0);
-  }
-
   /// @returns the best engine with enough free memory for one more replica of
   /// `model`.
   [[nodiscard]] std::optional<Candidate> FindWithoutEviction(
@@ -216,8 +175,7 @@
       if (!m_state.Fits(engine, model) || !MayLoad(engine, model)) {
         continue;
       }
-      const double cost =
-          PlacementCost(engine, model) + SharingCost(engine, {});
+      const double cost = PlacementCost(engine, model);
       if (cost < best.cost) {
         best = {engine, {}, 0.0, cost};
       }
@@ -244,8 +202,7 @@
                           [this](double sum, ModelIndex victim) {
                             return sum + EvictionLoss(victim);
                           });
-      const double cost =
-          PlacementCost(engine, model) + loss + SharingCost(engine, evicted);
+      const double cost = PlacementCost(engine, model) + loss;
       if (cost < best.cost) {
         best = {engine, std::move(evicted), loss, cost};
       }
@@ -270,19 +227,6 @@
     return models;
   }
 
-  [[nodiscard]] std::vector<ModelIndex> ModelsByLeastLoad() const {
-    std::vector<double> loads(m_state.model_count());
-    std::vector<ModelIndex> models(m_state.model_count());
-    std::iota(models.begin(), models.end(), ModelIndex{0});
-    std::ranges::transform(models, loads.begin(), [this](ModelIndex model) {
-      return LeastLoadOf(model);
-    });
-    std::ranges::stable_sort(
-        models, std::greater<>(),
-        [&loads](ModelIndex model) { return loads[model]; });
-    return models;
-  }
-
   // Places the models that have no replica after free memory was filled, those
   // with the highest demand first.
   void PlaceMissingModels() {
@@ -395,9 +339,7 @@
     const auto max_evictions = static_cast<int>(
         std::ceil(static_cast<double>(m_engines.size()) * kMaxEvictionsShare));
     for (int i = 0; i < std::max(1, max_evictions); ++i) {
-      const std::vector<ModelIndex> models = m_limits.by_engine_load
-                                                 ? ModelsByLeastLoad()
-                                                 : ModelsByDemandPerReplica();
+      const std::vector<ModelIndex> models = ModelsByDemandPerReplica();
       if (std::ranges::none_of(models, [this](ModelIndex model) {
             return TryReplaceReplicaBy(model);
           })) {
@@ -410,20 +352,15 @@
   /// evictions allow it.
   /// @returns whether a replica was replaced.
   bool TryReplaceReplicaBy(ModelIndex model) {
-    const double demand = DemandPerReplica(model, m_state.replicas(model));
-    if (demand < kMinDemandToEvict) {
+    const double gain = DemandPerReplica(model, m_state.replicas(model));
+    if (gain < kMinDemandToEvict) {
       return false;
     }
     const std::optional<Candidate> candidate = FindWithEviction(model);
     if (!candidate.has_value()) {
       return false;
     }
-    if (demand < candidate->eviction_loss * kMinEvictionGainRatio) {
-      return false;
-    }
-    if (m_limits.by_engine_load &&
-        LeastLoadOf(model) <
-            EngineLoad(candidate->engine, candidate->evicted) * kMinLoadRatio) {
+    if (gain < candidate->eviction_loss * kMinEvictionGainRatio) {
       return false;
     }
     Apply(*candidate, model);
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -141,7 +141,6 @@
   }
   RegisterGauges();
   m_demand.SetMeasuresReading(settings.predicted_work);
-  m_planner.SetByEngineLoad(settings.predicted_work);
   m_upstream_rows.SetExpiryGrace(m_expiry_grace);
   m_peers.SetStatusSource([this] { return MakeStatus(); });
   // A new peer needs all totals, so all are sent again.
--- a/packages/serving/tests/placement_planner_test.cc
+++ b/packages/serving/tests/placement_planner_test.cc
@@ -124,37 +124,6 @@
   }
 }
 
-// Load: two models in demand share engines 0 and 1, while engine 2 has only
-// models that hardly anyone calls. A further replica belongs on engine 2, also
-// if it has to be loaded from the weight store there.
-BOOST_AUTO_TEST_CASE(by_engine_load_a_replica_goes_to_an_idle_engine) {
-  const std::vector<EngineView> engines = {
-      Engine(0, {0, 1, 2}), Engine(1, {1, 2, 3}, {0}), Engine(2, {2, 3, 4}),
-      Engine(3, {3, 4, 1})};
-  const std::vector<ModelDemand> demand = {Demand(0, 20, 60000),
-                                           Demand(1, 20, 90000)};
-  const PlacementTargets targets =
-      PlanPlacement(Profile(5), engines, demand, {.by_engine_load = true});
-  const auto has_model = [&](const char* engine) {
-    const auto& models = targets.at(UpstreamId(engine));
-    return std::ranges::find(models, Model(0)) != models.end();
-  };
-  BOOST_TEST(has_model("e2"));
-  BOOST_TEST(!has_model("e1"));
-}
-
-// Load: a model that all engines have, each of them busy with it. Moving
-// replicas of the other models there would help nobody.
-BOOST_AUTO_TEST_CASE(by_engine_load_no_replica_moves_to_an_engine_as_busy) {
-  const std::vector<EngineView> engines = {
-      Engine(0, {0, 1, 2}), Engine(1, {0, 2, 3}), Engine(2, {0, 3, 1})};
-  const std::vector<ModelDemand> demand = {Demand(0, 60, 300000),
-                                           Demand(1, 10, 30000)};
-  BOOST_TEST(TargetsMatchLoadedModels(
-      PlanPlacement(Profile(4), engines, demand, {.by_engine_load = true}),
-      engines));
-}
-
 // After a power failure every engine is empty, but has weights on its disk. The
 // weight store is too slow to load all models of all engines.
 BOOST_AUTO_TEST_CASE(empty_engines_load_their_local_copies_first) {
