Agents say when a call with room will begin, and poll their engine each 100 ms

Cause: entries learn of the prompts of others with the next report only; a third of the first events came after more than twice the predicted time. Change: the reply that grants room has the expected time to the first event; engines are polled each 100 ms where their work is estimated.

--- a/packages/peers/include/bambooquay/peers/status_messages.h
+++ b/packages/peers/include/bambooquay/peers/status_messages.h
@@ -192,7 +192,9 @@
 struct RoomReply {
   std::uint64_t request_id = 0;
   bool granted = false;
-  Duration wait{};  ///< Time until room is expected, if not granted.
+  /// Time until room is expected; if it is granted, from the call's arrival to
+  /// its first event, or zero if that is not known.
+  Duration wait{};
   /// The call waits for room, and another reply follows.
   bool queued = false;
 };
--- a/packages/serving/include/bambooquay/serving/engine_rooms.h
+++ b/packages/serving/include/bambooquay/serving/engine_rooms.h
@@ -16,6 +16,7 @@
 #include "bambooquay/scheduling/engine_work_estimator.h"
 #include "bambooquay/scheduling/reading_pause.h"
 #include "bambooquay/scheduling/room_queue.h"
+#include "bambooquay/scheduling/work_prediction.h"
 #include "bambooquay/serving/prompt_cache_view.h"
 
 namespace bambooquay {
@@ -66,6 +67,10 @@
   [[nodiscard]] double UnreadTokens(const RoomRequest& request,
                                     const PromptPrefixes& prompt) const;
   void Announce(const RoomCall& call, const PromptPrefixes& prompt);
+  /// @returns the time to the first event of a call that is sent now; zero if
+  /// it
+  ///   is not known.
+  [[nodiscard]] Duration ExpectedFirstEvent(const RoomCall& call) const;
   void Send(const std::vector<RoomDecision>& decisions);
   void DenyUnreachable(const Endpoint& sender_address,
                        std::uint64_t request_id);
--- a/packages/serving/include/bambooquay/serving/forwarded_call.h
+++ b/packages/serving/include/bambooquay/serving/forwarded_call.h
@@ -50,7 +50,8 @@
     kUnanswered,  ///< The agent is lost, frozen or slow, or a message was lost.
   };
   Kind kind = Kind::kUnanswered;
-  Duration wait{};  ///< Time until room is expected, if denied.
+  /// Time until room is expected, if denied; until the first event if granted.
+  Duration wait{};
 };
 
 /// Requests that calls send to the agents beside engines.
@@ -317,6 +318,8 @@
   std::optional<TimePoint> m_attempt_begun_at;
   /// When the current attempt was sent.
   TimePoint m_attempt_sent_at{};
+  /// What the agent expects for the call that it has given room.
+  std::optional<Duration> m_room_first_event;
   /// From that time to the attempt's first event, if it is predicted.
   std::optional<Duration> m_predicted_first_event;
   /// Events that the current attempt has sent.
--- a/packages/serving/src/engine_rooms.cc
+++ b/packages/serving/src/engine_rooms.cc
@@ -157,6 +157,12 @@
   return prefixes;
 }
 
+Duration EngineRooms::ExpectedFirstEvent(const RoomCall& call) const {
+  const auto times = PredictTimes(m_estimator.Current(),
+                                  {.unread_prompt_tokens = call.unread_tokens});
+  return times.has_value() ? times->first_event : Duration::zero();
+}
+
 void EngineRooms::Decide() {
   m_engine.work = m_estimator.Current();
   m_queue.SetEngine(m_engine);
@@ -177,8 +183,10 @@
     m_metrics.Increment(
         std::string("room_requests_total{result=\"") +
         kResults.at(static_cast<std::size_t>(decision.verdict)) + "\"}");
-    m_send_reply(pending.sender_address,
-                 {pending.request_id, granted, decision.wait, queued});
+    m_send_reply(
+        pending.sender_address,
+        {pending.request_id, granted,
+         granted ? ExpectedFirstEvent(pending.call) : decision.wait, queued});
     if (queued) {
       continue;
     }
--- a/packages/serving/src/forwarded_call.cc
+++ b/packages/serving/src/forwarded_call.cc
@@ -386,7 +386,10 @@
   m_held_by.reset();
   UpdateNeeds();
   const auto work = m_context.upstreams.WorkOf(*upstream);
-  m_predicted_first_event = PredictFirstEvent(work, *upstream);
+  m_predicted_first_event = m_room_first_event.has_value()
+                                ? m_room_first_event
+                                : PredictFirstEvent(work, *upstream);
+  m_room_first_event.reset();
   AttemptMetadata metadata;
   metadata.upstream = id;
   metadata.time_left = TimeLeft();
--- a/packages/serving/src/forwarded_room.cc
+++ b/packages/serving/src/forwarded_room.cc
@@ -86,6 +86,10 @@
     HandleRoomDenied(id, outcome.wait);
     return;
   }
+  if (outcome.kind == RoomOutcome::Kind::kGranted &&
+      outcome.wait > Duration::zero()) {
+    m_room_first_event = outcome.wait;
+  }
   if (outcome.kind == RoomOutcome::Kind::kUnanswered) {
     m_context.upstreams.RecordRoomUnanswered(id);
     m_context.metrics.Increment("room_unanswered_total");
--- a/packages/serving/src/serving_agent.cc
+++ b/packages/serving/src/serving_agent.cc
@@ -19,6 +19,9 @@
 // engine runs on the same machine. A shorter period would gain little, because
 // the report lags behind by a few hundred milliseconds.
 constexpr Duration kPollPeriod = milliseconds(200);
+// The same where entries choose by the engine's work, which changes with each
+// prompt.
+constexpr Duration kWorkPollPeriod = milliseconds(100);
 // Pause between two reads of the configuration. Model sizes and limits change
 // rarely, and a target with an unknown model ends the pause early.
 constexpr Duration kConfigurationPollPause = std::chrono::seconds(24);
@@ -62,7 +65,9 @@
   RegisterGauges();
   m_operator_rows.Start();
   AcquireFencingToken();
-  m_poll_timer = m_deps.loop.Every(kPollPeriod, [this] { Poll(); });
+  m_poll_timer = m_deps.loop.Every(
+      m_settings.predicted_work ? kWorkPollPeriod : kPollPeriod,
+      [this] { Poll(); });
   Poll();
   return true;
 }
