--- a/packages/scheduling/tests/room_queue_test.cc
+++ b/packages/scheduling/tests/room_queue_test.cc
@@ -165,9 +165,9 @@
   EngineRoom engine = MakeEngine();
   engine.reading_interval = milliseconds(600);
   queue.SetEngine(engine);
-  static_cast<void>(Ask(MakeCall("a", 2000.0)));
-  static_cast<void>(Ask(MakeCall("b", 2500.0)));
-  BOOST_TEST((Ask(MakeCall("c", 2500.0)).verdict == RoomVerdict::kQueued));
+  static_cast<void>(Ask(MakeCall("a", 3000.0)));
+  static_cast<void>(Ask(MakeCall("b", 3500.0)));
+  BOOST_TEST((Ask(MakeCall("c", 3500.0)).verdict == RoomVerdict::kQueued));
   // The first prompt has been read, but the engine has not rested.
   BOOST_TEST(GrantedAfter("a").empty());
   BOOST_TEST(GrantedAfter("b") == std::vector<std::string>{"c"});
