--- a/packages/scheduling/src/room_queue.cc
+++ b/packages/scheduling/src/room_queue.cc
@@ -16,7 +16,7 @@
 // Share of the longest pause from which on an engine needs a rest between
 // prompts. The measured interval is a mean over streams, and single events are
 // further apart.
-constexpr double kRestFromPauseShare = 0.6;
+constexpr double kRestFromPauseShare = 0.4;
 // Share of the longest pause that an engine may read for; the rest is for the
 // tokens of the event itself, which take the longer the more streams there are.
 constexpr double kReadingShare = 0.7;
