--- a/packages/serving/include/bambooquay/serving/engine_rooms.h
+++ b/packages/serving/include/bambooquay/serving/engine_rooms.h
@@ -2,9 +2,11 @@
 // requests by the order of RoomQueue.
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "bambooquay/core/engine_report.h"
@@ -42,8 +44,14 @@
   /// @param restarted  whether it is the first report of a run of the engine.
   void RecordReport(const EngineReport& report, const RoomBounds& bounds,
                     bool restarted);
+  /// Records that the engine did not answer. Calls are denied room until it
+  /// reports again.
+  void RecordMissedReport();
   /// @returns the work of the engine with that of the calls that wait for room.
   [[nodiscard]] EngineWork TotalWork() const;
+  /// @returns the shared parts of the prompts that were announced since about
+  ///   two reports.
+  [[nodiscard]] std::vector<AnnouncedPrefix> TakeReadPrefixes();
 
  private:
   /// A request that gets another reply.
@@ -59,6 +67,8 @@
                                     const PromptPrefixes& prompt) const;
   void Announce(const RoomCall& call, const PromptPrefixes& prompt);
   void Send(const std::vector<RoomDecision>& decisions);
+  void DenyUnreachable(const Endpoint& sender_address,
+                       std::uint64_t request_id);
   /// Has the queue decide now, and again later while calls wait.
   void Decide();
   void RestartTimer();
@@ -68,11 +78,14 @@
   EngineWorkEstimator& m_estimator;
   SendReply m_send_reply;
   EngineRoom m_engine;
+  bool m_is_reachable = true;
   RoomQueue m_queue;
   ReadingPause m_reading_pause;
   /// Whether calls have had room all the time since the last report.
   bool m_has_read = false;
   PromptCacheView m_prompt_cache;
+  /// Shared parts of announced prompts, with the times of their announcement.
+  std::deque<std::pair<TimePoint, AnnouncedPrefix>> m_read_prefixes;
   std::unordered_map<RequestId, PendingRequest> m_pending;
   std::unique_ptr<Timer> m_timer;
 };
--- a/packages/serving/include/bambooquay/serving/upstream_set.h
+++ b/packages/serving/include/bambooquay/serving/upstream_set.h
@@ -15,6 +15,7 @@
 #include "bambooquay/core/engine_work.h"
 #include "bambooquay/core/ids.h"
 #include "bambooquay/core/random.h"
+#include "bambooquay/scheduling/data_centre_policy.h"
 #include "bambooquay/scheduling/engine_choice.h"
 #include "bambooquay/scheduling/engine_work_view.h"
 #include "bambooquay/serving/call_codec.h"
@@ -169,7 +170,9 @@
   /// Ignored if there is no earlier report of the same incarnation.
   void MergeReport(const UpstreamId& id, const EngineReport& report);
   /// @param work  what the agent estimates; nothing if it does not.
-  void SetWork(const UpstreamId& id, const std::optional<EngineWork>& work);
+  /// @param read  parts of prompts that the engine has read for any entry.
+  void SetWork(const UpstreamId& id, const std::optional<EngineWork>& work,
+               const PromptPrefixes& read = {});
   /// @returns whether calls to it should ask its agent for room first. Calls
   ///   that need a permit don't.
   [[nodiscard]] bool GivesOutRoom(const UpstreamId& id) const;
@@ -248,6 +251,10 @@
   }
   /// @returns whether new calls may be sent to `upstream` at all.
   [[nodiscard]] bool IsUsable(const Upstream& upstream) const;
+  /// @returns whether calls to `upstream` leave the entry's data centre.
+  [[nodiscard]] bool IsElsewhere(const Upstream& upstream) const {
+    return upstream.record.data_centre != m_own_data_centre;
+  }
   /// @returns whether its last report is recent enough to rely on.
   [[nodiscard]] bool HasFreshReport(const Upstream& upstream) const;
   /// @returns the time since its last report, if there is one.
@@ -265,6 +272,9 @@
       const Upstream& upstream) const;
   /// @returns an estimate of the calls at the upstream, from all entries.
   [[nodiscard]] double EstimateLoad(const Upstream& upstream) const;
+  /// @returns what the engine works on now; nothing without a recent estimate.
+  [[nodiscard]] std::optional<EngineWork> WorkOf(
+      const Upstream& upstream) const;
   /// @returns what the call takes on the engine and costs there, by its agent's
   ///   estimate; nothing if there is none that is recent.
   [[nodiscard]] std::optional<PredictedCost> Predict(
@@ -289,6 +299,7 @@
   struct Candidate {
     Upstream* upstream = nullptr;
     double cost = 0.0;  ///< Expected delay in milliseconds.
+    std::optional<PredictedCost> predicted;
   };
   /// An upstream that could load an adapter.
   struct AdapterHost {
@@ -327,8 +338,16 @@
   ///   all entries send to the least loaded engine until its next report, and
   ///   the prompts of such a burst pause all of its streams.
   [[nodiscard]] double EstimateUnreportedLoad(const Upstream& upstream) const;
-  [[nodiscard]] double Cost(const Upstream& upstream,
-                            const PickQuery& query) const;
+  /// Raises the costs of either the candidates in this data centre or those in
+  /// others, so that they are the last choice.
+  void ChooseSide(std::vector<Candidate>& candidates, const PickQuery& query);
+  /// @returns a candidate with its cost.
+  [[nodiscard]] Candidate Weigh(Upstream& upstream,
+                                const PickQuery& query) const;
+  /// @param predicted  what Predict() returns for the query.
+  [[nodiscard]] double Cost(
+      const Upstream& upstream, const PickQuery& query,
+      const std::optional<PredictedCost>& predicted) const;
   /// @returns the delay by the calls that the engine has, and by the call's own
   ///   prompt, in milliseconds, from constants instead of a prediction.
   [[nodiscard]] double UnpredictedDelay(const Upstream& upstream,
@@ -392,6 +411,7 @@
   std::set<ServiceName> m_engine_services;
   /// The median of what is known of each service's engines.
   std::unordered_map<ServiceName, EngineWork> m_usual_work;
+  DataCentrePolicy m_data_centre_policy;
   UpstreamNotices m_notices;
 };
 
--- a/packages/serving/src/engine_rooms.cc
+++ b/packages/serving/src/engine_rooms.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <string>
 #include <utility>
 
@@ -13,16 +14,12 @@
 // expires, and calls become too late.
 constexpr Duration kDecisionInterval = std::chrono::milliseconds(50);
 
-PromptPrefixes ToPrefixes(const std::vector<AnnouncedPrefix>& announced) {
-  PromptPrefixes prefixes;
-  prefixes.reserve(announced.size());
-  std::ranges::transform(
-      announced, std::back_inserter(prefixes),
-      [](const AnnouncedPrefix& prefix) {
-        return PromptPrefix{prefix.hash, static_cast<double>(prefix.tokens)};
-      });
-  return prefixes;
-}
+// Load it answers: an engine crashes, and each entry finds out by calls of its
+// own, again and again. Several reports pass before it is asked again.
+constexpr Duration kUnreachableWait = std::chrono::milliseconds(600);
+// How long the shared parts of a prompt are sent to entries, so that one that
+// misses a report still learns of them.
+constexpr Duration kReadPrefixRepeatTime = std::chrono::milliseconds(450);
 
 }  // namespace
 
@@ -59,6 +56,10 @@
     m_metrics.Increment("room_requests_total{result=\"announced\"}");
     return;
   }
+  if (!m_is_reachable) {
+    DenyUnreachable(sender_address, request.request_id);
+    return;
+  }
   m_pending[request.call] = {sender_address, request.request_id, call,
                              std::move(prompt), m_loop.clock().Now()};
   m_engine.work = m_estimator.Current();
@@ -67,6 +68,21 @@
   RestartTimer();
 }
 
+void EngineRooms::DenyUnreachable(const Endpoint& sender_address,
+                                  std::uint64_t request_id) {
+  m_metrics.Increment("room_requests_total{result=\"unreachable\"}");
+  m_send_reply(sender_address, {request_id, false, kUnreachableWait, false});
+}
+
+void EngineRooms::RecordMissedReport() {
+  m_is_reachable = false;
+  std::ranges::for_each(m_pending, [this](const auto& item) {
+    m_queue.Release(item.first);
+    DenyUnreachable(item.second.sender_address, item.second.request_id);
+  });
+  m_pending.clear();
+}
+
 void EngineRooms::HandleRelease(const RoomRelease& release) {
   if (release.begun) {
     m_estimator.RecordFirstEvent(release.call);
@@ -91,6 +107,8 @@
       m_queue.Release(run.call);
     }
   });
+  m_is_reachable = true;
+  m_prompt_cache.SetMemory(report.kv_total);
   m_reading_pause.RecordReport(report, m_has_read, m_loop.clock().Now());
   m_has_read = m_queue.room_count() > 0;
   m_engine.max_pause = bounds.max_pause;
@@ -110,13 +128,33 @@
 
 EngineWork EngineRooms::TotalWork() const {
   EngineWork work = m_estimator.Current();
-  work.unread_prompt_tokens += m_queue.WaitingTokens();
+  work.waiting_prompt_tokens = m_queue.WaitingTokens();
   return work;
 }
 
 void EngineRooms::Announce(const RoomCall& call, const PromptPrefixes& prompt) {
   m_estimator.Announce(call.id, call.memory_tokens, call.unread_tokens);
   m_prompt_cache.RecordPrompt(prompt);
+  // The last part is the call's own.
+  std::for_each(
+      prompt.begin(), prompt.empty() ? prompt.end() : prompt.end() - 1,
+      [this](const PromptPrefix& prefix) {
+        m_read_prefixes.emplace_back(
+            m_loop.clock().Now(),
+            AnnouncedPrefix{prefix.hash,
+                            static_cast<std::uint32_t>(prefix.tokens)});
+      });
+}
+
+std::vector<AnnouncedPrefix> EngineRooms::TakeReadPrefixes() {
+  const TimePoint oldest = m_loop.clock().Now() - kReadPrefixRepeatTime;
+  while (!m_read_prefixes.empty() && m_read_prefixes.front().first < oldest) {
+    m_read_prefixes.pop_front();
+  }
+  std::vector<AnnouncedPrefix> prefixes;
+  std::ranges::transform(m_read_prefixes, std::back_inserter(prefixes),
+                         [](const auto& item) { return item.second; });
+  return prefixes;
 }
 
 void EngineRooms::Decide() {
--- a/packages/serving/src/forwarded_call.cc
+++ b/packages/serving/src/forwarded_call.cc
@@ -356,6 +356,19 @@
       });
 }
 
+std::optional<Duration> ForwardedCall::PredictFirstEvent(
+    std::optional<EngineWork> work, const Upstream& upstream) const {
+  if (!work.has_value()) {
+    return std::nullopt;
+  }
+  // The call has room, so those that wait for it come later.
+  work->waiting_prompt_tokens = 0.0;
+  const double kept = upstream.prompt_cache.CachedTokens(m_query.prompt);
+  const auto times =
+      PredictTimes(*work, {m_query.prompt_tokens - kept, m_query.events});
+  return times.has_value() ? std::optional(times->first_event) : std::nullopt;
+}
+
 void ForwardedCall::StartAttempt(const UpstreamId& id) {
   const Upstream* upstream = m_context.upstreams.Find(id);
   if (m_room_upstream != id) {
@@ -372,10 +385,8 @@
   m_attempt_sent_at = m_context.loop.clock().Now();
   m_held_by.reset();
   UpdateNeeds();
-  const auto predicted = m_context.upstreams.Predict(*upstream, m_query);
-  m_predicted_first_event = predicted.has_value()
-                                ? std::optional(predicted->times.first_event)
-                                : std::nullopt;
+  const auto work = m_context.upstreams.WorkOf(*upstream);
+  m_predicted_first_event = PredictFirstEvent(work, *upstream);
   AttemptMetadata metadata;
   metadata.upstream = id;
   metadata.time_left = TimeLeft();
@@ -395,10 +406,24 @@
       .WithMilliseconds("report_age_ms",
                         m_context.upstreams.ReportAge(*upstream))
       .With("failure_share", upstream->failure_share)
+      .With("elsewhere",
+            m_context.upstreams.IsElsewhere(*upstream) ? "yes" : "no")
       .With("kept_tokens", upstream->prompt_cache.CachedTokens(m_query.prompt))
       .With("prompt_tokens", m_call.prompt_tokens)
       .WithMilliseconds("predicted_first_ms", m_predicted_first_event)
+      .With("unread_tokens",
+            work.has_value() ? work->unread_prompt_tokens : 0.0)
+      .With("tokens_per_ms",
+            work.has_value() ? work->prompt_tokens_per_ms : 0.0)
+      .With("streams", work.has_value() ? work->streams : 0)
+      .WithMilliseconds(
+          "event_interval_ms",
+          work.has_value() ? std::optional(work->event_interval) : std::nullopt)
       .With("time_left_ms", TimeLeft() / milliseconds(1));
+  if (m_context.upstreams.IsElsewhere(*upstream)) {
+    m_context.metrics.Increment("calls_left_data_centre_total{service=\"" +
+                                m_service->name.value() + "\"}");
+  }
   const HttpRequest request = m_context.codec.EncodeAttempt(m_call, metadata);
   m_context.upstreams.RecordAttemptStart(id, m_query);
   m_attempt = m_context.client.Start(
--- a/packages/serving/src/upstream_set.cc
+++ b/packages/serving/src/upstream_set.cc
@@ -38,6 +38,7 @@
       m_random(random),
       m_own_data_centre(std::move(own_data_centre)),
       m_is_connected(std::move(is_connected)),
+      m_data_centre_policy(clock, random),
       m_notices(clock) {}
 
 void UpstreamSet::Put(const UpstreamRecord& record) {
@@ -142,10 +143,13 @@
 }
 
 void UpstreamSet::SetWork(const UpstreamId& id,
-                          const std::optional<EngineWork>& work) {
+                          const std::optional<EngineWork>& work,
+                          const PromptPrefixes& read) {
   const auto found = m_upstreams.find(id);
   if (found != m_upstreams.end() && work.has_value()) {
     found->second.work.Record(*work, m_clock.Now());
+    found->second.prompt_cache.SetMemory(work->memory_tokens);
+    found->second.prompt_cache.RecordPrompt(read);
   }
 }
 
