--- a/packages/serving/include/bambooquay/serving/forwarded_call.h
+++ b/packages/serving/include/bambooquay/serving/forwarded_call.h
@@ -322,6 +322,8 @@
   std::optional<Duration> m_room_first_event;
   /// From that time to the attempt's first event, if it is predicted.
   std::optional<Duration> m_predicted_first_event;
+  /// From that time to the attempt's first event, once it has come.
+  std::optional<Duration> m_attempt_first_event;
   /// Events that the current attempt has sent.
   int m_attempt_events = 0;
   /// What keeps the current attempt at its silent upstream, if it was logged.
--- a/packages/serving/src/forwarded_call.cc
+++ b/packages/serving/src/forwarded_call.cc
@@ -382,6 +382,7 @@
   m_status = 0;
   m_attempt_begun_at.reset();
   m_attempt_events = 0;
+  m_attempt_first_event.reset();
   m_attempt_sent_at = m_context.loop.clock().Now();
   m_held_by.reset();
   UpdateNeeds();
@@ -526,6 +527,8 @@
                 ? 0
                 : m_active_configuration->configuration.version)
       .WithMilliseconds("first_event_ms", m_first_event)
+      .WithMilliseconds("predicted_ms", m_predicted_first_event)
+      .WithMilliseconds("measured_ms", m_attempt_first_event)
       .With("longest_pause_ms", m_longest_pause / milliseconds(1))
       .With("elapsed_ms", Elapsed() / milliseconds(1));
 }
--- a/packages/serving/src/forwarded_response.cc
+++ b/packages/serving/src/forwarded_response.cc
@@ -246,19 +246,15 @@
 }
 
 void ForwardedCall::RecordPrediction() {
+  m_attempt_first_event = m_context.loop.clock().Now() - m_attempt_sent_at;
   if (!m_predicted_first_event.has_value()) {
     return;
   }
-  const Duration measured = m_context.loop.clock().Now() - m_attempt_sent_at;
-  m_context.metrics.Increment("first_event_predictions_total{error=\"" +
-                              std::string(ToString(JudgePrediction(
-                                  *m_predicted_first_event, measured))) +
-                              "\"}");
-  LogEvent(LogLevel::kInfo, "first_event")
-      .With("request", m_call.id.value())
-      .With("upstream", m_upstream->value())
-      .WithMilliseconds("predicted_ms", m_predicted_first_event)
-      .With("measured_ms", measured / milliseconds(1));
+  m_context.metrics.Increment(
+      "first_event_predictions_total{error=\"" +
+      std::string(ToString(
+          JudgePrediction(*m_predicted_first_event, *m_attempt_first_event))) +
+      "\"}");
 }
 
 void ForwardedCall::RelayBody(std::string_view bytes) {
