--- a/packages/scheduling/include/bambooquay/scheduling/engine_choice.h
+++ b/packages/scheduling/include/bambooquay/scheduling/engine_choice.h
@@ -18,6 +18,8 @@
   Duration max_pause{};
   /// Until the call is ended; zero without a limit.
   Duration time_limit{};
+  /// Reading rate of the service's usual engine; 0 if it is not known.
+  double usual_tokens_per_ms = 0.0;
 };
 
 /// The predicted cost of a call on one engine.
--- a/packages/scheduling/src/engine_choice.cc
+++ b/packages/scheduling/src/engine_choice.cc
@@ -11,9 +11,10 @@
 constexpr double kPausedStreamShare = 0.02;
 // The same for each stream whose pause becomes longer than that.
 constexpr double kLateStreamShare = 0.2;
-// Share of the time in which the call's prompt is read that counts for the calls
-// that come after it. Keeps calls where their prompts are kept.
-constexpr double kOwnReadingShare = 1.5;
+// Share of the time in which a usual engine reads the call's prompt that counts
+// for the calls after it. Keeps calls where their prompts are kept, whatever
+// the speed of the engine.
+constexpr double kReadingShare = 1.5;
 // Share of the time from a call's first event to its end that counts. A call
 // that ends sooner leaves room sooner.
 constexpr double kRunTimeShare = 0.1;
@@ -36,7 +37,10 @@
   PredictedCost cost{.times = *times};
   cost.ms = ToMs(times->first_event) +
             kRunTimeShare * ToMs(times->end - times->first_event);
-  cost.ms += kOwnReadingShare * ToMs(times->pause_of_streams);
+  if (needs.usual_tokens_per_ms > 0.0) {
+    cost.ms +=
+        kReadingShare * call.unread_prompt_tokens / needs.usual_tokens_per_ms;
+  }
   if (needs.first_event > Duration::zero() &&
       times->first_event > needs.first_event) {
     cost.ms += kLateFactor * ToMs(times->first_event - needs.first_event);
--- a/packages/serving/src/upstream_choice.cc
+++ b/packages/serving/src/upstream_choice.cc
@@ -182,8 +182,10 @@
     return std::nullopt;
   }
   const double kept = upstream.prompt_cache.CachedTokens(query.prompt);
-  return PredictCost(*work, {query.prompt_tokens - kept, query.events},
-                     query.needs);
+  CallNeeds needs = query.needs;
+  needs.usual_tokens_per_ms =
+      m_usual_work.at(upstream.record.service).prompt_tokens_per_ms;
+  return PredictCost(*work, {query.prompt_tokens - kept, query.events}, needs);
 }
 
 std::vector<UpstreamSet::Candidate> UpstreamSet::FindCandidates(
