--- a/packages/serving/src/forwarded_call.cc
+++ b/packages/serving/src/forwarded_call.cc
@@ -382,13 +382,17 @@
   m_status = 0;
   m_attempt_begun_at.reset();
   m_attempt_events = 0;
+  m_attempt_first_event.reset();
   m_attempt_sent_at = m_context.loop.clock().Now();
   m_unread_tokens = m_call.prompt_tokens -
                     upstream->prompt_cache.CachedTokens(m_query.prompt);
   m_held_by.reset();
   UpdateNeeds();
   const auto work = m_context.upstreams.WorkOf(*upstream);
-  m_predicted_first_event = PredictFirstEvent(work, *upstream);
+  m_predicted_first_event = m_room_first_event.has_value()
+                                ? m_room_first_event
+                                : PredictFirstEvent(work, *upstream);
+  m_room_first_event.reset();
   AttemptMetadata metadata;
   metadata.upstream = id;
   metadata.time_left = TimeLeft();
@@ -525,6 +529,8 @@
                 ? 0
                 : m_active_configuration->configuration.version)
       .WithMilliseconds("first_event_ms", m_first_event)
+      .WithMilliseconds("predicted_ms", m_predicted_first_event)
+      .WithMilliseconds("measured_ms", m_attempt_first_event)
       .With("longest_pause_ms", m_longest_pause / milliseconds(1))
       .With("elapsed_ms", Elapsed() / milliseconds(1));
 }
