--- a/packages/peers/include/bambooquay/peers/status_messages.h
+++ b/packages/peers/include/bambooquay/peers/status_messages.h
@@ -24,6 +24,9 @@
   ModelName model;
   double requests_per_second = 0.0;
   double prompt_tokens_per_second = 0.0;
+  /// Rate at which engines read prompts of the model, in tokens per
+  /// millisecond; 0 if it is not known.
+  double reading_rate = 0.0;
 };
 
 /// A call with these parts had begun and sent no event when its upstream broke.
@@ -98,6 +101,15 @@
   Duration report_period{};
 };
 
+/// The leading parts of a prompt, up to and including one of them.
+struct AnnouncedPrefix {
+  std::uint64_t hash = 0;    ///< Over model, adapter and these parts.
+  std::uint32_t tokens = 0;  ///< Tokens of its last part.
+
+  friend bool operator==(const AnnouncedPrefix&,
+                         const AnnouncedPrefix&) = default;
+};
+
 /// Sent by each agent to the entries from which it receives targets.
 struct EngineStatus {
   UpstreamId upstream;
@@ -111,6 +123,9 @@
   bool omits_lists = false;
   /// Unset if the agent does not estimate work.
   std::optional<EngineWork> work;
+  /// Shared parts of prompts that were announced a moment ago, in order; the
+  /// engine has them in its prompt cache now. Sent only with `work`.
+  std::vector<AnnouncedPrefix> read_prefixes;
 };
 
 /// Sent by an entry to an agent to have an adapter loaded, and sent again until
@@ -154,17 +169,23 @@
 };
 
 /// Sent by an entry to an agent to get room on its engine for one call. The
-/// agent replies when there is room, or when there will be none in time. The
-/// message is not sent again.
+/// agent replies at once, and once more if the call has to wait. The message is
+/// not sent again.
 struct RoomRequest {
   std::uint64_t request_id = 0;  ///< Number of this message.
   UpstreamId upstream;
   RequestId call;
+  OrganisationId organisation;  ///< Empty on routes that need no API key.
   std::uint32_t prompt_tokens = 0;
-  /// Of these, those that the engine has to read.
+  /// One for each part of the prompt, in order. The agent has seen the prompts
+  /// of all entries, and so knows better what its engine has kept.
+  std::vector<AnnouncedPrefix> prompt;
+  /// Of the tokens, those that the engine has to read by what the entry knows.
   std::uint32_t unread_tokens = 0;
   std::uint32_t output_tokens = 0;  ///< Estimate.
   int priority = 0;                 ///< 0 is the most urgent.
+  /// Time left until the call's first event is late.
+  Duration target_wait{};
   /// How long the call can wait for room. Zero only announces the call, which
   /// is sent at once; there is no reply.
   Duration max_wait{};
@@ -174,13 +195,19 @@
 struct RoomReply {
   std::uint64_t request_id = 0;
   bool granted = false;
-  Duration wait{};  ///< Time until room is expected, if not granted.
+  /// Time until room is expected; if it is granted, from the call's arrival to
+  /// its first event, or zero if that is not known.
+  Duration wait{};
+  /// The call waits for room, and another reply follows.
+  bool queued = false;
 };
 
 /// Sent by an entry when a call does not use its room, or not any longer.
 struct RoomRelease {
   UpstreamId upstream;
   RequestId call;
+  /// The call has sent its first event, so that its prompt has been read.
+  bool begun = false;
 };
 
 /// What the holder of the duties tells the other entries of its lease, so that
--- a/packages/peers/src/status_messages.cc
+++ b/packages/peers/src/status_messages.cc
@@ -183,6 +183,7 @@
     out.setRequestsPerSecond(static_cast<float>(item.requests_per_second));
     out.setPromptTokensPerSecond(
         static_cast<float>(item.prompt_tokens_per_second));
+    out.setReadingRate(static_cast<float>(item.reading_rate));
   }
 }
 
@@ -200,10 +201,10 @@
         item.getTokens()};
   }
   for (const auto item : from.getDemand()) {
-    to.demand.push_back({ServiceName(ToString(item.getService())),
-                         ModelName(ToString(item.getModel())),
-                         item.getRequestsPerSecond(),
-                         item.getPromptTokensPerSecond()});
+    to.demand.push_back(
+        {ServiceName(ToString(item.getService())),
+         ModelName(ToString(item.getModel())), item.getRequestsPerSecond(),
+         item.getPromptTokensPerSecond(), item.getReadingRate()});
   }
   return to;
 }
@@ -236,22 +237,48 @@
   to.setStreams(
       static_cast<std::uint16_t>(std::clamp(from.streams, 0, kMaxStreams)));
   to.setSlowness(static_cast<float>(from.slowness));
+  to.setWaitingTokens(static_cast<float>(from.waiting_prompt_tokens));
+  to.setMemoryTokens(static_cast<float>(from.memory_tokens));
+}
+
+void Write(capnp::List<status::PromptPrefix>::Builder to,
+           const std::vector<AnnouncedPrefix>& from) {
+  unsigned index = 0;
+  for (const AnnouncedPrefix& prefix : from) {
+    to[index].setHash(prefix.hash);
+    to[index++].setTokens(prefix.tokens);
+  }
+}
+
+std::vector<AnnouncedPrefix> Read(
+    capnp::List<status::PromptPrefix>::Reader from) {
+  std::vector<AnnouncedPrefix> to;
+  to.reserve(from.size());
+  for (const auto prefix : from) {
+    to.push_back({prefix.getHash(), prefix.getTokens()});
+  }
+  return to;
 }
 
 /// @returns nothing if a number makes no sense.
 std::optional<EngineWork> Read(status::EngineWork::Reader from) {
-  const std::array<float, 4> numbers = {
+  const std::array<float, 6> numbers = {
       from.getPromptTokensPerMs(), from.getEventIntervalMs(),
-      from.getUnreadTokens(), from.getSlowness()};
+      from.getUnreadTokens(),      from.getWaitingTokens(),
+      from.getSlowness(),          from.getMemoryTokens()};
   const bool is_sound = std::ranges::all_of(numbers, [](float number) {
     return number >= 0.0F && number <= kMaxWorkNumber;
   });
   if (!is_sound) {
     return std::nullopt;
   }
-  return EngineWork{
-      from.getPromptTokensPerMs(), FromFloatMs(from.getEventIntervalMs()),
-      from.getUnreadTokens(), from.getStreams(), from.getSlowness()};
+  return EngineWork{.prompt_tokens_per_ms = from.getPromptTokensPerMs(),
+                    .event_interval = FromFloatMs(from.getEventIntervalMs()),
+                    .unread_prompt_tokens = from.getUnreadTokens(),
+                    .waiting_prompt_tokens = from.getWaitingTokens(),
+                    .streams = from.getStreams(),
+                    .slowness = from.getSlowness(),
+                    .memory_tokens = from.getMemoryTokens()};
 }
 
 void Write(status::EngineStatus::Builder to, const EngineStatus& from) {
@@ -266,7 +293,11 @@
   to.setLists(from.lists_version);
   to.setBrief(from.omits_lists);
   if (from.work.has_value()) {
-    Write(to.initWork(), *from.work);
+    auto work = to.initWork();
+    Write(work, *from.work);
+    Write(
+        work.initReadPrefixes(static_cast<unsigned>(from.read_prefixes.size())),
+        from.read_prefixes);
   }
   if (from.omits_lists) {
     return;
@@ -307,6 +338,7 @@
   report.in_host_memory = ReadTextList<ModelName>(from.getInHostMemory());
   if (from.hasWork()) {
     to.work = Read(from.getWork());
+    to.read_prefixes = Read(from.getWork().getReadPrefixes());
   }
   return to;
 }
@@ -361,11 +393,14 @@
   to.setNumber(from.request_id);
   to.setUpstream(from.upstream.value().c_str());
   to.setCall(from.call.value().c_str());
+  to.setOrganisation(from.organisation.value().c_str());
   to.setPromptTokens(from.prompt_tokens);
   to.setUnreadTokens(from.unread_tokens);
   to.setOutputTokens(from.output_tokens);
   to.setPriority(static_cast<std::uint8_t>(std::clamp(from.priority, 0, 255)));
+  to.setTargetWaitMs(ToMs(from.target_wait));
   to.setMaxWaitMs(ToMs(from.max_wait));
+  Write(to.initPrompt(static_cast<unsigned>(from.prompt.size())), from.prompt);
 }
 
 RoomRequest Read(status::RoomRequest::Reader from) {
@@ -377,7 +412,10 @@
   to.unread_tokens = from.getUnreadTokens();
   to.output_tokens = from.getOutputTokens();
   to.priority = from.getPriority();
+  to.organisation = OrganisationId(ToString(from.getOrganisation()));
+  to.target_wait = std::chrono::milliseconds(from.getTargetWaitMs());
   to.max_wait = std::chrono::milliseconds(from.getMaxWaitMs());
+  to.prompt = Read(from.getPrompt());
   return to;
 }
 
@@ -385,20 +423,23 @@
   to.setNumber(from.request_id);
   to.setGranted(from.granted);
   to.setWaitMs(ToFloatMs(from.wait));
+  to.setQueued(from.queued);
 }
 
 RoomReply Read(status::RoomReply::Reader from) {
-  return {from.getNumber(), from.getGranted(), FromFloatMs(from.getWaitMs())};
+  return {from.getNumber(), from.getGranted(), FromFloatMs(from.getWaitMs()),
+          from.getQueued()};
 }
 
 void Write(status::RoomRelease::Builder to, const RoomRelease& from) {
   to.setUpstream(from.upstream.value().c_str());
   to.setCall(from.call.value().c_str());
+  to.setBegun(from.begun);
 }
 
 RoomRelease Read(status::RoomRelease::Reader from) {
   return {UpstreamId(ToString(from.getUpstream())),
-          RequestId(ToString(from.getCall()))};
+          RequestId(ToString(from.getCall())), from.getBegun()};
 }
 
 void Write(status::DutyNotice::Builder to, const DutyNotice& from) {
--- a/packages/peers/status.capnp
+++ b/packages/peers/status.capnp
@@ -18,6 +18,9 @@
   model @1 :Text;
   requestsPerSecond @2 :Float32;
   promptTokensPerSecond @3 :Float32;
+  # Rate at which engines read prompts of the model, in tokens per millisecond;
+  # 0 if the sender does not know it.
+  readingRate @4 :Float32;
 }
 
 # A call with these parts had begun and sent no event when its upstream broke.
@@ -93,6 +96,10 @@
   unreadTokens @2 :Float32;       # prompt tokens accepted and not read yet
   streams @3 :UInt16;             # runs that have sent an event
   slowness @4 :Float32;           # against the engine's own best; 1: as fast
+  # Shared parts of prompts that were announced a moment ago, with their tokens.
+  readPrefixes @5 :List(PromptPrefix);
+  memoryTokens @6 :Float32;       # KV cache, in tokens; 0: not known
+  waitingTokens @7 :Float32;      # prompt tokens that wait for room
 }
 
 # Sent by each agent to each entry from which it receives targets.
@@ -156,18 +163,29 @@
   priority @5 :UInt8;        # 0 is the most urgent
   maxWaitMs @6 :UInt32;      # 0: only announces the call, which is sent at once
   outputTokens @7 :UInt32;   # estimate
+  organisation @8 :Text;
+  targetWaitMs @9 :UInt32;   # time left until the call's first event is late
+  prompt @10 :List(PromptPrefix);  # in order
+}
+
+# The leading parts of a prompt, up to and including one of them.
+struct PromptPrefix {
+  hash @0 :UInt64;
+  tokens @1 :UInt32;         # of its last part
 }
 
 struct RoomReply {
   number @0 :UInt64;
   granted @1 :Bool;
   waitMs @2 :Float32;        # time until room is expected, if not granted
+  queued @3 :Bool;           # another reply follows
 }
 
 # The call does not use its room, or not any longer.
 struct RoomRelease {
   upstream @0 :Text;
   call @1 :Text;
+  begun @2 :Bool;            # the call has sent its first event
 }
 
 # Sent by the entry that holds the duties to the other entries.
--- a/packages/scheduling/include/bambooquay/scheduling/work_prediction.h
+++ b/packages/scheduling/include/bambooquay/scheduling/work_prediction.h
@@ -1,7 +1,9 @@
 // Predicts how long an engine takes for a call, from the work that it has.
 #pragma once
 
+#include <cstdint>
 #include <optional>
+#include <string_view>
 
 #include "bambooquay/core/clock.h"
 #include "bambooquay/core/engine_work.h"
@@ -19,6 +21,8 @@
 struct PredictedTimes {
   Duration first_event{};
   Duration end{};
+  /// The longest time between two events of a stream on the engine.
+  Duration longest_pause{};
   /// How long reading the call's prompt delays the next event of each stream
   /// on the engine.
   Duration pause_of_streams{};
@@ -30,4 +34,16 @@
 [[nodiscard]] std::optional<PredictedTimes> PredictTimes(
     const EngineWork& engine, const CallWork& call) noexcept;
 
+/// How far a prediction was off.
+enum class PredictionError : std::uint8_t {
+  kWithinQuarter,  ///< By at most a quarter of what was measured.
+  kWithinDouble,   ///< Between half and twice of what was measured.
+  kBeyond,
+};
+
+[[nodiscard]] PredictionError JudgePrediction(Duration predicted,
+                                              Duration measured) noexcept;
+/// @returns the error as the value of a label.
+[[nodiscard]] std::string_view ToString(PredictionError error) noexcept;
+
 }  // namespace bambooquay
--- a/packages/serving/include/bambooquay/serving/forwarded_call.h
+++ b/packages/serving/include/bambooquay/serving/forwarded_call.h
@@ -11,11 +11,14 @@
 #include <variant>
 
 #include "bambooquay/core/random.h"
+#include "bambooquay/peers/status_messages.h"
 #include "bambooquay/runtime/buffer_budget.h"
 #include "bambooquay/runtime/event_loop.h"
 #include "bambooquay/runtime/http_client.h"
 #include "bambooquay/runtime/http_server.h"
 #include "bambooquay/runtime/metrics.h"
+#include "bambooquay/scheduling/call_lengths.h"
+#include "bambooquay/scheduling/room_search.h"
 #include "bambooquay/serving/call_codec.h"
 #include "bambooquay/serving/event_stream.h"
 #include "bambooquay/serving/fleet_allowance.h"
@@ -39,6 +42,18 @@
   RouteTable routes;
 };
 
+/// What has become of a request for room on an engine.
+struct RoomOutcome {
+  enum class Kind : std::uint8_t {
+    kGranted,
+    kDenied,
+    kUnanswered,  ///< The agent is lost, frozen or slow, or a message was lost.
+  };
+  Kind kind = Kind::kUnanswered;
+  /// Time until room is expected, if denied; until the first event if granted.
+  Duration wait{};
+};
+
 /// Requests that calls send to the agents beside engines.
 class AgentClient {
  public:
@@ -61,6 +76,15 @@
   virtual void RequestPermit(const UpstreamId& upstream,
                              const PermitBounds& bounds,
                              std::function<void(bool, Duration)> done) = 0;
+  /// Asks the agent beside an engine for room for one call, or only announces
+  /// the call if it can't wait.
+  /// @param request  its number is set by this object.
+  /// @param done  gets the outcome, unless the room is released before.
+  virtual void RequestRoom(const RoomRequest& request,
+                           std::function<void(const RoomOutcome&)> done) = 0;
+  /// Gives back the room of a call that has sent its first event, has ended or
+  /// does not wait any longer.
+  virtual void ReleaseRoom(const RoomRelease& release) = 0;
 };
 
 /// Counts requests and prompt tokens for the planning of placement.
@@ -73,6 +97,10 @@
 
   virtual void Count(const ServiceName& service, const ModelName& model,
                      double prompt_tokens) = 0;
+  /// Records that an engine has sent a call's first event after `time`.
+  /// @param unread_tokens  prompt tokens that the engine had not kept.
+  virtual void RecordReading(const ServiceName& service, const ModelName& model,
+                             double unread_tokens, Duration time) = 0;
 };
 
 /// Counts the requests that upstreams began to run, for their organisations'
@@ -105,6 +133,9 @@
   /// For the bytes of responses that are not sent to their callers yet.
   BufferBudget& response_buffers;
   std::function<RetryBudget&(const ServiceName&)> retry_budget_for;
+  CallLengths call_lengths;
+  /// Whether agents estimate the work of their engines.
+  bool predicted_work = false;
   RunSink* runs = nullptr;  ///< Null if runs are not counted.
 };
 
@@ -165,7 +196,26 @@
   void LoadAdapter();
   /// Asks for a permit for an upstream and tries again with the reply.
   void RequestPermit(const UpstreamId& upstream);
+  /// Asks for room on an engine and sends the call when it is granted; sends it
+  /// at once to an upstream that gives out none.
+  void SendWithRoom(const UpstreamId& upstream);
+  void HandleRoom(const UpstreamId& upstream, const RoomOutcome& outcome);
+  /// Looks for room on another engine, or waits for the engine at which room is
+  /// expected first, or ends the call if that is too late.
+  void HandleRoomDenied(const UpstreamId& upstream, Duration wait);
+  [[nodiscard]] RoomRequest MakeRoomRequest(const UpstreamId& upstream) const;
+  /// Tells the agent of an engine of a call that is sent without asking.
+  void AnnounceAttempt(const UpstreamId& upstream);
+  /// @param begun  whether the call has sent its first event.
+  void ReleaseRoom(bool begun);
+  /// Ends a call that no upstream can take in time.
+  void RefuseUnserved(std::string_view reason, Duration retry_after);
   void StartAttempt(const UpstreamId& upstream);
+  /// @returns the time to the first event of an attempt that is sent now.
+  [[nodiscard]] std::optional<Duration> PredictFirstEvent(
+      std::optional<EngineWork> work, const Upstream& upstream) const;
+  /// Compares the predicted time of the first event with the measured one.
+  void RecordPrediction();
   void HandleNoUpstream(PickFailure failure);
   /// Records what a response of the present upstream says about the calls that
   /// it takes.
@@ -216,6 +266,8 @@
   void RecordEventTime();
   /// Counts this request as begun, once.
   void CountRun();
+  /// Records what the first event of an attempt says about its upstream.
+  void RecordFirstEvent();
   /// Logs the outcome and updates the metrics.
   void RecordOutcome(std::string_view outcome, std::string_view reason);
   void Finish(std::string_view outcome, std::string_view reason);
@@ -233,6 +285,8 @@
                                   const std::optional<UpstreamId>& left);
   /// Sets m_query, the call's requirements on an upstream.
   void BuildQuery();
+  /// Sets what the caller still expects in m_query.
+  void UpdateNeeds();
 
   ServingContext& m_context;
   std::shared_ptr<const ActiveConfiguration> m_active_configuration;
@@ -257,6 +311,12 @@
   /// Whether the call finds out if its prompt still crashes engines.
   bool m_is_trial = false;
 
+  RoomSearch m_room_search;
+  /// The engine that the call has room on, or waits for.
+  std::optional<UpstreamId> m_room_upstream;
+  TimePoint m_room_asked_at{};
+  /// How long the call has waited for room.
+  Duration m_room_wait{};
   std::optional<UpstreamId> m_upstream;
   std::unique_ptr<HttpCall> m_attempt;
   int m_status = 0;
@@ -280,8 +340,18 @@
   Duration m_longest_pause{};
   /// When the current attempt was sent, or sent its last event.
   TimePoint m_progress_at{};
+  /// When the current attempt was sent.
+  TimePoint m_attempt_sent_at{};
+  /// Prompt tokens that the upstream of the current attempt had not kept.
+  double m_unread_tokens = 0.0;
   /// When the current attempt began to respond, if it has.
   std::optional<TimePoint> m_attempt_begun_at;
+  /// What the agent expects for the call that it has given room.
+  std::optional<Duration> m_room_first_event;
+  /// From that time to the attempt's first event, if it is predicted.
+  std::optional<Duration> m_predicted_first_event;
+  /// From that time to the attempt's first event, once it has come.
+  std::optional<Duration> m_attempt_first_event;
   /// Events that the current attempt has sent.
   int m_attempt_events = 0;
   /// What keeps the current attempt at its silent upstream, if it was logged.
--- a/packages/serving/include/bambooquay/serving/serving_settings.h
+++ b/packages/serving/include/bambooquay/serving/serving_settings.h
@@ -48,6 +48,9 @@
   Endpoint admin;  ///< Health, readiness and metrics.
   Endpoint store;
   LogSettings log;
+  /// Whether calls are scheduled by the predicted work of engines, which the
+  /// agents estimate for this.
+  bool predicted_work = false;
   /// Upper limit on the duration of a planned stop.
   Duration drain_limit = std::chrono::seconds(8);
 
--- a/packages/serving/include/bambooquay/serving/upstream_set.h
+++ b/packages/serving/include/bambooquay/serving/upstream_set.h
@@ -12,8 +12,12 @@
 #include <vector>
 
 #include "bambooquay/core/clock.h"
+#include "bambooquay/core/engine_work.h"
 #include "bambooquay/core/ids.h"
 #include "bambooquay/core/random.h"
+#include "bambooquay/scheduling/data_centre_policy.h"
+#include "bambooquay/scheduling/engine_choice.h"
+#include "bambooquay/scheduling/engine_work_view.h"
 #include "bambooquay/serving/call_codec.h"
 #include "bambooquay/serving/prompt_cache_view.h"
 #include "bambooquay/serving/stall_policy.h"
@@ -41,6 +45,8 @@
   AdapterName adapter;    ///< Empty for the base model.
   PromptPrefixes prompt;  ///< Empty if the service has no prompt cache.
   double prompt_tokens = 0.0;
+  int events = 0;  ///< Expected of the response; 0 if it is not a stream.
+  CallNeeds needs;
   std::size_t body_bytes = 0;
   /// Whether the call can wait until its adapter is loaded on another engine.
   bool may_load_adapter = false;
@@ -112,6 +118,12 @@
 
   std::optional<EngineReport> report;
   TimePoint reported_at{};
+  /// When room on it is expected, by the last denial.
+  TimePoint room_expected_at{};
+  /// Its agent has left a request for room unanswered and gets none before this
+  /// time.
+  TimePoint no_room_requests_until{};
+  EngineWorkView work;
   /// Calls from this entry that have not ended.
   int in_flight = 0;
   /// When this entry last sent a call to it.
@@ -157,6 +169,21 @@
   /// Updates all of the report but the lists of models, which `report` omits.
   /// Ignored if there is no earlier report of the same incarnation.
   void MergeReport(const UpstreamId& id, const EngineReport& report);
+  /// @param work  what the agent estimates; nothing if it does not.
+  /// @param read  parts of prompts that the engine has read for any entry.
+  void SetWork(const UpstreamId& id, const std::optional<EngineWork>& work,
+               const PromptPrefixes& read = {});
+  /// @returns whether calls to it should ask its agent for room first. Calls
+  ///   that need a permit don't.
+  [[nodiscard]] bool GivesOutRoom(const UpstreamId& id) const;
+  /// Records that a request for room was denied, with `wait` as the time until
+  /// room is expected.
+  void RecordRoomDenial(const UpstreamId& id, Duration wait);
+  void RecordRoomUnanswered(const UpstreamId& id);
+  /// @returns whether a call that was chosen for an upstream a while ago may
+  ///   still be sent to it. Charges the call to the upstream's permits.
+  [[nodiscard]] bool TryAdmitLater(const UpstreamId& id,
+                                   const PickQuery& query);
   void SetDataCentreDisabled(const DataCentreId& data_centre, bool disabled);
   /// @param self  id of this entry.
   /// @param entries  all entries that may be serving, this one included.
@@ -224,6 +251,10 @@
   }
   /// @returns whether new calls may be sent to `upstream` at all.
   [[nodiscard]] bool IsUsable(const Upstream& upstream) const;
+  /// @returns whether calls to `upstream` leave the entry's data centre.
+  [[nodiscard]] bool IsElsewhere(const Upstream& upstream) const {
+    return upstream.record.data_centre != m_own_data_centre;
+  }
   /// @returns whether its last report is recent enough to rely on.
   [[nodiscard]] bool HasFreshReport(const Upstream& upstream) const;
   /// @returns the time since its last report, if there is one.
@@ -241,6 +272,13 @@
       const Upstream& upstream) const;
   /// @returns an estimate of the calls at the upstream, from all entries.
   [[nodiscard]] double EstimateLoad(const Upstream& upstream) const;
+  /// @returns what the engine works on now; nothing without a recent estimate.
+  [[nodiscard]] std::optional<EngineWork> WorkOf(
+      const Upstream& upstream) const;
+  /// @returns what the call takes on the engine and costs there, by its agent's
+  ///   estimate; nothing if there is none that is recent.
+  [[nodiscard]] std::optional<PredictedCost> Predict(
+      const Upstream& upstream, const PickQuery& query) const;
 
  private:
   /// Limits what entries send to an upstream without a permit.
@@ -261,6 +299,7 @@
   struct Candidate {
     Upstream* upstream = nullptr;
     double cost = 0.0;  ///< Expected delay in milliseconds.
+    std::optional<PredictedCost> predicted;
   };
   /// An upstream that could load an adapter.
   struct AdapterHost {
@@ -299,8 +338,22 @@
   ///   all entries send to the least loaded engine until its next report, and
   ///   the prompts of such a burst pause all of its streams.
   [[nodiscard]] double EstimateUnreportedLoad(const Upstream& upstream) const;
-  [[nodiscard]] double Cost(const Upstream& upstream,
-                            const PickQuery& query) const;
+  /// Raises the costs of either the candidates in this data centre or those in
+  /// others, so that they are the last choice.
+  void ChooseSide(std::vector<Candidate>& candidates, const PickQuery& query);
+  /// @returns a candidate with its cost.
+  [[nodiscard]] Candidate Weigh(Upstream& upstream,
+                                const PickQuery& query) const;
+  /// @param predicted  what Predict() returns for the query.
+  [[nodiscard]] double Cost(
+      const Upstream& upstream, const PickQuery& query,
+      const std::optional<PredictedCost>& predicted) const;
+  /// @returns the delay by the calls that the engine has, and by the call's own
+  ///   prompt, in milliseconds, from constants instead of a prediction.
+  [[nodiscard]] double UnpredictedDelay(const Upstream& upstream,
+                                        const PickQuery& query) const;
+  /// Sets the usual work of each service's engines.
+  void UpdateUsualWork();
   /// Charges a call to the permits of an upstream that is cold or names a call
   /// limit, or to this entry's share of its rate. Always succeeds for others.
   [[nodiscard]] bool TryAdmit(Upstream& upstream);
@@ -356,6 +409,9 @@
   PickCounts m_last_counts;
   std::unordered_map<ServiceName, double> m_cold_rates;
   std::set<ServiceName> m_engine_services;
+  /// The median of what is known of each service's engines.
+  std::unordered_map<ServiceName, EngineWork> m_usual_work;
+  DataCentrePolicy m_data_centre_policy;
   UpstreamNotices m_notices;
 };
 
--- a/packages/serving/src/forwarded_call.cc
+++ b/packages/serving/src/forwarded_call.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <cstdio>
 #include <utility>
 
@@ -198,16 +199,19 @@
     m_query.adapter = m_call.adapter;
     m_query.may_load_adapter = true;
     m_query.prompt = MakePrefixes(m_call.model, m_call.adapter, m_call.prompt);
+    m_query.events = static_cast<int>(
+        std::lround(m_context.call_lengths.Expected(m_route->name)));
   }
 }
 
 void ForwardedCall::TryUpstream() {
+  UpdateNeeds();
   m_query.may_request_permit = true;
   const auto picked = m_context.upstreams.Pick(m_query);
   m_query.permitted.reset();
   m_query.may_request_permit = false;
   if (const auto* upstream = std::get_if<UpstreamId>(&picked)) {
-    StartAttempt(*upstream);
+    SendWithRoom(*upstream);
   } else if (const auto* needed = std::get_if<PermitNeeded>(&picked)) {
     RequestPermit(needed->upstream);
   } else {
@@ -215,6 +219,16 @@
   }
 }
 
+void ForwardedCall::UpdateNeeds() {
+  m_query.needs = {
+      .first_event = m_first_event.has_value()
+                         ? Duration::zero()
+                         : std::max(m_route->target_latency - Elapsed(),
+                                    Duration(milliseconds(1))),
+      .max_pause = m_route->max_pause,
+      .time_limit = std::max(TimeLeft(), Duration(milliseconds(1)))};
+}
+
 void ForwardedCall::HandleNoUpstream(PickFailure failure) {
   if (failure == PickFailure::kAdapterCrowded) {
     // If the load fails, the call goes to an upstream that has the adapter.
@@ -263,8 +277,14 @@
   constexpr std::array kReasons = {"no_upstream", "model_missing",
                                    "adapter_missing", "adapter_crowded",
                                    "upstreams_full"};
+  RefuseUnserved(kReasons.at(static_cast<std::size_t>(failure)),
+                 RetryDelay(failure));
+}
+
+void ForwardedCall::RefuseUnserved(std::string_view reason,
+                                   Duration retry_after) {
   if (m_relaying) {
-    AbortRelay(kReasons.at(static_cast<std::size_t>(failure)));
+    AbortRelay(reason);
     return;
   }
   if (m_may_have_run) {
@@ -272,8 +292,7 @@
            Duration::zero());
     return;
   }
-  Refuse(ToCode(HttpStatus::kServiceUnavailable),
-         kReasons.at(static_cast<std::size_t>(failure)), RetryDelay(failure));
+  Refuse(ToCode(HttpStatus::kServiceUnavailable), reason, retry_after);
 }
 
 Duration ForwardedCall::RetryDelay(PickFailure failure) {
@@ -337,8 +356,25 @@
       });
 }
 
+std::optional<Duration> ForwardedCall::PredictFirstEvent(
+    std::optional<EngineWork> work, const Upstream& upstream) const {
+  if (!work.has_value()) {
+    return std::nullopt;
+  }
+  // The call has room, so those that wait for it come later.
+  work->waiting_prompt_tokens = 0.0;
+  const double kept = upstream.prompt_cache.CachedTokens(m_query.prompt);
+  const auto times =
+      PredictTimes(*work, {m_query.prompt_tokens - kept, m_query.events});
+  return times.has_value() ? std::optional(times->first_event) : std::nullopt;
+}
+
 void ForwardedCall::StartAttempt(const UpstreamId& id) {
   const Upstream* upstream = m_context.upstreams.Find(id);
+  if (m_room_upstream != id) {
+    AnnounceAttempt(id);
+  }
+  m_room_search.Reset();
   ++m_attempt_count;
   m_query.excluded.insert(id);
   m_query.may_load_adapter = false;
@@ -346,7 +382,17 @@
   m_status = 0;
   m_attempt_begun_at.reset();
   m_attempt_events = 0;
+  m_attempt_first_event.reset();
+  m_attempt_sent_at = m_context.loop.clock().Now();
+  m_unread_tokens = m_call.prompt_tokens -
+                    upstream->prompt_cache.CachedTokens(m_query.prompt);
   m_held_by.reset();
+  UpdateNeeds();
+  const auto work = m_context.upstreams.WorkOf(*upstream);
+  m_predicted_first_event = m_room_first_event.has_value()
+                                ? m_room_first_event
+                                : PredictFirstEvent(work, *upstream);
+  m_room_first_event.reset();
   AttemptMetadata metadata;
   metadata.upstream = id;
   metadata.time_left = TimeLeft();
@@ -366,9 +412,24 @@
       .WithMilliseconds("report_age_ms",
                         m_context.upstreams.ReportAge(*upstream))
       .With("failure_share", upstream->failure_share)
+      .With("elsewhere",
+            m_context.upstreams.IsElsewhere(*upstream) ? "yes" : "no")
       .With("kept_tokens", upstream->prompt_cache.CachedTokens(m_query.prompt))
       .With("prompt_tokens", m_call.prompt_tokens)
+      .WithMilliseconds("predicted_first_ms", m_predicted_first_event)
+      .With("unread_tokens",
+            work.has_value() ? work->unread_prompt_tokens : 0.0)
+      .With("tokens_per_ms",
+            work.has_value() ? work->prompt_tokens_per_ms : 0.0)
+      .With("streams", work.has_value() ? work->streams : 0)
+      .WithMilliseconds(
+          "event_interval_ms",
+          work.has_value() ? std::optional(work->event_interval) : std::nullopt)
       .With("time_left_ms", TimeLeft() / milliseconds(1));
+  if (m_context.upstreams.IsElsewhere(*upstream)) {
+    m_context.metrics.Increment("calls_left_data_centre_total{service=\"" +
+                                m_service->name.value() + "\"}");
+  }
   const HttpRequest request = m_context.codec.EncodeAttempt(m_call, metadata);
   m_context.upstreams.RecordAttemptStart(id, m_query);
   m_attempt = m_context.client.Start(
@@ -461,12 +522,15 @@
             m_organisation == nullptr ? "" : m_organisation->name.value())
       .With("model", AdapterKey(m_call.model, m_call.adapter))
       .With("attempts", m_attempt_count)
+      .With("waited_ms", m_room_wait / milliseconds(1))
       .With("held_by", m_held_by.has_value() ? ToString(*m_held_by) : "")
       .With("configuration",
             m_active_configuration == nullptr
                 ? 0
                 : m_active_configuration->configuration.version)
       .WithMilliseconds("first_event_ms", m_first_event)
+      .WithMilliseconds("predicted_ms", m_predicted_first_event)
+      .WithMilliseconds("measured_ms", m_attempt_first_event)
       .With("longest_pause_ms", m_longest_pause / milliseconds(1))
       .With("elapsed_ms", Elapsed() / milliseconds(1));
 }
@@ -476,6 +540,7 @@
   m_limit_timer = nullptr;
   m_stall_timer = nullptr;
   m_wait_timer = nullptr;
+  ReleaseRoom(false);
   RecordOutcome(outcome, reason);
   if (m_may_have_run && !m_has_begun && m_context.runs != nullptr) {
     m_context.runs->CountUnknownRun();
--- a/packages/serving/src/forwarded_response.cc
+++ b/packages/serving/src/forwarded_response.cc
@@ -200,8 +200,8 @@
     const std::string events = m_events.Append(bytes);
     if (!events.empty()) {
       CountRun();
-      if (m_attempt_events++ == 0 && m_attempt_begun_at.has_value()) {
-        m_context.quarantine.RecordSurvival(m_call.prompt, *m_attempt_begun_at);
+      if (m_attempt_events++ == 0) {
+        RecordFirstEvent();
       }
       RecordEventTime();
       RelayBody(events);
@@ -244,6 +244,17 @@
   m_context.runs->CountRun(m_organisation->name);
 }
 
+void ForwardedCall::RecordFirstEvent() {
+  if (m_attempt_begun_at.has_value()) {
+    m_context.quarantine.RecordSurvival(m_call.prompt, *m_attempt_begun_at);
+  }
+  m_context.demand.RecordReading(
+      m_service->name, m_query.model, m_unread_tokens,
+      m_context.loop.clock().Now() - m_attempt_sent_at);
+  ReleaseRoom(true);
+  RecordPrediction();
+}
+
 void ForwardedCall::RecordEventTime() {
   const Duration now = Elapsed();
   if (m_first_event.has_value()) {
@@ -254,6 +265,18 @@
   m_last_event = now;
 }
 
+void ForwardedCall::RecordPrediction() {
+  m_attempt_first_event = m_context.loop.clock().Now() - m_attempt_sent_at;
+  if (!m_predicted_first_event.has_value()) {
+    return;
+  }
+  m_context.metrics.Increment(
+      "first_event_predictions_total{error=\"" +
+      std::string(ToString(
+          JudgePrediction(*m_predicted_first_event, *m_attempt_first_event))) +
+      "\"}");
+}
+
 void ForwardedCall::RelayBody(std::string_view bytes) {
   m_unsent_response_bytes += bytes.size();
   m_exchange->SendPart(bytes, [this] {
@@ -322,6 +345,9 @@
   } else {
     m_exchange->EndStream();
   }
+  if (m_event_stream && !failed) {
+    m_context.call_lengths.Record(m_route->name, m_attempt_events);
+  }
   Finish(failed ? "upstream_error" : "served", std::to_string(m_status));
 }
 
@@ -356,6 +382,7 @@
 }
 
 void ForwardedCall::EndAttempt(AttemptResult result) {
+  ReleaseRoom(false);
   m_stall_timer = nullptr;
   m_attempt = nullptr;
   if (m_upstream.has_value()) {
--- a/packages/serving/src/serving_agent.cc
+++ b/packages/serving/src/serving_agent.cc
@@ -19,6 +19,9 @@
 // engine runs on the same machine. A shorter period would gain little, because
 // the report lags behind by a few hundred milliseconds.
 constexpr Duration kPollPeriod = milliseconds(200);
+// The same where entries choose by the engine's work, which changes with each
+// prompt.
+constexpr Duration kWorkPollPeriod = milliseconds(100);
 // Pause between two reads of the configuration. Model sizes and limits change
 // rarely, and a target with an unknown model ends the pause early.
 constexpr Duration kConfigurationPollPause = std::chrono::seconds(24);
@@ -46,6 +49,12 @@
           [this](const TableRow& row) { HandleOperatorRow(row); }),
       m_load_limiter(deps.loop, deps.table),
       m_permits(deps.loop.clock()),
+      m_work(deps.loop.clock()),
+      m_rooms(deps.loop, deps.metrics, m_work,
+              [this](const Endpoint& entry, const RoomReply& reply) {
+                m_socket.Send(
+                    entry, EncodeStatus({m_settings.id, m_incarnation, reply}));
+              }),
       m_subscribers(deps.loop.clock()),
       m_order_count(deps.loop.clock()) {}
 
@@ -56,7 +65,9 @@
   RegisterGauges();
   m_operator_rows.Start();
   AcquireFencingToken();
-  m_poll_timer = m_deps.loop.Every(kPollPeriod, [this] { Poll(); });
+  m_poll_timer = m_deps.loop.Every(
+      m_settings.predicted_work ? kWorkPollPeriod : kPollPeriod,
+      [this] { Poll(); });
   Poll();
   return true;
 }
@@ -74,6 +85,14 @@
   metrics.RegisterGauge("engine_waiting", [this] {
     return m_report.has_value() ? static_cast<double>(m_report->waiting) : 0.0;
   });
+  metrics.RegisterGauge("engine_prompt_tokens_per_second", [this] {
+    return m_work.Current().prompt_tokens_per_ms * 1000.0;
+  });
+  metrics.RegisterGauge("engine_unread_prompt_tokens", [this] {
+    return m_work.Current().unread_prompt_tokens;
+  });
+  metrics.RegisterGauge("engine_slowness",
+                        [this] { return m_work.Current().slowness; });
   metrics.RegisterGauge("orders_refused_in_row", [this] {
     return static_cast<double>(m_consecutive_refused_orders);
   });
@@ -115,6 +134,14 @@
     HandleAdapterRequest(sender_address, *request);
   } else if (const auto* permit = std::get_if<PermitRequest>(&message->body)) {
     HandlePermitRequest(sender_address, *permit);
+  } else if (!m_settings.predicted_work) {
+    return;
+  } else if (const auto* room = std::get_if<RoomRequest>(&message->body)) {
+    if (room->upstream == m_upstream) {
+      m_rooms.HandleRequest(sender_address, *room);
+    }
+  } else if (const auto* release = std::get_if<RoomRelease>(&message->body)) {
+    m_rooms.HandleRelease(*release);
   }
 }
 
@@ -160,6 +187,27 @@
                 EncodeStatus({m_settings.id, m_incarnation, reply}));
 }
 
+RoomBounds ServingAgent::FindRoomBounds() const {
+  RoomBounds bounds;
+  if (!m_configuration.has_value()) {
+    return bounds;
+  }
+  for (const ServingRoute& route : m_configuration->routes) {
+    const bool is_served_here =
+        std::ranges::find(route.services, m_settings.service,
+                          &ServiceShare::service) != route.services.end();
+    if (is_served_here && route.max_pause > Duration::zero()) {
+      bounds.max_pause = bounds.max_pause == Duration::zero()
+                             ? route.max_pause
+                             : std::min(bounds.max_pause, route.max_pause);
+    }
+  }
+  if (const EngineProfile* profile = FindProfile()) {
+    bounds.places = static_cast<std::size_t>(std::max(0, profile->slots));
+  }
+  return bounds;
+}
+
 void ServingAgent::HandleOperatorRow(const TableRow& row) {
   const OperatorRow kind = m_deps.document_codec.ClassifyOperatorRow(row.key);
   if (!std::holds_alternative<ConfigurationRow>(kind) || row.deleted) {
@@ -205,6 +253,7 @@
       HandleReport(*report);
       return;
     }
+    m_rooms.RecordMissedReport();
     if (++m_consecutive_missed_reports == kLostAfterMissedReports) {
       LogEvent(LogLevel::kWarning, "engine_lost")
           .With("upstream", m_upstream.value());
@@ -234,6 +283,10 @@
     m_report = report;
   }
   m_report_received_at = m_deps.loop.clock().Now();
+  if (m_settings.predicted_work) {
+    m_work.RecordReport(report);
+    m_rooms.RecordReport(report, FindRoomBounds(), restarted);
+  }
   Broadcast();
   Reconcile();
 }
@@ -256,9 +309,13 @@
       !m_subscribers.MarkListsSentIfDue(subscriber, m_lists_version);
   std::string& bytes = omit_lists ? encoded.without_lists : encoded.with_lists;
   if (bytes.empty()) {
-    bytes = EncodeStatus({m_settings.id, m_incarnation,
-                          EngineStatus{m_upstream, *m_report, m_lists_version,
-                                       omit_lists, std::nullopt}});
+    EngineStatus status{m_upstream, *m_report,    m_lists_version,
+                        omit_lists, std::nullopt, {}};
+    if (m_settings.predicted_work) {
+      status.work = m_rooms.TotalWork();
+      status.read_prefixes = m_rooms.TakeReadPrefixes();
+    }
+    bytes = EncodeStatus({m_settings.id, m_incarnation, std::move(status)});
   }
   m_socket.Send(subscriber.address, bytes);
 }
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -125,7 +125,9 @@
                 m_response_buffers,
                 [this](const ServiceName& service) -> RetryBudget& {
                   return RetryBudgetFor(service);
-                }},
+                },
+                {},
+                settings.predicted_work},
       m_peer_table(deps.loop, [this] { return m_peers.NextLivePeer(); }),
       m_reader_table(deps.loop, [this] { return TableReader(); }),
       m_shared_table(deps.loop.clock(), deps.table, m_reader_table,
@@ -177,6 +179,7 @@
     m_deps.metrics.Increment("caller_limits_exceeded_total{limit=\"" +
                              std::string(limit) + "\"}");
   });
+  m_demand.SetMeasuresReading(settings.predicted_work);
   m_upstream_rows.SetExpiryGrace(m_expiry_grace);
   m_peers.SetStatusSource([this] { return MakeStatus(); });
   // A new peer needs all totals, so all are sent again.
@@ -210,6 +213,10 @@
     } else {
       m_upstreams.SetReport(status.upstream, status.report);
     }
+    if (m_settings.predicted_work) {
+      m_upstreams.SetWork(status.upstream, status.work,
+                          ToPrefixes(status.read_prefixes));
+    }
   });
 }
 
--- a/packages/serving/src/serving_settings.cc
+++ b/packages/serving/src/serving_settings.cc
@@ -25,6 +25,7 @@
 constexpr double kMaxMemoryMb = 1e6;
 constexpr std::int64_t kMinDescriptors = 64;
 constexpr std::int64_t kMaxDescriptors = 1'000'000;
+constexpr std::int64_t kMaxDataCentres = 1000;
 
 /// Reads the sections of a settings file into ServingSettings.
 class ServingSettingsReader {
@@ -53,6 +54,8 @@
       ReadListen(reader);
     } else if (name == "store") {
       m_settings.store = ReadEndpoint(reader, "address");
+    } else if (name == "scheduling") {
+      ReadScheduling(reader);
     } else if (name == "retries" && m_role == ServingRole::kEntry) {
       ReadRetries(reader);
     } else if (name == "duties" && m_role == ServingRole::kEntry) {
@@ -138,6 +141,17 @@
                            limits.descriptors, std::size_t{kMaxDescriptors}))));
   }
 
+  // A deployment that does not say how many data centres it may lose keeps its
+  // scheduling, as does one that may lose any.
+  void ReadScheduling(IniSectionReader& reader) {
+    const bool says_losses =
+        !reader.Text("tolerated_datacentre_losses", "").empty();
+    const bool bears_loss =
+        !says_losses || reader.Integer("tolerated_datacentre_losses", 0,
+                                       kMaxDataCentres, 0) > 0;
+    m_settings.predicted_work = reader.Flag("predicted_work", !bears_loss);
+  }
+
   void ReadEngine(IniSectionReader& reader) {
     m_settings.engine = ReadEndpoint(reader, "address");
     m_settings.service = ServiceName(reader.Text("service"));
--- a/packages/serving/src/upstream_set.cc
+++ b/packages/serving/src/upstream_set.cc
@@ -38,6 +38,7 @@
       m_random(random),
       m_own_data_centre(std::move(own_data_centre)),
       m_is_connected(std::move(is_connected)),
+      m_data_centre_policy(clock, random),
       m_notices(clock) {}
 
 void UpstreamSet::Put(const UpstreamRecord& record) {
@@ -101,6 +102,7 @@
   std::erase_if(m_upstreams, [](const auto& item) {
     return !item.second.listed && item.second.in_flight == 0;
   });
+  UpdateUsualWork();
   m_notices.RemoveExpired([this](const UpstreamRun& run) {
     const Upstream* upstream = Find(run.id);
     return upstream != nullptr && RunOf(*upstream) == run;
@@ -140,6 +142,35 @@
   upstream.sent_since_report = 0;
 }
 
+void UpstreamSet::SetWork(const UpstreamId& id,
+                          const std::optional<EngineWork>& work,
+                          const PromptPrefixes& read) {
+  const auto found = m_upstreams.find(id);
+  if (found != m_upstreams.end() && work.has_value()) {
+    found->second.work.Record(*work, m_clock.Now());
+    found->second.prompt_cache.SetMemory(work->memory_tokens);
+    found->second.prompt_cache.RecordPrompt(read);
+  }
+}
+
+void UpstreamSet::UpdateUsualWork() {
+  std::unordered_map<ServiceName, std::vector<EngineWork>> known;
+  std::ranges::for_each(m_upstreams, [&](const auto& item) {
+    const auto& work = item.second.work.last();
+    if (work.has_value() && work->prompt_tokens_per_ms > 0.0) {
+      known[item.second.record.service].push_back(*work);
+    }
+  });
+  std::ranges::for_each(known, [this](auto& item) {
+    auto& [service, works] = item;
+    const auto median =
+        works.begin() + static_cast<std::ptrdiff_t>(works.size() / 2);
+    std::ranges::nth_element(works, median, {},
+                             &EngineWork::prompt_tokens_per_ms);
+    m_usual_work[service] = *median;
+  });
+}
+
 void UpstreamSet::SetDataCentreDisabled(const DataCentreId& data_centre,
                                         bool disabled) {
   if (disabled) {
@@ -259,6 +290,8 @@
   }
   ++upstream.sent_since_report;
   upstream.last_attempt_at = now;
+  upstream.work.RecordSent(query.prompt_tokens -
+                           upstream.prompt_cache.CachedTokens(query.prompt));
   upstream.prompt_cache.RecordPrompt(query.prompt);
 }
 
