A window in which all entries started again is said to be incomplete

Ruled out: counts kept in the store: the last second before a kill would lack still, more than the tolerance. Change: usage_incomplete with all_restarted=yes, and the metric. Figures: duties_tests, hosting_tests pass.

--- a/packages/duties/include/bambooquay/duties/usage_collector.h
+++ b/packages/duties/include/bambooquay/duties/usage_collector.h
@@ -28,6 +28,9 @@
   /// Entries whose run ended without final counts: what they counted after
   /// their last message is lost.
   std::vector<InstanceId> lost;
+  /// Whether all entries started after the window had begun: what ran before
+  /// may have ended with counts.
+  bool lacks_begin = false;
   /// Whether any entry has sent counts of the window.
   bool is_known = false;
 };
--- a/packages/duties/src/usage_collector.cc
+++ b/packages/duties/src/usage_collector.cc
@@ -33,6 +33,11 @@
   const auto& runs = found == m_windows.end() ? kNone : found->second;
   CollectedUsage usage;
   usage.is_known = !runs.empty();
+  usage.lacks_begin =
+      !sources.empty() &&
+      std::ranges::all_of(sources, [&](const UsageSource& source) {
+        return source.started_at > BeginOf(window, m_window_length);
+      });
   for (const auto& [run, sent] : runs) {
     for (const auto& [organisation, count] : sent.counts) {
       usage.counts[organisation] += count;
--- a/packages/duties/src/usage_reporter.cc
+++ b/packages/duties/src/usage_reporter.cc
@@ -229,7 +229,9 @@
         .With("window", ToNumber(window));
     return;
   }
-  if (usage.missing.empty() && usage.lost.empty()) {
+  // Before the first report there were no entries.
+  const bool is_cut = usage.lacks_begin && m_settled->reports.size() > 1;
+  if (usage.missing.empty() && usage.lost.empty() && !is_cut) {
     return;
   }
   CountWindow("incomplete");
@@ -237,6 +239,7 @@
       .With("window", ToNumber(window))
       .With("missing", JoinIds(usage.missing))
       .With("lost", JoinIds(usage.lost))
+      .With("all_restarted", is_cut ? "yes" : "no")
       .With("runs", TotalOf(usage.counts));
 }
 
--- a/packages/duties/tests/usage_reporter_test.cc
+++ b/packages/duties/tests/usage_reporter_test.cc
@@ -239,6 +239,21 @@
   BOOST_TEST(fleet.Windows(0, "incomplete") == 1.0);
 }
 
+// All entries were killed in the second window and have started again: nobody
+// knows of the runs before.
+BOOST_AUTO_TEST_CASE(a_restart_of_all_entries_in_a_window_is_said) {
+  HolderFleet fleet;
+  fleet.RunUntil(fleet.first_window, seconds(2));
+  BOOST_TEST(fleet.Windows(0, "incomplete") == 0.0);
+  const UsageWindow window = Next(fleet.first_window);
+  fleet.sources.push_back(
+      {InstanceId("a"), 1, fleet.wall_clock.Now(), EndOf(window, kLength)});
+  fleet.SendFinal(0, "a", window, 3);
+  fleet.RunUntil(window, seconds(2));
+  BOOST_TEST(fleet.Accepted(window).has_value());
+  BOOST_TEST(fleet.Windows(0, "incomplete") == 1.0);
+}
+
 BOOST_AUTO_TEST_CASE(counts_that_come_late_change_no_report) {
   HolderFleet fleet;
   fleet.RunUntil(fleet.first_window, seconds(1));
