--- a/packages/runtime/src/http_server_connection.cc
+++ b/packages/runtime/src/http_server_connection.cc
@@ -45,9 +45,8 @@
                                            std::string address)
     : BudgetedConnection(server.m_budget, std::move(address)),
       m_server(server),
-      m_stream(bufferevent_socket_new(
-          server.m_loop.base(), socket,
-          BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS)),
+      m_stream(bufferevent_socket_new(server.m_loop.base(), socket,
+                                      BEV_OPT_DEFER_CALLBACKS)),
       m_headers(server.m_limits.max_header_bytes),
       m_state_since(server.m_loop.clock().Now()),
       m_last_activity(m_state_since) {
@@ -67,6 +66,11 @@
     m_exchange->m_connection = nullptr;
     m_exchange->m_on_written = nullptr;
   }
+  // Closed here, as bufferevent_free() does it only after the current callback,
+  // in which many other connections may be accepted.
+  const evutil_socket_t socket = bufferevent_getfd(m_stream);
+  bufferevent_setfd(m_stream, -1);
+  evutil_closesocket(socket);
   bufferevent_free(m_stream);
 }
 
