A call in time at home leaves by what crossing takes only

Cause: a gain of 15 % of the objective before a call leaves keeps calls at engines with queues. Change: that part is taken out.

--- a/packages/scheduling/src/data_centre_policy.cc
+++ b/packages/scheduling/src/data_centre_policy.cc
@@ -13,9 +13,7 @@
 // A gain is worth crossing from this multiple of what crossing takes, if the
 // call would be in time at home as well.
 constexpr double kGainFactor = 8.0;
-// It is also at least this share of the objective, which callers would notice.
-constexpr double kNoticeableShare = 0.15;
-// The same as the first if it would be late at home.
+// The same if it would be late at home.
 constexpr double kLateGainFactor = 2.0;
 // Time constants with which the share follows the surplus.
 constexpr Duration kRiseTime = std::chrono::milliseconds(300);
@@ -65,9 +63,7 @@
   const double gain_ms = home.cost_ms - away.cost_ms;
   const double crossing_ms = ToSeconds(call.crossing_time) * 1000.0;
   if (home_strain <= 1.0) {
-    return gain_ms > std::max(kGainFactor * crossing_ms,
-                              kNoticeableShare * 1000.0 *
-                                  ToSeconds(call.target_first_event));
+    return gain_ms > kGainFactor * crossing_ms;
   }
   if (gain_ms <= kLateGainFactor * crossing_ms ||
       Strain(call, away) >= home_strain) {
--- a/packages/serving/src/upstream_choice.cc
+++ b/packages/serving/src/upstream_choice.cc
@@ -252,15 +252,16 @@
   const auto is_home = [this](const Candidate& candidate) {
     return !IsElsewhere(*candidate.upstream);
   };
-  const auto away = std::ranges::partition(candidates, is_home);
-  const auto home_end = away.begin();
-  if (home_end == candidates.begin() || home_end == candidates.end()) {
+  const auto away =
+      std::partition(candidates.begin(), candidates.end(), is_home);
+  if (away == candidates.begin() || away == candidates.end()) {
     return;
   }
-  const auto home = std::min_element(
-      candidates.begin(), home_end,
-      [](const auto& a, const auto& b) { return a.cost < b.cost; });
-  const auto best_away = std::ranges::min_element(away, {}, &Candidate::cost);
+  const auto costs_less = [](const Candidate& a, const Candidate& b) {
+    return a.cost < b.cost;
+  };
+  const auto home = std::min_element(candidates.begin(), away, costs_less);
+  const auto best_away = std::min_element(away, candidates.end(), costs_less);
   if (!home->predicted.has_value() || !best_away->predicted.has_value()) {
     return;
   }
