--- a/packages/serving/tests/duty_settings_test.cc
+++ b/packages/serving/tests/duty_settings_test.cc
@@ -1,10 +1,10 @@
 // Tests of the settings of duties.
-#include "bambooquay/serving/serving_settings.h"
-
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <string>
 
+#include "bambooquay/serving/serving_settings.h"
+
 namespace bambooquay {
 namespace {
 
--- a/packages/serving/tests/limit_settings_test.cc
+++ b/packages/serving/tests/limit_settings_test.cc
@@ -1,11 +1,11 @@
 // Tests of the settings of process limits.
-#include "bambooquay/serving/serving_settings.h"
-
 #include <boost/test/unit_test.hpp>
 #include <string>
 #include <variant>
 #include <vector>
 
+#include "bambooquay/serving/serving_settings.h"
+
 namespace bambooquay {
 namespace {
 
--- a/packages/serving/tests/scheduling_settings_test.cc
+++ b/packages/serving/tests/scheduling_settings_test.cc
@@ -1,9 +1,9 @@
 // Tests of the settings of scheduling.
-#include "bambooquay/serving/serving_settings.h"
-
 #include <boost/test/unit_test.hpp>
 #include <string>
 
+#include "bambooquay/serving/serving_settings.h"
+
 namespace bambooquay {
 namespace {
 
