Entries get reports at the usual pace where agents poll faster

With predicted work agents poll each 100 ms and sent each poll to every entry that uses the engine. Change: 120 ms between two reports with the same lists; an entry that asks for more gets the next one. Serving tests pass.

--- a/packages/serving/src/report_subscribers.cc
+++ b/packages/serving/src/report_subscribers.cc
@@ -1,6 +1,8 @@
 // The entries that an agent sends its engine's reports to.
 #include "bambooquay/serving/report_subscribers.h"
 
+#include <algorithm>
+
 namespace bambooquay {
 namespace {
 
@@ -9,6 +11,9 @@
 constexpr Duration kListsResendPeriod = std::chrono::milliseconds(1000);
 // A subscription that is not renewed for this long is removed.
 constexpr Duration kSubscriptionTimeout = std::chrono::seconds(3);
+// Shortest time between two reports with the same lists. An agent that
+// estimates its engine's work polls more often than entries need reports.
+constexpr Duration kMinReportPeriod = std::chrono::milliseconds(120);
 
 }  // namespace
 
@@ -22,6 +27,10 @@
   }
   subscriber.address = address;
   subscriber.renewed_at = m_clock.Now();
+  if (report_period < subscriber.report_period) {
+    // An entry that has begun to send calls gets the next report.
+    subscriber.report_sent_at = {};
+  }
   subscriber.report_period = report_period;
   return subscriber.lists_version == 0;
 }
@@ -36,7 +45,8 @@
                                             std::uint64_t lists_version) const {
   const TimePoint now = m_clock.Now();
   if (subscriber.lists_version == lists_version &&
-      now - subscriber.report_sent_at < subscriber.report_period) {
+      now - subscriber.report_sent_at <
+          std::max(subscriber.report_period, kMinReportPeriod)) {
     return false;
   }
   subscriber.report_sent_at = now;
--- a/packages/serving/tests/report_subscribers_test.cc
+++ b/packages/serving/tests/report_subscribers_test.cc
@@ -48,6 +48,24 @@
   BOOST_TEST(subscribers.MarkListsSentIfDue(first, 2));
 }
 
+// Load: an agent polls its engine each 100 ms, and each entry of a large fleet
+// would get ten reports a second of every engine that it uses.
+BOOST_AUTO_TEST_CASE(reports_are_sent_at_every_second_fast_poll) {
+  ManualClock clock;
+  ReportSubscribers subscribers(clock);
+  subscribers.Subscribe(kFirstEntry, kFirstAddress);
+  auto& first = subscribers.all()[kFirstEntry];
+  int sent = 0;
+  for (int poll = 0; poll < 10; ++poll) {
+    sent += subscribers.MarkReportSentIfDue(first, 1) ? 1 : 0;
+    static_cast<void>(subscribers.MarkListsSentIfDue(first, 1));
+    clock.Advance(milliseconds(100));
+  }
+  BOOST_TEST(sent == 5);
+  // Lists that have changed are news.
+  BOOST_TEST(subscribers.MarkReportSentIfDue(first, 2));
+}
+
 BOOST_AUTO_TEST_CASE(an_entry_without_renewal_is_removed) {
   ManualClock clock;
   ReportSubscribers subscribers(clock);
