Kept tokens and first events are computed once; demand is copied only with rates

Cause: read-through. StartAttempt looked up an engine's kept tokens three times, a first event took the clock twice, and each plan copied all demand also where no reading rate is known. Change: one look-up, one time, no copy without rates; two comments that named the wrong time or were wrapped wrongly.

--- a/packages/serving/include/bambooquay/serving/engine_rooms.h
+++ b/packages/serving/include/bambooquay/serving/engine_rooms.h
@@ -68,8 +68,7 @@
                                     const PromptPrefixes& prompt) const;
   void Announce(const RoomCall& call, const PromptPrefixes& prompt);
   /// @returns the time to the first event of a call that is sent now; zero if
-  /// it
-  ///   is not known.
+  ///   it is not known.
   [[nodiscard]] Duration ExpectedFirstEvent(const RoomCall& call) const;
   void Send(const std::vector<RoomDecision>& decisions);
   void DenyUnreachable(const Endpoint& sender_address,
--- a/packages/serving/include/bambooquay/serving/forwarded_call.h
+++ b/packages/serving/include/bambooquay/serving/forwarded_call.h
@@ -213,7 +213,7 @@
   void StartAttempt(const UpstreamId& upstream);
   /// @returns the time to the first event of an attempt that is sent now.
   [[nodiscard]] std::optional<Duration> PredictFirstEvent(
-      std::optional<EngineWork> work, const Upstream& upstream) const;
+      std::optional<EngineWork> work) const;
   /// Compares the predicted time of the first event with the measured one.
   void RecordPrediction();
   void HandleNoUpstream(PickFailure failure);
@@ -346,11 +346,12 @@
   double m_unread_tokens = 0.0;
   /// When the current attempt began to respond, if it has.
   std::optional<TimePoint> m_attempt_begun_at;
-  /// What the agent expects for the call that it has given room.
+  /// Time to the first event that the agent expects for the call that it has
+  /// given room.
   std::optional<Duration> m_room_first_event;
-  /// From that time to the attempt's first event, if it is predicted.
+  /// From m_attempt_sent_at to the first event, if it is predicted.
   std::optional<Duration> m_predicted_first_event;
-  /// From that time to the attempt's first event, once it has come.
+  /// From m_attempt_sent_at to the first event, once it has come.
   std::optional<Duration> m_attempt_first_event;
   /// Events that the current attempt has sent.
   int m_attempt_events = 0;
--- a/packages/serving/src/fleet_planner.cc
+++ b/packages/serving/src/fleet_planner.cc
@@ -30,18 +30,24 @@
              : kUnloadTime + slowest->load_time * kLoadsPerPlan;
 }
 
-/// @returns the demand for the models of a service, in tokens of a typical
-///   model.
-std::vector<ModelDemand> WeighByWork(const ServiceName& service,
-                                     std::vector<ModelDemand> demand) {
+/// @returns the factors of a service's models; empty if no entry knows a rate.
+WorkFactors FindServiceFactors(const ServiceName& service,
+                               const std::vector<ModelDemand>& demand) {
   std::vector<ReadingRateReport> reports;
   for (const ModelDemand& item : demand) {
-    if (item.service == service) {
+    if (item.service == service && item.reading_rate > 0.0) {
       reports.push_back(
           {item.model, item.reading_rate, item.requests_per_second});
     }
   }
-  const WorkFactors factors = FindWorkFactors(reports);
+  return FindWorkFactors(reports);
+}
+
+/// @returns the demand with that for a service's models in tokens of a typical
+///   model.
+std::vector<ModelDemand> WeighByWork(const ServiceName& service,
+                                     std::vector<ModelDemand> demand,
+                                     const WorkFactors& factors) {
   for (ModelDemand& item : demand) {
     const auto factor = factors.find(item.model);
     if (item.service == service && factor != factors.end()) {
@@ -68,10 +74,13 @@
                                const std::vector<ModelDemand>& demand,
                                PlacementTargets& targets) {
   const std::vector<EngineView> engines = BuildEngineViews(service);
-  const std::vector<ModelDemand> work = WeighByWork(service.name, demand);
+  const WorkFactors factors = FindServiceFactors(service.name, demand);
+  const std::vector<ModelDemand> work =
+      factors.empty() ? std::vector<ModelDemand>{}
+                      : WeighByWork(service.name, demand, factors);
   const PlanLimits limits = UpdateLimits(service, engines);
-  for (auto& [id, models] :
-       PlanPlacement(*service.engine, engines, work, limits)) {
+  for (auto& [id, models] : PlanPlacement(
+           *service.engine, engines, factors.empty() ? demand : work, limits)) {
     EnginePlan& plan = m_plans[id];
     // The models are sorted by demand. If only their order differs, the plan
     // has not changed and its timeout is not restarted.
--- a/packages/serving/src/forwarded_call.cc
+++ b/packages/serving/src/forwarded_call.cc
@@ -357,15 +357,13 @@
 }
 
 std::optional<Duration> ForwardedCall::PredictFirstEvent(
-    std::optional<EngineWork> work, const Upstream& upstream) const {
+    std::optional<EngineWork> work) const {
   if (!work.has_value()) {
     return std::nullopt;
   }
   // The call has room, so those that wait for it come later.
   work->waiting_prompt_tokens = 0.0;
-  const double kept = upstream.prompt_cache.CachedTokens(m_query.prompt);
-  const auto times =
-      PredictTimes(*work, {m_query.prompt_tokens - kept, m_query.events});
+  const auto times = PredictTimes(*work, {m_unread_tokens, m_query.events});
   return times.has_value() ? std::optional(times->first_event) : std::nullopt;
 }
 
@@ -384,14 +382,15 @@
   m_attempt_events = 0;
   m_attempt_first_event.reset();
   m_attempt_sent_at = m_context.loop.clock().Now();
-  m_unread_tokens = m_call.prompt_tokens -
-                    upstream->prompt_cache.CachedTokens(m_query.prompt);
+  const double kept_tokens =
+      upstream->prompt_cache.CachedTokens(m_query.prompt);
+  m_unread_tokens = m_call.prompt_tokens - kept_tokens;
   m_held_by.reset();
   UpdateNeeds();
   const auto work = m_context.upstreams.WorkOf(*upstream);
   m_predicted_first_event = m_room_first_event.has_value()
                                 ? m_room_first_event
-                                : PredictFirstEvent(work, *upstream);
+                                : PredictFirstEvent(work);
   m_room_first_event.reset();
   AttemptMetadata metadata;
   metadata.upstream = id;
@@ -414,7 +413,7 @@
       .With("failure_share", upstream->failure_share)
       .With("elsewhere",
             m_context.upstreams.IsElsewhere(*upstream) ? "yes" : "no")
-      .With("kept_tokens", upstream->prompt_cache.CachedTokens(m_query.prompt))
+      .With("kept_tokens", kept_tokens)
       .With("prompt_tokens", m_call.prompt_tokens)
       .WithMilliseconds("predicted_first_ms", m_predicted_first_event)
       .With("unread_tokens",
--- a/packages/serving/src/forwarded_response.cc
+++ b/packages/serving/src/forwarded_response.cc
@@ -248,9 +248,9 @@
   if (m_attempt_begun_at.has_value()) {
     m_context.quarantine.RecordSurvival(m_call.prompt, *m_attempt_begun_at);
   }
-  m_context.demand.RecordReading(
-      m_service->name, m_query.model, m_unread_tokens,
-      m_context.loop.clock().Now() - m_attempt_sent_at);
+  m_attempt_first_event = m_context.loop.clock().Now() - m_attempt_sent_at;
+  m_context.demand.RecordReading(m_service->name, m_query.model,
+                                 m_unread_tokens, *m_attempt_first_event);
   ReleaseRoom(true);
   RecordPrediction();
 }
@@ -266,7 +266,6 @@
 }
 
 void ForwardedCall::RecordPrediction() {
-  m_attempt_first_event = m_context.loop.clock().Now() - m_attempt_sent_at;
   if (!m_predicted_first_event.has_value()) {
     return;
   }
