The estimator of an engine's work takes only the tokens that it uses

Cause: read-through: Announce() had a parameter that nothing read. Change: the parameter and its arguments; the tests' assertions are as they were.

--- a/packages/scheduling/include/bambooquay/scheduling/engine_work_estimator.h
+++ b/packages/scheduling/include/bambooquay/scheduling/engine_work_estimator.h
@@ -22,7 +22,7 @@
 ///
 /// @code
 /// EngineWorkEstimator estimator(clock);
-/// estimator.Announce(RequestId("1"), 9190.0, 2890.0);
+/// estimator.Announce(RequestId("1"), 2890.0);
 /// estimator.RecordReport(report);
 /// const EngineWork work = estimator.Current();
 /// @endcode
@@ -33,8 +33,7 @@
   /// Records that a call is on its way to the engine. Ignored if it was
   /// announced before and has not ended.
   /// @param unread_tokens  prompt tokens that the engine has to read.
-  void Announce(const RequestId& call, double prompt_tokens,
-                double unread_tokens);
+  void Announce(const RequestId& call, double unread_tokens);
   /// Records that the call has sent its first event: its prompt has been read.
   void RecordFirstEvent(const RequestId& call);
   /// Records that the call has ended or will not come.
--- a/packages/scheduling/src/engine_work_estimator.cc
+++ b/packages/scheduling/src/engine_work_estimator.cc
@@ -43,7 +43,6 @@
 }  // namespace
 
 void EngineWorkEstimator::Announce(const RequestId& call,
-                                   double /*prompt_tokens*/,
                                    double unread_tokens) {
   const bool is_known =
       m_events.contains(call) ||
--- a/packages/scheduling/tests/engine_work_estimator_test.cc
+++ b/packages/scheduling/tests/engine_work_estimator_test.cc
@@ -31,7 +31,7 @@
 
   RequestId Send(double tokens, int events) {
     RequestId id("call-" + std::to_string(m_sent++));
-    m_estimator.Announce(id, tokens, tokens);
+    m_estimator.Announce(id, tokens);
     m_queue.push_back({id, tokens, events, {}});
     return id;
   }
@@ -185,8 +185,7 @@
   EstimatorFixture fixture;
   fixture.engine.Run(seconds(1));
   for (int i = 0; i < 100; ++i) {
-    fixture.estimator.Announce(RequestId("lost-" + std::to_string(i)), 9000.0,
-                               9000.0);
+    fixture.estimator.Announce(RequestId("lost-" + std::to_string(i)), 9000.0);
   }
   BOOST_TEST(fixture.estimator.Current().unread_prompt_tokens == 900'000.0);
   fixture.engine.Run(milliseconds(700));
@@ -195,8 +194,8 @@
 
 BOOST_AUTO_TEST_CASE(released_calls_count_no_longer) {
   EstimatorFixture fixture;
-  fixture.estimator.Announce(RequestId("a"), 9000.0, 3000.0);
-  fixture.estimator.Announce(RequestId("a"), 9000.0, 3000.0);
+  fixture.estimator.Announce(RequestId("a"), 3000.0);
+  fixture.estimator.Announce(RequestId("a"), 3000.0);
   BOOST_TEST(fixture.estimator.Current().unread_prompt_tokens == 3000.0);
   fixture.estimator.Release(RequestId("a"));
   fixture.estimator.Release(RequestId("a"));
@@ -233,7 +232,7 @@
   report.next_tokens = 1e9;
   report.runs = {{RequestId("a"), 1e9, 1'000'000'000, -3},
                  {RequestId("a"), 0.0, 0, 0}};
-  fixture.estimator.Announce(RequestId("a"), -5.0, -5.0);
+  fixture.estimator.Announce(RequestId("a"), -5.0);
   fixture.estimator.RecordReport(report);
   fixture.estimator.RecordReport(report);
   BOOST_TEST(fixture.estimator.Current().unread_prompt_tokens == 0.0);
--- a/packages/serving/src/engine_rooms.cc
+++ b/packages/serving/src/engine_rooms.cc
@@ -133,7 +133,7 @@
 }
 
 void EngineRooms::Announce(const RoomCall& call, const PromptPrefixes& prompt) {
-  m_estimator.Announce(call.id, call.memory_tokens, call.unread_tokens);
+  m_estimator.Announce(call.id, call.unread_tokens);
   m_prompt_cache.RecordPrompt(prompt);
   // The last part is the call's own.
   std::for_each(
