--- a/packages/runtime/include/bambooquay/runtime/http_server.h
+++ b/packages/runtime/include/bambooquay/runtime/http_server.h
@@ -135,6 +135,12 @@
   void OnLimitExceeded(std::function<void(std::string_view)> handler) {
     m_on_limit_exceeded = std::move(handler);
   }
+  /// Sets a callback that runs for each connection that the server ends while
+  /// its caller could still use it, and for each request that arrives too late
+  /// on one. Gets the reason, as used in metrics.
+  void OnConnectionClosed(std::function<void(std::string_view)> handler) {
+    m_on_connection_closed = std::move(handler);
+  }
   /// @returns the number of bytes that all connections hold.
   [[nodiscard]] std::size_t held_bytes() const noexcept {
     return m_budget.held();
@@ -160,6 +166,11 @@
   /// Logs and counts that a connection exceeds a limit.
   void ReportLimitExceeded(const HttpServerConnection& connection,
                            std::string_view limit);
+  void CountClosedConnection(std::string_view reason) const {
+    if (m_on_connection_closed) {
+      m_on_connection_closed(reason);
+    }
+  }
   void CloseExpired();
 
   EventLoop& m_loop;
@@ -168,9 +179,13 @@
   ConnectionBudget m_budget;
   std::function<std::string(const HttpHeaders&)> m_organisation_of;
   std::function<void(std::string_view)> m_on_limit_exceeded;
+  std::function<void(std::string_view)> m_on_connection_closed;
   evconnlistener* m_listener = nullptr;
   std::list<std::unique_ptr<HttpServerConnection>> m_connections;
   std::unique_ptr<Timer> m_sweep_timer;
+  TimePoint m_last_sweep_at;
+  /// How much later than planned the last sweep began.
+  Duration m_sweep_delay{};
   bool m_is_closing = false;
 };
 
--- a/packages/runtime/src/http_server_connection.cc
+++ b/packages/runtime/src/http_server_connection.cc
@@ -4,11 +4,15 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
+#include "bambooquay/runtime/log.h"
+
 namespace bambooquay {
 namespace {
 
@@ -156,6 +160,13 @@
 
 void HttpServerConnection::Discard() {
   evbuffer* input = bufferevent_get_input(m_stream);
+  if (m_ended_while_idle && m_discarded_bytes == 0) {
+    LogEvent(LogLevel::kInfo, "request_after_close")
+        .With("bytes", evbuffer_get_length(input))
+        .With("after_ms", (m_server.m_loop.clock().Now() - m_state_since) /
+                              std::chrono::milliseconds(1));
+    m_server.CountClosedConnection("late_request");
+  }
   m_discarded_bytes += evbuffer_get_length(input);
   evbuffer_drain(input, evbuffer_get_length(input));
   if (m_discarded_bytes > kMaxLingerBytes) {
@@ -289,6 +300,7 @@
     // A request that is served never gives way, so its caller may not add to
     // what it holds.
     m_server.ReportLimitExceeded(*this, "pipelining");
+    ReportClose("pipelining");
     HandleDisconnect();
     return;
   }
@@ -379,8 +391,10 @@
     RefuseForNow();
     return;
   }
-  m_server.ReportLimitExceeded(
-      *this, reason == YieldReason::kMemory ? "memory" : "connections");
+  const std::string_view limit =
+      reason == YieldReason::kMemory ? "memory" : "connections";
+  m_server.ReportLimitExceeded(*this, limit);
+  ReportClose(limit);
   HandleDisconnect();
 }
 
@@ -489,6 +503,7 @@
     const bool is_waiting_for_handler =
         m_exchange != nullptr && evbuffer_get_length(output()) == 0;
     if (!is_waiting_for_handler) {
+      ReportClose("idle");
       HandleDisconnect();
     }
   }
@@ -497,6 +512,8 @@
 void HttpServerConnection::CloseWhenIdle() {
   m_keep_alive = false;
   if (m_state == State::kIdle) {
+    ReportClose("stopping");
+    m_ended_while_idle = true;
     SetState(State::kFlushing);
     if (evbuffer_get_length(output()) == 0) {
       Linger();
@@ -504,6 +521,36 @@
   }
 }
 
+std::size_t HttpServerConnection::UnreadBytes() const {
+  int in_socket = 0;
+  if (ioctl(bufferevent_getfd(m_stream), FIONREAD, &in_socket) != 0) {
+    in_socket = 0;
+  }
+  return evbuffer_get_length(bufferevent_get_input(m_stream)) +
+         static_cast<std::size_t>(std::max(in_socket, 0));
+}
+
+void HttpServerConnection::ReportClose(std::string_view reason) {
+  m_server.CountClosedConnection(reason);
+  const std::size_t unread = UnreadBytes();
+  if (m_state == State::kIdle && unread == 0) {
+    return;
+  }
+  constexpr std::array kStates = {"idle", "reading", "responding", "flushing",
+                                  "lingering"};
+  LogEvent(LogLevel::kInfo, "caller_connection_closed")
+      .With("reason", reason)
+      .With("state", kStates.at(static_cast<std::size_t>(m_state)))
+      .With("unread", unread)
+      .With("unwritten", evbuffer_get_length(output()))
+      .With("silent_ms", (m_server.m_loop.clock().Now() - m_last_activity) /
+                             std::chrono::milliseconds(1))
+      .With("idle_limit_ms",
+            m_server.m_limits.idle_timeout / std::chrono::milliseconds(1))
+      .With("sweep_late_ms",
+            m_server.m_sweep_delay / std::chrono::milliseconds(1));
+}
+
 bool HttpServerConnection::IsBusy() const noexcept {
   return m_exchange != nullptr || m_state == State::kReading ||
          evbuffer_get_length(output()) > 0;
--- a/packages/runtime/src/http_server_connection.h
+++ b/packages/runtime/src/http_server_connection.h
@@ -92,6 +92,11 @@
   void Linger();
   /// Closes the connection and notifies the exchange, if there is one.
   void HandleDisconnect();
+  /// Reports that the server ends the connection, and why.
+  void ReportClose(std::string_view reason);
+  /// @returns the number of bytes from the caller that were not parsed yet, in
+  ///   the input buffer and in the socket.
+  [[nodiscard]] std::size_t UnreadBytes() const;
   /// Destroys this object.
   void Close();
   [[nodiscard]] evbuffer* output() const;
@@ -110,6 +115,8 @@
   std::size_t m_served_bytes = 0;
   /// Bytes that arrived after the last response.
   std::size_t m_discarded_bytes = 0;
+  /// Whether the server ended the connection while it waited for a request.
+  bool m_ended_while_idle = false;
   /// Whether the organisation of the request was asked for.
   bool m_has_organisation = false;
   bool m_request_complete = false;
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -179,6 +179,10 @@
     m_deps.metrics.Increment("caller_limits_exceeded_total{limit=\"" +
                              std::string(limit) + "\"}");
   });
+  m_server.OnConnectionClosed([this](std::string_view reason) {
+    m_deps.metrics.Increment("caller_connections_closed_total{reason=\"" +
+                             std::string(reason) + "\"}");
+  });
   m_demand.SetMeasuresReading(settings.predicted_work);
   m_upstream_rows.SetExpiryGrace(m_expiry_grace);
   m_peers.SetStatusSource([this] { return MakeStatus(); });
