--- a/packages/runtime/tests/http_server_test.cc
+++ b/packages/runtime/tests/http_server_test.cc
@@ -2,12 +2,20 @@
 // or disconnect.
 #include "bambooquay/runtime/http_server.h"
 
+#include <netinet/in.h>
 #include <rapidcheck/boost_test.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/test/unit_test.hpp>
+#include <cerrno>
+#include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
+#include <thread>
 #include <vector>
 
 #include "support/scripted_peer.h"
@@ -57,6 +65,118 @@
   return limits;
 }
 
+constexpr std::string_view kGet = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+
+/// Holds up the event loop, as a slow callback or a machine without processor
+/// time would.
+void HoldUp(Duration time) { std::this_thread::sleep_for(time); }
+
+std::size_t CountOf(const std::string& text, std::string_view part) {
+  std::size_t count = 0;
+  for (auto at = text.find(part); at != std::string::npos;
+       at = text.find(part, at + part.size())) {
+    ++count;
+  }
+  return count;
+}
+
+/// A caller that sends from outside the event loop, so also while that is held
+/// up.
+class PlainCaller {
+ public:
+  explicit PlainCaller(const Endpoint& server)
+      : m_socket(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(server.port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    BOOST_REQUIRE(connect(m_socket, reinterpret_cast<sockaddr*>(&address),
+                          sizeof(address)) == 0);
+  }
+  PlainCaller(const PlainCaller&) = delete;
+  PlainCaller& operator=(const PlainCaller&) = delete;
+  ~PlainCaller() { close(m_socket); }
+
+  void Send(std::string_view bytes) const {
+    BOOST_REQUIRE(send(m_socket, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
+                  static_cast<ssize_t>(bytes.size()));
+  }
+  /// @returns everything received so far.
+  const std::string& Received() {
+    std::array<char, 4096> bytes{};
+    ssize_t length = 0;
+    while ((length = recv(m_socket, bytes.data(), bytes.size(), MSG_DONTWAIT)) >
+           0) {
+      m_received.append(bytes.data(), static_cast<std::size_t>(length));
+    }
+    m_closed = m_closed || length == 0 || (errno != EAGAIN && errno != EINTR);
+    return m_received;
+  }
+  /// @returns whether the server has closed the connection, as of Received().
+  [[nodiscard]] bool closed() const { return m_closed; }
+
+ private:
+  int m_socket;
+  std::string m_received;
+  bool m_closed = false;
+};
+
+/// A server that answers at once, and a caller with a kept connection.
+struct KeptConnection {
+  explicit KeptConnection(const HttpServerLimits& limits)
+      : server(loop, limits, [](const std::shared_ptr<HttpExchange>& exchange) {
+          exchange->Respond(200, {}, "done");
+        }) {
+    BOOST_REQUIRE(server.Listen({"127.0.0.1", 0}));
+    caller =
+        std::make_unique<PlainCaller>(Endpoint{"127.0.0.1", server.port()});
+    BOOST_REQUIRE(AsksAndIsAnswered());
+  }
+
+  /// @returns whether the caller gets an answer to one more request.
+  bool AsksAndIsAnswered() {
+    caller->Send(kGet);
+    return IsAnswered();
+  }
+  bool IsAnswered() {
+    ++request_count;
+    loop.RunUntil(
+        [this] {
+          return CountOf(caller->Received(), "done") == request_count ||
+                 caller->closed();
+        },
+        kTestTimeout);
+    return CountOf(caller->Received(), "done") == request_count;
+  }
+  /// Runs the loop, which is held up as the time ends. The caller sends a
+  /// request into that pause.
+  void RestAndSendIntoPause(Duration rest, Duration pause) {
+    loop.RunUntil([] { return false; }, rest);
+    const auto hold = loop.After(Duration::zero(), [&] {
+      HoldUp(pause / 2);
+      caller->Send(kGet);
+      HoldUp(pause / 2);
+      if (after_pause) {
+        after_pause();
+      }
+    });
+    loop.RunUntil([] { return false; }, milliseconds(20));
+  }
+
+  EventLoop loop;
+  HttpServer server;
+  std::unique_ptr<PlainCaller> caller;
+  std::size_t request_count = 0;
+  /// Runs as the loop goes on.
+  std::function<void()> after_pause;
+};
+
+HttpServerLimits WithIdleTimeout(Duration timeout) {
+  HttpServerLimits limits;
+  limits.idle_timeout = timeout;
+  return limits;
+}
+
 std::string PostOf(std::size_t length, std::size_t sent) {
   return "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(length) +
          "\r\n\r\n" + std::string(sent, 'x');
@@ -387,6 +507,92 @@
   BOOST_TEST(loop.RunUntil([&] { return served == 1000; }, kTestTimeout));
 }
 
+BOOST_AUTO_TEST_CASE(a_request_sent_in_time_is_answered_after_a_long_pause) {
+  KeptConnection test(WithIdleTimeout(milliseconds(1000)));
+  test.RestAndSendIntoPause(milliseconds(600), milliseconds(600));
+  BOOST_TEST(test.IsAnswered());
+}
+
+BOOST_AUTO_TEST_CASE(a_request_sent_before_a_planned_stop_is_answered) {
+  KeptConnection test(WithIdleTimeout(std::chrono::seconds(60)));
+  test.after_pause = [&] { test.server.CloseAfterResponses(); };
+  test.RestAndSendIntoPause(milliseconds(10), milliseconds(60));
+  BOOST_TEST(test.IsAnswered());
+  BOOST_TEST(test.caller->Received().find("Connection: close") !=
+             std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(a_shorter_idle_limit_spares_connections_that_are_idle) {
+  KeptConnection test(WithIdleTimeout(milliseconds(2000)));
+  test.loop.RunUntil([] { return false; }, milliseconds(400));
+  test.server.SetLimits(WithIdleTimeout(milliseconds(300)));
+  test.loop.RunUntil([] { return false; }, milliseconds(1000));
+  BOOST_TEST(test.AsksAndIsAnswered());
+  // The next pause is judged by the new limit.
+  BOOST_TEST(test.loop.RunUntil(
+      [&] {
+        static_cast<void>(test.caller->Received());
+        return test.caller->closed();
+      },
+      milliseconds(1500)));
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_has_arrived_keeps_its_connection_open) {
+  HttpServerLimits limits;
+  limits.max_connections = 2;
+  KeptConnection test(limits);
+  std::unique_ptr<PlainCaller> other;
+  test.after_pause = [&] {
+    other = std::make_unique<PlainCaller>(
+        Endpoint{"127.0.0.1", test.server.port()});
+  };
+  test.RestAndSendIntoPause(milliseconds(10), milliseconds(60));
+  BOOST_TEST(test.IsAnswered());
+}
+
+BOOST_AUTO_TEST_CASE(a_connection_with_an_unread_request_is_busy) {
+  KeptConnection test({});
+  bool was_busy = false;
+  test.after_pause = [&] {
+    was_busy = test.server.busy_connection_count() == 1;
+  };
+  test.RestAndSendIntoPause(milliseconds(10), milliseconds(60));
+  BOOST_TEST(was_busy);
+  BOOST_TEST(test.IsAnswered());
+}
+
+BOOST_AUTO_TEST_CASE(a_header_that_arrived_in_time_is_not_timed_out) {
+  HttpServerLimits limits;
+  limits.header_timeout = milliseconds(800);
+  KeptConnection test(limits);
+  test.caller->Send(kGet.substr(0, 10));
+  test.loop.RunUntil([] { return false; }, milliseconds(300));
+  const auto hold = test.loop.After(Duration::zero(), [&] {
+    test.caller->Send(kGet.substr(10));
+    HoldUp(milliseconds(900));
+  });
+  BOOST_TEST(test.IsAnswered());
+}
+
+BOOST_AUTO_TEST_CASE(a_response_that_a_slow_caller_reads_is_not_cut) {
+  TestServer test(WithIdleTimeout(milliseconds(600)));
+  RawClient client(test.loop, test.endpoint, kGet);
+  BOOST_REQUIRE(test.loop.RunUntil([&] { return !test.exchanges.empty(); },
+                                   kTestTimeout));
+  constexpr std::size_t kBodyBytes = 48 << 20;
+  client.SetPaused(true);
+  test.exchanges[0]->Respond(200, {}, std::string(kBodyBytes, 'x'));
+  // Reads for a moment, often enough.
+  const auto reader = test.loop.Every(milliseconds(200), [&] {
+    client.SetPaused(false);
+    // After one turn of the loop.
+    test.loop.Post([&] { client.SetPaused(true); });
+  });
+  test.loop.RunUntil([&] { return client.closed(); }, milliseconds(2500));
+  BOOST_TEST(!client.closed());
+  BOOST_TEST(test.server.connection_count() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace bambooquay
