Time limits of callers are judged after what has arrived was read

Callers saw a kept connection closed with neither an answer nor a refusal to the request that they had sent in time.

After a pause of the loop, timers run after bytes were read from the sockets and before the callbacks that handle them, so a connection with a whole request in its input counted as idle. The class: a decision by the clock on what the loop has not looked at yet.

Change: EventLoop::AfterInput runs a callback once all that has arrived was read and handled.

Ruled out: lower priority for timers in the loop. Under steady input they would never run.

--- a/packages/runtime/include/bambooquay/runtime/event_loop.h
+++ b/packages/runtime/include/bambooquay/runtime/event_loop.h
@@ -16,8 +16,10 @@
 /// callback may do.
 class Timer {
  public:
+  /// @param idle_turns  turns of the loop that a one-shot timer lets pass after
+  ///   `delay`, before it runs the callback.
   Timer(event_base* base, Duration delay, bool repeats,
-        std::function<void()> callback);
+        std::function<void()> callback, int idle_turns = 0);
   Timer(const Timer&) = delete;
   Timer& operator=(const Timer&) = delete;
   ~Timer();
@@ -27,6 +29,7 @@
 
   event* m_event;
   std::function<void()> m_callback;
+  int m_idle_turns;
 };
 
 /// A single-threaded event loop. All work of a process runs on it.
@@ -57,6 +60,12 @@
   /// Runs `callback` every `period` until the timer is destroyed.
   [[nodiscard]] std::unique_ptr<Timer> Every(Duration period,
                                              std::function<void()> callback);
+  /// Runs `callback` once all input that has arrived by now was read from its
+  /// sockets and handled. After a pause of the loop, timers run before that, so
+  /// a decision on silence has to be made here. What arrives meanwhile may
+  /// still be unread.
+  [[nodiscard]] std::unique_ptr<Timer> AfterInput(
+      std::function<void()> callback);
   /// Schedules `callback` to run once, after the current callback returns.
   void Post(std::function<void()> callback);
   /// Runs `callback` on the loop each time the signal is delivered.
--- a/packages/runtime/include/bambooquay/runtime/http_server.h
+++ b/packages/runtime/include/bambooquay/runtime/http_server.h
@@ -171,7 +171,12 @@
       m_on_connection_closed(reason);
     }
   }
-  void CloseExpired();
+  /// Starts a check of all connections against the time limits.
+  void Sweep();
+  /// @param now  by which the limits are judged: all input that had arrived
+  /// then
+  ///   was handled.
+  void CloseExpired(TimePoint now);
 
   EventLoop& m_loop;
   HttpServerLimits m_limits;
@@ -183,6 +188,7 @@
   evconnlistener* m_listener = nullptr;
   std::list<std::unique_ptr<HttpServerConnection>> m_connections;
   std::unique_ptr<Timer> m_sweep_timer;
+  std::unique_ptr<Timer> m_close_timer;
   TimePoint m_last_sweep_at;
   /// How much later than planned the last sweep began.
   Duration m_sweep_delay{};
--- a/packages/runtime/src/event_loop.cc
+++ b/packages/runtime/src/event_loop.cc
@@ -13,6 +13,10 @@
 namespace bambooquay {
 namespace {
 
+// In the first turn of the loop, timers run after the input was read from the
+// sockets and before the callbacks that handle it.
+constexpr int kTurnsToHandleInput = 1;
+
 void RunPosted(evutil_socket_t /*fd*/, short /*events*/, void* argument) {
   const std::unique_ptr<std::function<void()>> callback(
       static_cast<std::function<void()>*>(argument));
@@ -26,10 +30,11 @@
 }  // namespace
 
 Timer::Timer(event_base* base, Duration delay, bool repeats,
-             std::function<void()> callback)
+             std::function<void()> callback, int idle_turns)
     : m_event(
           event_new(base, -1, repeats ? EV_PERSIST : 0, &Timer::Fire, this)),
-      m_callback(std::move(callback)) {
+      m_callback(std::move(callback)),
+      m_idle_turns(idle_turns) {
   const timeval interval = ToTimeval(delay);
   event_add(m_event, &interval);
 }
@@ -37,8 +42,15 @@
 Timer::~Timer() { event_free(m_event); }
 
 void Timer::Fire(int /*fd*/, short /*events*/, void* self) {
+  auto* timer = static_cast<Timer*>(self);
+  if (timer->m_idle_turns > 0) {
+    --timer->m_idle_turns;
+    const timeval now{0, 0};
+    event_add(timer->m_event, &now);
+    return;
+  }
   // Copied, because the callback may destroy its own timer.
-  const std::function<void()> callback = static_cast<Timer*>(self)->m_callback;
+  const std::function<void()> callback = timer->m_callback;
   callback();
 }
 
@@ -84,6 +96,11 @@
   return std::make_unique<Timer>(m_base, period, true, std::move(callback));
 }
 
+std::unique_ptr<Timer> EventLoop::AfterInput(std::function<void()> callback) {
+  return std::make_unique<Timer>(m_base, Duration::zero(), false,
+                                 std::move(callback), kTurnsToHandleInput);
+}
+
 void EventLoop::Post(std::function<void()> callback) {
   auto owned_callback =
       std::make_unique<std::function<void()>>(std::move(callback));
--- a/packages/runtime/src/http_server_connection.cc
+++ b/packages/runtime/src/http_server_connection.cc
@@ -502,7 +502,7 @@
   } else if (now - m_last_activity > limits.idle_timeout) {
     const bool is_waiting_for_handler =
         m_exchange != nullptr && evbuffer_get_length(output()) == 0;
-    if (!is_waiting_for_handler) {
+    if (!is_waiting_for_handler && !HasArrivedRequest()) {
       ReportClose("idle");
       HandleDisconnect();
     }
@@ -521,6 +521,11 @@
   }
 }
 
+bool HttpServerConnection::HasArrivedRequest() const {
+  return m_state == State::kIdle && evbuffer_get_length(output()) == 0 &&
+         UnreadBytes() > 0;
+}
+
 std::size_t HttpServerConnection::UnreadBytes() const {
   int in_socket = 0;
   if (ioctl(bufferevent_getfd(m_stream), FIONREAD, &in_socket) != 0) {
--- a/packages/runtime/src/http_server_connection.h
+++ b/packages/runtime/src/http_server_connection.h
@@ -94,6 +94,9 @@
   void HandleDisconnect();
   /// Reports that the server ends the connection, and why.
   void ReportClose(std::string_view reason);
+  /// @returns whether a request, or a part of one, has arrived on an idle
+  ///   connection and will be read next.
+  [[nodiscard]] bool HasArrivedRequest() const;
   /// @returns the number of bytes from the caller that were not parsed yet, in
   ///   the input buffer and in the socket.
   [[nodiscard]] std::size_t UnreadBytes() const;
