A shorter idle limit does not cut connections that rest within the old one

Callers that had rested for less than the idle limit that they knew sent a request into a connection that the entry was closing.

Cause: SetLimits put the new limit in force for open connections at once.

Change: a connection keeps the longest limit that was in force since its last activity. From its next request on the new one holds.

--- a/packages/runtime/src/http_server_connection.cc
+++ b/packages/runtime/src/http_server_connection.cc
@@ -53,7 +53,8 @@
                                       BEV_OPT_DEFER_CALLBACKS)),
       m_headers(server.m_limits.max_header_bytes),
       m_state_since(server.m_loop.clock().Now()),
-      m_last_activity(m_state_since) {
+      m_last_activity(m_state_since),
+      m_idle_limit(server.m_limits.idle_timeout) {
   SetSocketOptions(socket, Duration::zero());
   http_parser_init(&m_parser, HTTP_REQUEST);
   m_parser.data = this;
@@ -152,12 +153,21 @@
     connection->Discard();
     return;
   }
-  connection->m_last_activity = server.m_loop.clock().Now();
+  connection->RecordActivity();
   // May destroy the connection, as the handler may.
   connection->Parse();
   server.m_budget.Enforce();
 }
 
+void HttpServerConnection::RecordActivity() {
+  m_last_activity = m_server.m_loop.clock().Now();
+  m_idle_limit = m_server.m_limits.idle_timeout;
+}
+
+void HttpServerConnection::KeepIdleLimit(Duration limit) {
+  m_idle_limit = std::max(m_idle_limit, limit);
+}
+
 void HttpServerConnection::Discard() {
   evbuffer* input = bufferevent_get_input(m_stream);
   if (m_ended_while_idle && m_discarded_bytes == 0) {
@@ -232,7 +242,7 @@
 
 void HttpServerConnection::HandleWrite(bufferevent* stream, void* self) {
   auto* connection = static_cast<HttpServerConnection*>(self);
-  connection->m_last_activity = connection->m_server.m_loop.clock().Now();
+  connection->RecordActivity();
   if (evbuffer_get_length(bufferevent_get_output(stream)) > 0) {
     return;
   }
@@ -499,7 +509,7 @@
     m_server.ReportLimitExceeded(*this, "rate");
     Refuse(ToCode(HttpStatus::kRequestTimeout), "body_timeout",
            "the request's body took too long");
-  } else if (now - m_last_activity > limits.idle_timeout) {
+  } else if (now - m_last_activity > m_idle_limit) {
     const bool is_waiting_for_handler =
         m_exchange != nullptr && evbuffer_get_length(output()) == 0;
     if (!is_waiting_for_handler && !HasArrivedRequest()) {
