A planned stop answers requests that have arrived and were not read

Callers of an entry that was told to stop got no answer to a request that had arrived before.

Cause: CloseWhenIdle and IsBusy went by the parser's state. A connection whose request was in the input buffer or the socket counted as idle: the stop shut it down and dropped the request, and the process could end with it unread.

Change: both look at what has arrived. Such a connection serves its request and closes after the response, which says so.

--- a/packages/runtime/src/http_server_connection.cc
+++ b/packages/runtime/src/http_server_connection.cc
@@ -521,7 +521,7 @@
 
 void HttpServerConnection::CloseWhenIdle() {
   m_keep_alive = false;
-  if (m_state == State::kIdle) {
+  if (m_state == State::kIdle && !HasArrivedRequest()) {
     ReportClose("stopping");
     m_ended_while_idle = true;
     SetState(State::kFlushing);
@@ -568,7 +568,7 @@
 
 bool HttpServerConnection::IsBusy() const noexcept {
   return m_exchange != nullptr || m_state == State::kReading ||
-         evbuffer_get_length(output()) > 0;
+         evbuffer_get_length(output()) > 0 || HasArrivedRequest();
 }
 
 void HttpServerConnection::HandleDisconnect() {
