Connections on which a request has arrived do not give way as idle ones

One whose request had arrived and was not read counted as idle, and its caller got no answer.

Evidence: http_server/a_request_that_has_arrived_keeps_its_connection_open failed before, 1 of 1.

Change: an idle connection with unread input counts as reading from then on, and another one is chosen. It ends, as each choice leaves one idle connection less.

--- a/packages/runtime/include/bambooquay/runtime/connection_budget.h
+++ b/packages/runtime/include/bambooquay/runtime/connection_budget.h
@@ -89,6 +89,9 @@
   };
 
   [[nodiscard]] BudgetedConnection* ChooseToYield(YieldReason reason);
+  /// The same, but idle connections on which input has arrived count as reading
+  /// from now on.
+  [[nodiscard]] BudgetedConnection* ChooseUnused(YieldReason reason);
   /// @returns what a connection costs the others: the bytes, or the descriptor,
   ///   that it holds, times the time for which it has made no progress.
   [[nodiscard]] double Cost(const BudgetedConnection& connection,
@@ -117,6 +120,8 @@
   /// Gives up the connection's memory: enters kRefused, or destroys it. Closes
   /// it if its descriptor is needed.
   virtual void GiveWay(YieldReason reason) = 0;
+  /// @returns whether input has arrived that was not read yet.
+  [[nodiscard]] virtual bool HasArrivedInput() const { return false; }
 
   /// Charges the connection to another group.
   void SetGroup(const std::string& name);
--- a/packages/runtime/src/connection_budget.cc
+++ b/packages/runtime/src/connection_budget.cc
@@ -44,7 +44,7 @@
 
 void ConnectionBudget::Enforce() {
   while (m_held > m_limits.max_bytes) {
-    BudgetedConnection* chosen = ChooseToYield(YieldReason::kMemory);
+    BudgetedConnection* chosen = ChooseUnused(YieldReason::kMemory);
     if (chosen == nullptr) {
       return;
     }
@@ -53,7 +53,7 @@
 }
 
 bool ConnectionBudget::FreeDescriptor() {
-  BudgetedConnection* chosen = ChooseToYield(YieldReason::kDescriptors);
+  BudgetedConnection* chosen = ChooseUnused(YieldReason::kDescriptors);
   if (chosen != nullptr) {
     chosen->GiveWay(YieldReason::kDescriptors);
   }
@@ -81,6 +81,16 @@
   return amount * ToSeconds(stalled_for + kBaseTime);
 }
 
+BudgetedConnection* ConnectionBudget::ChooseUnused(YieldReason reason) {
+  BudgetedConnection* chosen = ChooseToYield(reason);
+  while (chosen != nullptr && chosen->m_phase == ConnectionPhase::kIdle &&
+         chosen->HasArrivedInput()) {
+    chosen->SetPhase(ConnectionPhase::kReading);
+    chosen = ChooseToYield(reason);
+  }
+  return chosen;
+}
+
 BudgetedConnection* ConnectionBudget::ChooseToYield(YieldReason reason) {
   std::ranges::for_each(m_groups, [](auto& item) { item.second.cost = 0.0; });
   std::ranges::for_each(
--- a/packages/runtime/src/http_server_connection.h
+++ b/packages/runtime/src/http_server_connection.h
@@ -43,6 +43,9 @@
   /// Refuses the request that is being read and drops what has arrived of it,
   /// or closes the connection.
   void GiveWay(YieldReason reason) override;
+  [[nodiscard]] bool HasArrivedInput() const override {
+    return UnreadBytes() > 0;
+  }
   /// Closes the connection after the current response, or now if there is none.
   void CloseWhenIdle();
   /// @returns whether a request is partly received or unanswered, or a response
