Logs say how late the event loop is and how long a configuration takes

A pause of the loop could not be seen next to a lost request, nor whether a change of the configuration causes one: loop_delay_seconds and loop_delayed from 200 ms on; configuration_in_force has took_ms and idle_limit_ms. No decision changes.

--- a/packages/serving/include/bambooquay/serving/serving_entry.h
+++ b/packages/serving/include/bambooquay/serving/serving_entry.h
@@ -115,6 +115,8 @@
   /// which saves calls to the store.
   void UpdateWatchTimes();
   void Tick();
+  /// Records by how much the event loop is late.
+  void ObserveLoopDelay();
   void Plan();
   /// Ends draining once all calls have ended or the drain limit is near.
   void CheckDrained();
@@ -127,6 +129,7 @@
   ServingSettings m_settings;
   ServingEntryDeps m_deps;
   TimePoint m_started_at;
+  TimePoint m_last_tick_at;
   UpstreamSet m_upstreams;
   FleetAllowance m_allowance;
   PromptQuarantine m_quarantine;
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -40,6 +40,8 @@
 // peer that misses some datagrams still gets it.
 constexpr Duration kSpendingRepeatTime = std::chrono::seconds(2);
 constexpr Duration kTickPeriod = milliseconds(100);
+// A later tick is logged.
+constexpr Duration kNotableLoopDelay = milliseconds(200);
 constexpr Duration kPlanPeriod = milliseconds(300);
 // Delay of the planning after an engine's first report. The first reports of
 // other engines often follow within some milliseconds.
@@ -314,6 +316,7 @@
     mirror->Start();
   }
   RegisterMember();
+  m_last_tick_at = m_deps.loop.clock().Now();
   m_tick_timer = m_deps.loop.Every(kTickPeriod, [this] { Tick(); });
   m_plan_timer = m_deps.loop.Every(kPlanPeriod, [this] { Plan(); });
   return true;
@@ -477,7 +480,20 @@
   return ChooseByRendezvous(seed, m_peers.Members()) == m_settings.id;
 }
 
+void ServingEntry::ObserveLoopDelay() {
+  const TimePoint now = m_deps.loop.clock().Now();
+  const Duration delay =
+      std::max(now - m_last_tick_at - kTickPeriod, Duration::zero());
+  m_last_tick_at = now;
+  m_deps.metrics.Observe("loop_delay_seconds", delay);
+  if (delay > kNotableLoopDelay) {
+    LogEvent(LogLevel::kInfo, "loop_delayed")
+        .With("delay_ms", delay / milliseconds(1));
+  }
+}
+
 void ServingEntry::Tick() {
+  ObserveLoopDelay();
   UpdateWatchTimes();
   FetchTablesIfBehind();
   if (const auto frozen_time = m_freeze_detector.Check()) {
--- a/packages/serving/src/serving_entry_tables.cc
+++ b/packages/serving/src/serving_entry_tables.cc
@@ -30,6 +30,7 @@
 }
 
 void ServingEntry::ApplyConfiguration(const TableRow& row) {
+  const TimePoint started_at = m_deps.loop.clock().Now();
   auto decoded = m_deps.document_codec.DecodeConfiguration(row.value);
   if (const auto* failure = std::get_if<DecodeFailure>(&decoded)) {
     LogEvent(LogLevel::kError, "configuration_unreadable")
@@ -63,7 +64,11 @@
   LogEvent(LogLevel::kInfo, "configuration_in_force")
       .With("version", active.version)
       .With("routes", active.routes.size())
-      .With("organisations", active.organisations.size());
+      .With("organisations", active.organisations.size())
+      .With("idle_limit_ms",
+            active.caller_limits.idle_timeout / milliseconds(1))
+      .With("took_ms",
+            (m_deps.loop.clock().Now() - started_at) / milliseconds(1));
 }
 
 void ServingEntry::HandleUpstreamRow(const TableRow& row) {
