A response that took longer than the idle limit reaches its caller

Callers whose requests were served got no byte of the answer, or a stream without its end: the connection was closed as idle at the moment at which the response was written to it.

Cause: the idle limit ran from the last byte that was read from or written to the socket. While a call waits for its response the limit is not applied; with the first output it was, and it had run since the request arrived. No pause is needed; one makes it likely. A change of the configuration that shortens the limit below the time that calls take exposes them at once, which fits the users' line; that it is what they saw is not proved.

Change: output counts as activity when it begins; the caller has the whole limit to take it. caller_connection_closed is logged for unwritten output too.

--- a/packages/runtime/src/http_server_connection.cc
+++ b/packages/runtime/src/http_server_connection.cc
@@ -164,6 +164,12 @@
   m_idle_limit = m_server.m_limits.idle_timeout;
 }
 
+void HttpServerConnection::PrepareOutput() {
+  if (evbuffer_get_length(output()) == 0) {
+    RecordActivity();
+  }
+}
+
 void HttpServerConnection::KeepIdleLimit(Duration limit) {
   m_idle_limit = std::max(m_idle_limit, limit);
 }
@@ -441,6 +447,7 @@
   if (has_body && !m_is_head_request) {
     response += body;
   }
+  PrepareOutput();
   AppendBytes(output(), response);
   FinishResponse();
 }
@@ -454,6 +461,7 @@
   if (m_chunked) {
     AppendHeader(head, "Transfer-Encoding", "chunked");
   }
+  PrepareOutput();
   AppendBytes(output(), head + "\r\n");
 }
 
@@ -461,6 +469,7 @@
   if (part.empty() || m_is_head_request) {
     return;
   }
+  PrepareOutput();
   if (m_chunked) {
     AppendChunk(output(), part);
   } else {
@@ -470,6 +479,7 @@
 
 void HttpServerConnection::FinishStream() {
   if (m_chunked && !m_is_head_request) {
+    PrepareOutput();
     AppendBytes(output(), "0\r\n\r\n");
   }
   FinishResponse();
@@ -553,7 +563,8 @@
 void HttpServerConnection::ReportClose(std::string_view reason) {
   m_server.CountClosedConnection(reason);
   const std::size_t unread = UnreadBytes();
-  if (m_state == State::kIdle && unread == 0) {
+  const std::size_t unwritten = evbuffer_get_length(output());
+  if (m_state == State::kIdle && unread == 0 && unwritten == 0) {
     return;
   }
   constexpr std::array kStates = {"idle", "reading", "responding", "flushing",
@@ -562,7 +573,7 @@
       .With("reason", reason)
       .With("state", kStates.at(static_cast<std::size_t>(m_state)))
       .With("unread", unread)
-      .With("unwritten", evbuffer_get_length(output()))
+      .With("unwritten", unwritten)
       .With("silent_ms", (m_server.m_loop.clock().Now() - m_last_activity) /
                              std::chrono::milliseconds(1))
       .With("idle_limit_ms",
--- a/packages/runtime/src/http_server_connection.h
+++ b/packages/runtime/src/http_server_connection.h
@@ -82,6 +82,9 @@
   void SetState(State state);
   /// Notes that bytes were received from or written to the caller.
   void RecordActivity();
+  /// Must run before output is added. From the first of it on, the caller has
+  /// the whole idle limit to take it.
+  void PrepareOutput();
   /// Charges what the connection holds to the server's budget.
   void UpdateHeld();
   /// Records how much of a complete response the caller has taken.
@@ -137,7 +140,8 @@
   int m_refusal_status = 0;
   State m_state = State::kIdle;
   TimePoint m_state_since;
-  /// Last time at which bytes were received from or written to the caller.
+  /// Last time at which bytes were received from or written to the caller, or
+  /// were ready for it.
   TimePoint m_last_activity;
   /// The longest idle limit that was in force since the last activity.
   Duration m_idle_limit;
--- a/packages/runtime/tests/http_server_test.cc
+++ b/packages/runtime/tests/http_server_test.cc
@@ -582,6 +582,29 @@
   BOOST_TEST(test.IsAnswered());
 }
 
+BOOST_AUTO_TEST_CASE(a_response_that_took_longer_than_the_idle_limit_is_sent) {
+  for (const bool after_input : {false, true}) {
+    TestServer test(WithIdleTimeout(milliseconds(100)));
+    const RawClient client(test.loop, test.endpoint, kGet);
+    const auto respond = [&] {
+      test.exchanges.at(0)->Respond(200, {}, "done");
+    };
+    std::unique_ptr<Timer> next;
+    // All of these are due at once, with the server's check after them.
+    const auto hold =
+        test.loop.After(milliseconds(400), [] { HoldUp(milliseconds(300)); });
+    const auto start = test.loop.After(milliseconds(410), [&] {
+      if (after_input) {
+        next = test.loop.AfterInput(respond);
+      } else {
+        respond();
+      }
+    });
+    test.loop.RunUntil([&] { return client.closed(); }, milliseconds(780));
+    BOOST_TEST(client.received().ends_with("done"), after_input);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_response_that_a_slow_caller_reads_is_not_cut) {
   TestServer test(WithIdleTimeout(milliseconds(600)));
   PlainCaller caller(test.endpoint);
