Calls whose response arrived in a pause of the loop are not timed out

An entry took a response that had arrived in time for a silent upstream: the call ended with an error or ran again.

Cause: libevent removes a timed out event from its queue, so a socket that is ready and whose timeout has passed is reported as timed out only. After a pause of the loop longer than the timeout, each call that waits ends that way, and each connection that was being made counts as unreachable. The class: a decision by the clock on what the loop has not looked at yet.

Change: after a timeout the connection asks the socket. If it is ready, reading or writing goes on; while the call has paused reading, the silence is its own.

--- a/packages/runtime/src/http_client_connection.cc
+++ b/packages/runtime/src/http_client_connection.cc
@@ -92,6 +92,7 @@
   m_head_complete = false;
   m_message_complete = false;
   m_is_skipping_response = false;
+  m_is_paused = false;
   m_discarded_bytes = 0;
   m_headers.Clear();
 
@@ -125,6 +126,7 @@
 }
 
 void HttpClientConnection::SetPaused(bool paused) {
+  m_is_paused = paused;
   if (paused) {
     bufferevent_disable(m_stream, EV_READ);
   } else {
@@ -210,6 +212,10 @@
     connection->m_connected = true;
     return;
   }
+  if ((events & BEV_EVENT_TIMEOUT) != 0 &&
+      connection->ResumeAfterTimeout(events)) {
+    return;
+  }
   const bool is_idle = connection->m_observer == nullptr;
   connection->m_failed = true;
   if (is_idle) {
@@ -244,6 +250,21 @@
   connection->End(HttpOutcome::kBroken);
 }
 
+bool HttpClientConnection::ResumeAfterTimeout(short events) {
+  const auto resume = [this](short direction) {
+    if (direction == EV_READ && m_is_paused) {
+      return true;
+    }
+    const bool awaits_input = direction == EV_READ && m_connected;
+    pollfd ready{bufferevent_getfd(m_stream),
+                 static_cast<short>(awaits_input ? POLLIN : POLLOUT), 0};
+    return poll(&ready, 1, 0) > 0 &&
+           bufferevent_enable(m_stream, direction) == 0;
+  };
+  return ((events & BEV_EVENT_READING) == 0 || resume(EV_READ)) &&
+         ((events & BEV_EVENT_WRITING) == 0 || resume(EV_WRITE));
+}
+
 void HttpClientConnection::Parse() {
   evbuffer* input = bufferevent_get_input(m_stream);
   if (m_observer == nullptr) {
--- a/packages/runtime/src/http_client_connection.h
+++ b/packages/runtime/src/http_client_connection.h
@@ -46,6 +46,10 @@
 
   void Connect();
   void Parse();
+  /// After a pause of the event loop, timeouts run before what the socket is
+  /// ready for.
+  /// @returns whether the timed out reading or writing goes on.
+  bool ResumeAfterTimeout(short events);
   /// Passes the buffered body bytes to the observer.
   /// @returns false if the observer destroyed this object.
   bool DeliverBody();
@@ -69,6 +73,8 @@
   bool m_connected = false;
   bool m_is_head_request = false;
   bool m_keep_alive = true;
+  /// Whether the call has paused reading, so that the silence is its own.
+  bool m_is_paused = false;
   bool m_head_complete = false;
   bool m_message_complete = false;
   /// Whether the current response belongs to an earlier call and is discarded.
--- /dev/null
+++ b/packages/runtime/tests/held_up_loop_test.cc
@@ -0,0 +1,145 @@
+// Tests of calls and timers whose event loop is held up.
+
+#include <boost/test/unit_test.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "bambooquay/runtime/http_client.h"
+#include "support/plain_server.h"
+
+namespace bambooquay {
+namespace {
+
+using std::chrono::milliseconds;
+using testing::HoldUp;
+using testing::PlainServer;
+
+constexpr Duration kTestTimeout = std::chrono::seconds(10);
+constexpr Duration kIdleTimeout = milliseconds(300);
+constexpr Duration kPause = milliseconds(700);
+
+std::string Ok(const std::string& body, const std::string& headers = "") {
+  return "HTTP/1.1 200 OK\r\n" + headers +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+HttpRequest MakeGet() {
+  HttpRequest request;
+  request.method = "GET";
+  request.target = "/";
+  return request;
+}
+
+struct Outcome final : HttpObserver {
+  void OnHead(int /*status*/, const HttpHeaders& /*headers*/) override {}
+  void OnPart(std::string_view bytes) override { body += bytes; }
+  void OnEnd(HttpOutcome call_outcome) override { outcome = call_outcome; }
+
+  std::string body;
+  std::optional<HttpOutcome> outcome;
+};
+
+/// A client whose loop can be held up, and a server outside that loop.
+struct HeldUpClient {
+  std::unique_ptr<HttpCall> Start(Outcome& outcome) {
+    return client.Start(server.endpoint(), MakeGet(), kIdleTimeout,
+                        ConnectionReuse::kAllowed, outcome);
+  }
+  void WaitForRequest() {
+    BOOST_REQUIRE(
+        loop.RunUntil([&] { return server.HasRequest(); }, kTestTimeout));
+  }
+  void WaitForEnd(const Outcome& outcome) {
+    BOOST_REQUIRE(loop.RunUntil([&] { return outcome.outcome.has_value(); },
+                                kTestTimeout));
+  }
+
+  EventLoop loop;
+  PlainServer server;
+  HttpClient client{loop, {.connect_timeout = kIdleTimeout}};
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(held_up_loop)
+
+BOOST_AUTO_TEST_CASE(a_response_that_arrived_in_a_pause_is_not_timed_out) {
+  HeldUpClient test;
+  Outcome outcome;
+  const auto call = test.Start(outcome);
+  test.WaitForRequest();
+  test.server.Send(Ok("done"));
+  HoldUp(kPause);
+  test.WaitForEnd(outcome);
+  BOOST_TEST((outcome.outcome == HttpOutcome::kComplete));
+  BOOST_TEST(outcome.body == "done");
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_that_went_on_in_a_pause_is_not_timed_out) {
+  HeldUpClient test;
+  Outcome outcome;
+  const auto call = test.Start(outcome);
+  test.WaitForRequest();
+  const std::string response = Ok("first second");
+  test.server.Send(response.substr(0, response.size() - 6));
+  BOOST_REQUIRE(test.loop.RunUntil([&] { return outcome.body == "first "; },
+                                   kTestTimeout));
+  test.server.Send("sec");
+  HoldUp(kPause);
+  BOOST_REQUIRE(test.loop.RunUntil([&] { return outcome.body == "first sec"; },
+                                   kTestTimeout));
+  BOOST_TEST(!outcome.outcome.has_value());
+  test.server.Send("ond");
+  test.WaitForEnd(outcome);
+  BOOST_TEST((outcome.outcome == HttpOutcome::kComplete));
+}
+
+BOOST_AUTO_TEST_CASE(a_peer_that_is_silent_after_a_pause_is_timed_out) {
+  HeldUpClient test;
+  Outcome outcome;
+  const auto call = test.Start(outcome);
+  test.WaitForRequest();
+  test.server.Send("HTTP/1.1 200 OK\r\n");
+  HoldUp(kPause);
+  test.WaitForEnd(outcome);
+  BOOST_TEST((outcome.outcome == HttpOutcome::kTimedOut));
+}
+
+BOOST_AUTO_TEST_CASE(a_connection_made_in_a_pause_is_used) {
+  HeldUpClient test;
+  Outcome outcome;
+  const auto call = test.Start(outcome);
+  HoldUp(kPause);
+  BOOST_REQUIRE(test.loop.RunUntil(
+      [&] { return test.server.HasRequest() || outcome.outcome.has_value(); },
+      kTestTimeout));
+  test.server.Send(Ok("done"));
+  test.WaitForEnd(outcome);
+  BOOST_TEST((outcome.outcome == HttpOutcome::kComplete));
+}
+
+BOOST_AUTO_TEST_CASE(
+    a_paused_response_is_not_timed_out_by_a_pause_of_the_loop) {
+  HeldUpClient test;
+  Outcome outcome;
+  const auto call = test.Start(outcome);
+  test.WaitForRequest();
+  const std::string response = Ok("first second");
+  test.server.Send(response.substr(0, response.size() - 6));
+  BOOST_REQUIRE(test.loop.RunUntil([&] { return outcome.body == "first "; },
+                                   kTestTimeout));
+  test.server.Send("second");
+  HoldUp(kPause);
+  call->SetPaused(true);
+  test.loop.RunUntil([] { return false; }, kIdleTimeout * 2);
+  BOOST_TEST(!outcome.outcome.has_value());
+  BOOST_TEST(outcome.body == "first ");
+  call->SetPaused(false);
+  test.WaitForEnd(outcome);
+  BOOST_TEST((outcome.outcome == HttpOutcome::kComplete));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace bambooquay
