Fetched responses that arrived before the overall limit are read whole

Calls to the store, to agents, to engines and to other entries were timed out although their response was in the socket.

Cause: the limit of a buffered call runs as a timer, so after a pause before the input is read; and a turn of the loop reads only 16 KiB of a socket.

Change: AfterInput takes a condition: the decision waits, for a bounded number of turns, while the call has unread input. The limit is judged there.

--- a/packages/runtime/include/bambooquay/runtime/event_loop.h
+++ b/packages/runtime/include/bambooquay/runtime/event_loop.h
@@ -16,10 +16,18 @@
 /// callback may do.
 class Timer {
  public:
-  /// @param idle_turns  turns of the loop that a one-shot timer lets pass after
-  ///   `delay`, before it runs the callback.
+  /// Turns of the loop that a one-shot timer lets pass after its delay, before
+  /// it runs the callback.
+  struct IdleTurns {
+    int min = 0;
+    /// Further turns for which it waits at most, as long as `goes_on` returns
+    /// true.
+    int max_more = 0;
+    std::function<bool()> goes_on;
+  };
+
   Timer(event_base* base, Duration delay, bool repeats,
-        std::function<void()> callback, int idle_turns = 0);
+        std::function<void()> callback, IdleTurns idle_turns);
   Timer(const Timer&) = delete;
   Timer& operator=(const Timer&) = delete;
   ~Timer();
@@ -29,7 +37,7 @@
 
   event* m_event;
   std::function<void()> m_callback;
-  int m_idle_turns;
+  IdleTurns m_idle_turns;
 };
 
 /// A single-threaded event loop. All work of a process runs on it.
@@ -64,8 +72,11 @@
   /// sockets and handled. After a pause of the loop, timers run before that, so
   /// a decision on silence has to be made here. What arrives meanwhile may
   /// still be unread.
+  /// @param has_unread_input  whether the decision has to wait for more input
+  ///   than one turn of the loop reads. Input without end is not waited for.
   [[nodiscard]] std::unique_ptr<Timer> AfterInput(
-      std::function<void()> callback);
+      std::function<void()> callback,
+      std::function<bool()> has_unread_input = nullptr);
   /// Schedules `callback` to run once, after the current callback returns.
   void Post(std::function<void()> callback);
   /// Runs `callback` on the loop each time the signal is delivered.
--- a/packages/runtime/src/event_loop.cc
+++ b/packages/runtime/src/event_loop.cc
@@ -16,6 +16,8 @@
 // In the first turn of the loop, timers run after the input was read from the
 // sockets and before the callbacks that handle it.
 constexpr int kTurnsToHandleInput = 1;
+// Each turn reads 16 KiB of a socket: this is enough for a full receive buffer.
+constexpr int kMaxTurnsToReadSocket = 512;
 
 void RunPosted(evutil_socket_t /*fd*/, short /*events*/, void* argument) {
   const std::unique_ptr<std::function<void()>> callback(
@@ -30,11 +32,11 @@
 }  // namespace
 
 Timer::Timer(event_base* base, Duration delay, bool repeats,
-             std::function<void()> callback, int idle_turns)
+             std::function<void()> callback, IdleTurns idle_turns)
     : m_event(
           event_new(base, -1, repeats ? EV_PERSIST : 0, &Timer::Fire, this)),
       m_callback(std::move(callback)),
-      m_idle_turns(idle_turns) {
+      m_idle_turns(std::move(idle_turns)) {
   const timeval interval = ToTimeval(delay);
   event_add(m_event, &interval);
 }
@@ -43,8 +45,10 @@
 
 void Timer::Fire(int /*fd*/, short /*events*/, void* self) {
   auto* timer = static_cast<Timer*>(self);
-  if (timer->m_idle_turns > 0) {
-    --timer->m_idle_turns;
+  IdleTurns& turns = timer->m_idle_turns;
+  int* left = turns.min > 0 ? &turns.min : &turns.max_more;
+  if (*left > 0 && (left == &turns.min || turns.goes_on())) {
+    --*left;
     const timeval now{0, 0};
     event_add(timer->m_event, &now);
     return;
@@ -88,17 +92,26 @@
 
 std::unique_ptr<Timer> EventLoop::After(Duration delay,
                                         std::function<void()> callback) {
-  return std::make_unique<Timer>(m_base, delay, false, std::move(callback));
+  return std::make_unique<Timer>(m_base, delay, false, std::move(callback),
+                                 Timer::IdleTurns{});
 }
 
 std::unique_ptr<Timer> EventLoop::Every(Duration period,
                                         std::function<void()> callback) {
-  return std::make_unique<Timer>(m_base, period, true, std::move(callback));
+  return std::make_unique<Timer>(m_base, period, true, std::move(callback),
+                                 Timer::IdleTurns{});
 }
 
-std::unique_ptr<Timer> EventLoop::AfterInput(std::function<void()> callback) {
+std::unique_ptr<Timer> EventLoop::AfterInput(
+    std::function<void()> callback, std::function<bool()> has_unread_input) {
+  Timer::IdleTurns turns;
+  turns.min = kTurnsToHandleInput;
+  if (has_unread_input) {
+    turns.max_more = kMaxTurnsToReadSocket;
+    turns.goes_on = std::move(has_unread_input);
+  }
   return std::make_unique<Timer>(m_base, Duration::zero(), false,
-                                 std::move(callback), kTurnsToHandleInput);
+                                 std::move(callback), std::move(turns));
 }
 
 void EventLoop::Post(std::function<void()> callback) {
--- a/packages/runtime/src/http_client.cc
+++ b/packages/runtime/src/http_client.cc
@@ -53,8 +53,11 @@
     }
   }
   void LimitTime(EventLoop& loop, Duration idle_timeout) {
-    m_limit_timer = loop.After(idle_timeout * kMaxIdleTimeouts,
-                               [this] { GiveUp(HttpOutcome::kTimedOut); });
+    m_limit_timer = loop.After(idle_timeout * kMaxIdleTimeouts, [this, &loop] {
+      m_limit_timer =
+          loop.AfterInput([this] { GiveUp(HttpOutcome::kTimedOut); },
+                          [this] { return m_call->HasUnreadInput(); });
+    });
   }
   /// Closes the connection and ends the call.
   void GiveUp(HttpOutcome outcome) {
--- a/packages/runtime/tests/held_up_loop_test.cc
+++ b/packages/runtime/tests/held_up_loop_test.cc
@@ -4,6 +4,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <variant>
 
 #include "bambooquay/runtime/http_client.h"
 #include "support/plain_server.h"
@@ -60,6 +61,10 @@
   HttpClient client{loop, {.connect_timeout = kIdleTimeout}};
 };
 
+bool IsOk(const std::optional<HttpResult>& result) {
+  return result.has_value() && std::holds_alternative<HttpResponse>(*result);
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(held_up_loop)
@@ -140,6 +145,45 @@
   BOOST_TEST((outcome.outcome == HttpOutcome::kComplete));
 }
 
+BOOST_AUTO_TEST_CASE(
+    a_fetched_response_that_arrived_in_a_pause_is_not_timed_out) {
+  // Larger than what one turn of the loop reads from a socket.
+  const std::string body(200'000, 'x');
+  EventLoop loop;
+  PlainServer server;
+  std::optional<HttpResult> result;
+  const auto call =
+      FetchHttp(loop, server.endpoint(), MakeGet(), kIdleTimeout,
+                [&](HttpResult fetched) { result = std::move(fetched); });
+  BOOST_REQUIRE(
+      loop.RunUntil([&] { return server.HasRequest(); }, kTestTimeout));
+  server.Send(Ok(body));
+  HoldUp(kPause);
+  BOOST_REQUIRE(
+      loop.RunUntil([&] { return result.has_value(); }, kTestTimeout));
+  BOOST_REQUIRE(IsOk(result));
+  BOOST_TEST((std::get<HttpResponse>(*result).body == body));
+}
+
+BOOST_AUTO_TEST_CASE(a_fetched_response_without_an_end_is_timed_out) {
+  EventLoop loop;
+  PlainServer server;
+  std::optional<HttpResult> result;
+  const TimePoint started_at = loop.clock().Now();
+  const auto call =
+      FetchHttp(loop, server.endpoint(), MakeGet(), kIdleTimeout,
+                [&](HttpResult fetched) { result = std::move(fetched); });
+  BOOST_REQUIRE(
+      loop.RunUntil([&] { return server.HasRequest(); }, kTestTimeout));
+  server.Send("HTTP/1.1 200 OK\r\nContent-Length: 1000000000\r\n\r\n");
+  const auto drip =
+      loop.Every(milliseconds(1), [&] { server.Send("some bytes"); });
+  BOOST_REQUIRE(
+      loop.RunUntil([&] { return result.has_value(); }, kTestTimeout));
+  BOOST_TEST(!IsOk(result));
+  BOOST_TEST((loop.clock().Now() - started_at < kIdleTimeout * 4));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace bambooquay
