Connections whose end has arrived are not used again

A call that must not run twice was sent into a connection that the upstream had closed, and its caller was told that it may have run.

Cause: the pool took a connection for usable by what the loop had handled. After a pause, the close by the peer was still in the socket.

Change: IsReusable asks the socket as well. A close on its way cannot be seen.

--- a/packages/runtime/src/http_client_connection.cc
+++ b/packages/runtime/src/http_client_connection.cc
@@ -143,9 +143,9 @@
 }
 
 bool HttpClientConnection::IsReusable(TimePoint now) const {
+  // Unread input is the close by the peer, or bytes that nobody asked for.
   return m_observer == nullptr && !m_failed &&
-         evbuffer_get_length(bufferevent_get_input(m_stream)) == 0 &&
-         now - m_idle_since < m_max_idle_time;
+         now - m_idle_since < m_max_idle_time && !HasUnreadInput();
 }
 
 bool HttpClientConnection::WasUsedRecently(TimePoint now) const {
--- a/packages/runtime/tests/held_up_loop_test.cc
+++ b/packages/runtime/tests/held_up_loop_test.cc
@@ -184,6 +184,25 @@
   BOOST_TEST((loop.clock().Now() - started_at < kIdleTimeout * 4));
 }
 
+BOOST_AUTO_TEST_CASE(a_pooled_connection_closed_in_a_pause_is_not_used_again) {
+  HeldUpClient test;
+  Outcome first;
+  const auto call = test.Start(first);
+  test.WaitForRequest();
+  test.server.Send(Ok("done"));
+  test.WaitForEnd(first);
+  test.server.Close();
+  Outcome second;
+  const auto next_call = test.Start(second);
+  BOOST_REQUIRE(test.loop.RunUntil(
+      [&] { return test.server.HasRequest() || second.outcome.has_value(); },
+      kTestTimeout));
+  test.server.Send(Ok("done"));
+  test.WaitForEnd(second);
+  BOOST_TEST((second.outcome == HttpOutcome::kComplete));
+  BOOST_TEST(test.client.opened_connection_count() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace bambooquay
