What a socket has not read yet is not taken for handled

AfterInput let one turn of the loop pass, while a datagram socket reads 64 in a turn: after a pause more than that wait in it. A decision on silence came before the datagram that would have changed it.

Change: a socket that stops reading before it is empty says so, and AfterInput waits for it. EveryAfterInput is the periodic form, which is not put off by its own period. input_clock() is the time up to which all input was handled, for decisions that are made in any callback and not by a timer. It stands still over a pause.

--- a/packages/runtime/include/bambooquay/runtime/event_loop.h
+++ b/packages/runtime/include/bambooquay/runtime/event_loop.h
@@ -1,6 +1,7 @@
 // The event loop of a process and its timers, based on libevent.
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <vector>
@@ -16,10 +17,10 @@
 /// callback may do.
 class Timer {
  public:
-  /// @param idle_turns  turns of the loop that a one-shot timer lets pass after
-  ///   `delay`, before it runs the callback.
+  /// @param waits  asked in each turn of the loop after `delay`. While it
+  ///   returns true, a one-shot timer does not run the callback.
   Timer(event_base* base, Duration delay, bool repeats,
-        std::function<void()> callback, int idle_turns = 0);
+        std::function<void()> callback, std::function<bool()> waits = {});
   Timer(const Timer&) = delete;
   Timer& operator=(const Timer&) = delete;
   ~Timer();
@@ -29,7 +30,7 @@
 
   event* m_event;
   std::function<void()> m_callback;
-  int m_idle_turns;
+  std::function<bool()> m_waits;
 };
 
 /// A single-threaded event loop. All work of a process runs on it.
@@ -66,6 +67,13 @@
   /// still be unread.
   [[nodiscard]] std::unique_ptr<Timer> AfterInput(
       std::function<void()> callback);
+  /// Runs `callback` like AfterInput() every `period` until the timer is
+  /// destroyed, with the time up to which all input was handled.
+  [[nodiscard]] std::unique_ptr<Timer> EveryAfterInput(
+      Duration period, std::function<void(TimePoint)> callback);
+  /// To be called by a socket that stops reading before it is empty, so that
+  /// others get a turn. AfterInput() waits for the rest.
+  void NoteUnreadInput() noexcept { ++m_unread_notes; }
   /// Schedules `callback` to run once, after the current callback returns.
   void Post(std::function<void()> callback);
   /// Runs `callback` on the loop each time the signal is delivered.
@@ -73,8 +81,24 @@
 
   [[nodiscard]] event_base* base() noexcept { return m_base; }
   [[nodiscard]] const Clock& clock() const noexcept { return m_clock; }
+  /// The time up to which all input was handled, which is up to 50 ms ago. It
+  /// stands still from a pause of the loop until what arrived meanwhile was
+  /// handled. Silence of others is measured by it.
+  [[nodiscard]] const Clock& input_clock() const noexcept {
+    return m_input_clock;
+  }
 
  private:
+  class InputClock final : public Clock {
+   public:
+    explicit InputClock(TimePoint now) noexcept : m_now(now) {}
+    [[nodiscard]] TimePoint Now() const noexcept override { return m_now; }
+    void Set(TimePoint now) noexcept { m_now = now; }
+
+   private:
+    TimePoint m_now;
+  };
+
   struct SignalHandler {
     event* signal_event = nullptr;
     std::function<void()> callback;
@@ -82,6 +106,9 @@
 
   event_base* m_base;
   SteadyClock m_clock;
+  InputClock m_input_clock;
+  std::uint64_t m_unread_notes = 0;
+  std::unique_ptr<Timer> m_input_timer;
   std::vector<std::unique_ptr<SignalHandler>> m_signals;
 };
 
--- a/packages/runtime/src/datagram_socket.cc
+++ b/packages/runtime/src/datagram_socket.cc
@@ -73,6 +73,7 @@
     m_handler(ToEndpoint(sender),
               {buffer.data(), static_cast<std::size_t>(size)});
   }
+  m_loop.NoteUnreadInput();
 }
 
 }  // namespace bambooquay
--- a/packages/runtime/src/event_loop.cc
+++ b/packages/runtime/src/event_loop.cc
@@ -16,6 +16,10 @@
 // In the first turn of the loop, timers run after the input was read from the
 // sockets and before the callbacks that handle it.
 constexpr int kTurnsToHandleInput = 1;
+// Bounds the wait for sockets to which more arrives than is read.
+constexpr int kMaxTurnsToHandleInput = 64;
+// Well below the times after which others count as silent.
+constexpr Duration kInputClockPeriod = std::chrono::milliseconds(50);
 
 void RunPosted(evutil_socket_t /*fd*/, short /*events*/, void* argument) {
   const std::unique_ptr<std::function<void()>> callback(
@@ -30,11 +34,11 @@
 }  // namespace
 
 Timer::Timer(event_base* base, Duration delay, bool repeats,
-             std::function<void()> callback, int idle_turns)
+             std::function<void()> callback, std::function<bool()> waits)
     : m_event(
           event_new(base, -1, repeats ? EV_PERSIST : 0, &Timer::Fire, this)),
       m_callback(std::move(callback)),
-      m_idle_turns(idle_turns) {
+      m_waits(std::move(waits)) {
   const timeval interval = ToTimeval(delay);
   event_add(m_event, &interval);
 }
@@ -43,8 +47,7 @@
 
 void Timer::Fire(int /*fd*/, short /*events*/, void* self) {
   auto* timer = static_cast<Timer*>(self);
-  if (timer->m_idle_turns > 0) {
-    --timer->m_idle_turns;
+  if (timer->m_waits && timer->m_waits()) {
     const timeval now{0, 0};
     event_add(timer->m_event, &now);
     return;
@@ -54,14 +57,18 @@
   callback();
 }
 
-EventLoop::EventLoop() : m_base(event_base_new()) {
+EventLoop::EventLoop()
+    : m_base(event_base_new()), m_input_clock(m_clock.Now()) {
   if (m_base == nullptr) {
     throw std::bad_alloc();
   }
+  m_input_timer = EveryAfterInput(
+      kInputClockPeriod, [this](TimePoint now) { m_input_clock.Set(now); });
   std::signal(SIGPIPE, SIG_IGN);
 }
 
 EventLoop::~EventLoop() {
+  m_input_timer = nullptr;
   for (const auto& handler : m_signals) {
     event_free(handler->signal_event);
   }
@@ -97,8 +104,32 @@
 }
 
 std::unique_ptr<Timer> EventLoop::AfterInput(std::function<void()> callback) {
-  return std::make_unique<Timer>(m_base, Duration::zero(), false,
-                                 std::move(callback), kTurnsToHandleInput);
+  return std::make_unique<Timer>(
+      m_base, Duration::zero(), false, std::move(callback),
+      [this, turns = 0, notes = m_unread_notes]() mutable {
+        const bool has_unread = notes != m_unread_notes;
+        notes = m_unread_notes;
+        ++turns;
+        return turns <= kTurnsToHandleInput ||
+               (has_unread && turns < kMaxTurnsToHandleInput);
+      });
+}
+
+std::unique_ptr<Timer> EventLoop::EveryAfterInput(
+    Duration period, std::function<void(TimePoint)> callback) {
+  auto waiting = std::make_shared<std::unique_ptr<Timer>>();
+  return Every(period, [this, waiting, callback = std::move(callback)] {
+    // Replacing a timer that still waits would put it off again and again.
+    if (*waiting != nullptr) {
+      return;
+    }
+    *waiting =
+        AfterInput([waiting = waiting.get(), callback, now = m_clock.Now()] {
+          // The callback may destroy the timer.
+          *waiting = nullptr;
+          callback(now);
+        });
+  });
 }
 
 void EventLoop::Post(std::function<void()> callback) {
