An entry that stood still issues permits within its own share

After a pause of more than 800 ms the others count the entry as silent and share out its part of the permits for services without agents. It went on to issue as one of all: with two entries, permits for one and a half times the limit until the others had heard from it.

Evidence: peer_exchange/permits_of_an_entry_that_stood_still_do_not_exceed_its_own_share failed before: 10 granted of 20, its share is 5.

Change: after an own pause of 650 ms or more the entry issues alone and within the part of one entry, until two of its statuses have been due. Judged when a permit is asked for as well, as that may come before the timer.

Bound: only lower than before, for 300 ms. The time is the loop's clock, not the input clock: this must not wait for input.

--- a/packages/serving/include/bambooquay/serving/peer_exchange.h
+++ b/packages/serving/include/bambooquay/serving/peer_exchange.h
@@ -156,6 +156,9 @@
   void HandleReply(const RoomReply& reply);
   void ExpireRoomRequests();
   void Tick();
+  /// Issues permits within this entry's own share only, after a pause in which
+  /// others may have counted it as silent.
+  void LeavePermitsAfterPause();
   void ResendLoadRequests();
   void Send(const Endpoint& to, const StatusMessage& message);
   /// @returns the address of the agent beside an upstream, or nothing if the
@@ -194,6 +197,9 @@
   std::map<std::uint64_t, PendingPermit> m_pending_permits;
   std::map<std::uint64_t, PendingRoom> m_pending_rooms;
   EntryPermits m_entry_permits;
+  TimePoint m_last_tick_at{};
+  /// Others know again from then on that this entry is not silent.
+  TimePoint m_rejoined_at{};
   std::unique_ptr<Timer> m_status_timer;
   std::unique_ptr<Timer> m_request_timer;
 };
--- a/packages/serving/src/peer_exchange.cc
+++ b/packages/serving/src/peer_exchange.cc
@@ -18,6 +18,10 @@
 // A peer is silent if nothing has arrived from it for this long, which is
 // just over five status periods.
 constexpr Duration kSilentAfter = milliseconds(800);
+// After a pause of this length others may count this entry as silent and share
+// out its part of the permits, until its next statuses have arrived.
+constexpr Duration kNotablePause = kSilentAfter - kStatusPeriod;
+constexpr Duration kRejoinTime = 2 * kStatusPeriod;
 // A silent peer is assumed to go on spending its share for this long, and is
 // then removed. Network partitions are shorter than this.
 constexpr Duration kRemoveSilentAfter = std::chrono::seconds(30);
@@ -57,6 +61,7 @@
 
 bool PeerExchange::Bind(const Endpoint& endpoint) {
   m_port = endpoint.port;
+  m_last_tick_at = m_loop.clock().Now();
   m_status_timer = m_loop.Every(kStatusPeriod, [this] { Tick(); });
   m_request_timer = m_loop.Every(kLoadResendInterval / 2, [this] {
     ResendLoadRequests();
@@ -120,6 +125,14 @@
   return members;
 }
 
+void PeerExchange::LeavePermitsAfterPause() {
+  const TimePoint now = m_loop.clock().Now();
+  if (now - m_last_tick_at > kNotablePause) {
+    m_rejoined_at = now + kRejoinTime;
+    m_entry_permits.SetEntries({m_self}, member_count());
+  }
+}
+
 bool PeerExchange::IsPlanner() const {
   return std::ranges::none_of(m_peers, [this](const auto& item) {
     return item.first < m_self && !IsSilent(item.second) &&
@@ -146,7 +159,11 @@
     RemovePeer(id);
   }
   m_allowance.SetMemberCount(member_count());
-  m_entry_permits.SetEntries(LiveMembers(), member_count());
+  LeavePermitsAfterPause();
+  m_last_tick_at = m_loop.clock().Now();
+  if (m_last_tick_at >= m_rejoined_at) {
+    m_entry_permits.SetEntries(LiveMembers(), member_count());
+  }
   m_entry_permits.RemoveUnused();
   SendStatus();
 }
@@ -326,6 +343,7 @@
     done(false, kPermitRetryDelay);
     return;
   }
+  LeavePermitsAfterPause();
   const PermitRequest request{m_next_request_id++, id, bounds};
   const auto issuer = PermitIssuerAddress(*upstream);
   if (!issuer.has_value()) {
@@ -442,6 +460,7 @@
   } else if (const auto* room = std::get_if<RoomReply>(&message->body)) {
     HandleReply(*room);
   } else if (const auto* request = std::get_if<PermitRequest>(&message->body)) {
+    LeavePermitsAfterPause();
     Send(sender_address,
          {m_self, m_incarnation, m_entry_permits.Issue(*request)});
   } else if (m_on_duty_message && IsDutyMessage(*message)) {
--- /dev/null
+++ b/packages/serving/tests/peer_exchange_test.cc
@@ -0,0 +1,155 @@
+// What an entry takes other entries and agents for after it stood still.
+#include "bambooquay/serving/peer_exchange.h"
+
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <vector>
+
+#include "bambooquay/core/random.h"
+#include "bambooquay/serving/entry_permits.h"
+#include "support/free_port.h"
+
+namespace bambooquay {
+namespace {
+
+using std::chrono::milliseconds;
+using testing::FreeDatagramPort;
+
+constexpr Duration kTestTimeout = std::chrono::seconds(10);
+// Period of the entry's statuses, in which it judges the others.
+constexpr Duration kStatusPeriod = milliseconds(150);
+// Longer than the time after which a peer counts as silent.
+constexpr Duration kPause = milliseconds(1200);
+constexpr CallsPerSecond kCallLimit{40.0};
+const InstanceId kSelf("entry-b");
+const InstanceId kPeer("entry-a");
+
+/// An entry, and a peer that plans placement as long as it is not silent.
+struct PeerPair {
+  PeerPair() {
+    exchange.SetStatusSource([this] {
+      if (on_tick) {
+        on_tick();
+      }
+      return EntryStatus{};
+    });
+    exchange.OnPeerFound([] {});
+    exchange.OnEngineStatus([](const EngineStatus&) {});
+    BOOST_REQUIRE(exchange.Bind(address));
+    BOOST_REQUIRE(peer.Bind({"127.0.0.1", 0}));
+    SendPeerStatus();
+    BOOST_REQUIRE(
+        loop.RunUntil([this] { return !exchange.IsPlanner(); }, kTestTimeout));
+  }
+
+  void SendPeerStatus() {
+    peer.Send(address, EncodeStatus({kPeer, 1, EntryStatus{}}));
+  }
+  /// Runs the loop until just after a status of the entry.
+  void RunUntilTick() {
+    bool has_ticked = false;
+    on_tick = [&] { has_ticked = true; };
+    SendPeerStatus();
+    BOOST_REQUIRE(loop.RunUntil([&] { return has_ticked; }, kTestTimeout));
+    on_tick = nullptr;
+  }
+  /// Holds up the loop. The peer's status is read before the entry's next one.
+  void HoldUpBeforeTick() {
+    RunUntilTick();
+    const auto hold = loop.After(Duration::zero(), [&] {
+      SendPeerStatus();
+      std::this_thread::sleep_for(kPause);
+      on_resumed();
+    });
+    bool has_ticked = false;
+    on_tick = [&, after = on_tick_after_pause] {
+      after();
+      has_ticked = true;
+    };
+    BOOST_REQUIRE(loop.RunUntil([&] { return has_ticked; }, kTestTimeout));
+    on_tick = nullptr;
+  }
+  /// @returns an upstream for which this entry issues the permits.
+  UpstreamId AddOwnUpstream() {
+    EntryPermits permits(loop.clock(), kSelf);
+    permits.SetEntries({kSelf, kPeer}, 2);
+    UpstreamRecord record;
+    int number = 0;
+    do {
+      record.id = UpstreamId("upstream-" + std::to_string(++number));
+    } while (permits.IssuerOf(record.id) != kSelf);
+    upstreams.Put(record);
+    return record.id;
+  }
+  /// Requests permits for one upstream.
+  /// @returns how many are granted at once.
+  int CountPermits(const UpstreamId& upstream, int requests) {
+    const auto granted = std::make_shared<int>(0);
+    for (int i = 0; i < requests; ++i) {
+      exchange.RequestPermit(
+          upstream, {false, kCallLimit},
+          [granted](bool is_granted, Duration) { *granted += is_granted; });
+    }
+    return *granted;
+  }
+
+  EventLoop loop;
+  SeededRandom random{1};
+  UpstreamSet upstreams{loop.clock(), random, DataCentreId("dc"),
+                        [](const Endpoint&) { return true; }};
+  FleetAllowance allowance{loop.clock()};
+  PeerExchange exchange{loop, kSelf, allowance, upstreams};
+  Endpoint address{"127.0.0.1", FreeDatagramPort()};
+  std::function<void(const Endpoint&, const StatusMessage&)> on_message;
+  DatagramSocket peer{
+      loop, [this](const Endpoint& sender, std::string_view bytes) {
+        if (const auto message = DecodeStatus(bytes); message && on_message) {
+          on_message(sender, *message);
+        }
+      }};
+  std::function<void()> on_tick;
+  std::function<void()> on_resumed = [] {};
+  std::function<void()> on_tick_after_pause = [] {};
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(peer_exchange)
+
+BOOST_AUTO_TEST_CASE(a_peer_that_stays_away_becomes_silent) {
+  PeerPair test;
+  BOOST_TEST(test.loop.RunUntil([&] { return test.exchange.IsPlanner(); },
+                                kTestTimeout));
+}
+
+BOOST_AUTO_TEST_CASE(
+    permits_of_an_entry_that_stood_still_do_not_exceed_its_own_share) {
+  PeerPair test;
+  const UpstreamId upstream = test.AddOwnUpstream();
+  test.CountPermits(upstream, 1);
+  int granted = 0;
+  TimePoint resumed_at;
+  TimePoint ticked_at;
+  test.on_resumed = [&] {
+    resumed_at = test.loop.clock().Now();
+    granted = test.CountPermits(upstream, 10);
+  };
+  test.on_tick_after_pause = [&] {
+    granted += test.CountPermits(upstream, 10);
+    ticked_at = test.loop.clock().Now();
+  };
+  test.HoldUpBeforeTick();
+  // Those of 250 ms may be unused, and this is one of two entries.
+  const double rate = kCallLimit.value / 2;
+  BOOST_TEST(granted >= 5);
+  BOOST_TEST(granted <= 5 + rate * ToSeconds(ticked_at - resumed_at));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace bambooquay
