Peers are not silent because this entry stood still

After a pause of 800 ms or more, the first status timer took all peers for silent, before what they had sent was read: the entry planned placement, read the tables for others, took all peers' spending for assumed and sought the seeds; after 30 s it forgot them. The same in any callback that asks, such as a call's.

Change: silence goes by the input clock, up to 50 ms later than before.

Bounds: SetPeerSilent credits the time up to now before it changes the state, so a later judgement never credited more for the pause.

--- a/packages/serving/src/peer_exchange.cc
+++ b/packages/serving/src/peer_exchange.cc
@@ -98,7 +98,7 @@
 
 bool PeerExchange::IsSilent(const PeerEntry& peer) const {
   return !peer.last_heard_at.has_value() ||
-         m_loop.clock().Now() - *peer.last_heard_at > kSilentAfter;
+         m_loop.input_clock().Now() - *peer.last_heard_at > kSilentAfter;
 }
 
 std::size_t PeerExchange::member_count() const {
@@ -141,7 +141,7 @@
 }
 
 void PeerExchange::Tick() {
-  const TimePoint now = m_loop.clock().Now();
+  const TimePoint now = m_loop.input_clock().Now();
   std::vector<InstanceId> expired;
   for (auto& [id, peer] : m_peers) {
     const bool silent = IsSilent(peer);
--- a/packages/serving/tests/peer_exchange_test.cc
+++ b/packages/serving/tests/peer_exchange_test.cc
@@ -58,7 +58,32 @@
     BOOST_REQUIRE(loop.RunUntil([&] { return has_ticked; }, kTestTimeout));
     on_tick = nullptr;
   }
-  /// Holds up the loop. The peer's status is read before the entry's next one.
+  /// Holds up the loop across the entry's next status, which is due when the
+  /// loop goes on. The peer sends `count` statuses meanwhile.
+  void HoldUpAcrossTick(int count) {
+    RunUntilTick();
+    // Both timers are due in the same turn of the loop.
+    const auto first = loop.After(
+        kStatusPeriod / 3, [] { std::this_thread::sleep_for(kStatusPeriod); });
+    const auto second = loop.After(kStatusPeriod / 2, [&] {
+      std::this_thread::sleep_for(kPause);
+      for (int i = 0; i < count; ++i) {
+        SendPeerStatus();
+      }
+      on_resumed();
+    });
+    bool has_ticked = false;
+    on_tick = [&, after = on_tick_after_pause] {
+      if (!has_ticked) {
+        after();
+      }
+      has_ticked = true;
+    };
+    BOOST_REQUIRE(loop.RunUntil([&] { return has_ticked; }, kTestTimeout));
+    on_tick = nullptr;
+  }
+
+  /// The same, but the statuses are read before the entry's next one is due.
   void HoldUpBeforeTick() {
     RunUntilTick();
     const auto hold = loop.After(Duration::zero(), [&] {
@@ -121,6 +146,15 @@
 
 BOOST_AUTO_TEST_SUITE(peer_exchange)
 
+BOOST_AUTO_TEST_CASE(a_peer_is_not_silent_because_this_entry_stood_still) {
+  PeerPair test;
+  std::optional<bool> took_over;
+  test.on_tick_after_pause = [&] { took_over = test.exchange.IsPlanner(); };
+  test.HoldUpAcrossTick(1);
+  BOOST_TEST(took_over.has_value());
+  BOOST_TEST(!took_over.value_or(true));
+}
+
 BOOST_AUTO_TEST_CASE(a_peer_that_stays_away_becomes_silent) {
   PeerPair test;
   BOOST_TEST(test.loop.RunUntil([&] { return test.exchange.IsPlanner(); },
