Agents' answers that arrived in a pause are read before they count as missing

Calls were moved to another engine, or refused, after a pause of the entry: a request for a permit or for room whose answer had arrived in time counted as unanswered.

Change: the timer that looks for unanswered requests takes the time, and judges after the input was handled.

--- a/packages/serving/include/bambooquay/serving/peer_exchange.h
+++ b/packages/serving/include/bambooquay/serving/peer_exchange.h
@@ -152,14 +152,14 @@
                          const EntryStatus& status);
   void HandleReply(const AdapterReply& reply);
   void HandleReply(const PermitReply& reply);
-  void ExpirePermitRequests();
+  void ExpirePermitRequests(TimePoint now);
   void HandleReply(const RoomReply& reply);
-  void ExpireRoomRequests();
+  void ExpireRoomRequests(TimePoint now);
   void Tick();
   /// Issues permits within this entry's own share only, after a pause in which
   /// others may have counted it as silent.
   void LeavePermitsAfterPause();
-  void ResendLoadRequests();
+  void ResendLoadRequests(TimePoint now);
   void Send(const Endpoint& to, const StatusMessage& message);
   /// @returns the address of the agent beside an upstream, or nothing if the
   ///   upstream is not known.
--- a/packages/serving/src/peer_exchange.cc
+++ b/packages/serving/src/peer_exchange.cc
@@ -63,11 +63,12 @@
   m_port = endpoint.port;
   m_last_tick_at = m_loop.clock().Now();
   m_status_timer = m_loop.Every(kStatusPeriod, [this] { Tick(); });
-  m_request_timer = m_loop.Every(kLoadResendInterval / 2, [this] {
-    ResendLoadRequests();
-    ExpirePermitRequests();
-    ExpireRoomRequests();
-  });
+  m_request_timer =
+      m_loop.EveryAfterInput(kLoadResendInterval / 2, [this](TimePoint now) {
+        ResendLoadRequests(now);
+        ExpirePermitRequests(now);
+        ExpireRoomRequests(now);
+      });
   return m_socket.Bind(endpoint);
 }
 
@@ -293,8 +294,7 @@
   m_pending_loads.emplace(request_id, std::move(load));
 }
 
-void PeerExchange::ResendLoadRequests() {
-  const TimePoint now = m_loop.clock().Now();
+void PeerExchange::ResendLoadRequests(TimePoint now) {
   std::vector<std::uint64_t> failed;
   for (auto& [request_id, load] : m_pending_loads) {
     if (now - load.sent_at < kLoadResendInterval) {
@@ -356,8 +356,7 @@
   Send(*issuer, {m_self, m_incarnation, request});
 }
 
-void PeerExchange::ExpirePermitRequests() {
-  const TimePoint now = m_loop.clock().Now();
+void PeerExchange::ExpirePermitRequests(TimePoint now) {
   std::vector<std::uint64_t> expired;
   for (const auto& [request_id, permit] : m_pending_permits) {
     if (now - permit.sent_at > kPermitTimeout) {
@@ -424,8 +423,7 @@
        reply.wait});
 }
 
-void PeerExchange::ExpireRoomRequests() {
-  const TimePoint now = m_loop.clock().Now();
+void PeerExchange::ExpireRoomRequests(TimePoint now) {
   std::vector<std::uint64_t> expired;
   for (const auto& [request_id, room] : m_pending_rooms) {
     if (room.unanswered_at < now) {
--- a/packages/serving/tests/peer_exchange_test.cc
+++ b/packages/serving/tests/peer_exchange_test.cc
@@ -8,7 +8,8 @@
 #include <string>
 #include <string_view>
 #include <thread>
-#include <vector>
+#include <utility>
+#include <variant>
 
 #include "bambooquay/core/random.h"
 #include "bambooquay/serving/entry_permits.h"
@@ -130,18 +131,49 @@
   FleetAllowance allowance{loop.clock()};
   PeerExchange exchange{loop, kSelf, allowance, upstreams};
   Endpoint address{"127.0.0.1", FreeDatagramPort()};
-  std::function<void(const Endpoint&, const StatusMessage&)> on_message;
-  DatagramSocket peer{
-      loop, [this](const Endpoint& sender, std::string_view bytes) {
-        if (const auto message = DecodeStatus(bytes); message && on_message) {
-          on_message(sender, *message);
-        }
-      }};
+  DatagramSocket peer{loop, [](const Endpoint&, std::string_view) {}};
   std::function<void()> on_tick;
   std::function<void()> on_resumed = [] {};
   std::function<void()> on_tick_after_pause = [] {};
 };
 
+/// An engine that the entry knows, and the socket of the agent beside it.
+struct EngineAgent {
+  explicit EngineAgent(PeerPair& pair)
+      : entry(pair.address),
+        socket(pair.loop, [this](const Endpoint&, std::string_view bytes) {
+          const auto message = DecodeStatus(bytes);
+          if (!message.has_value()) {
+            return;
+          }
+          if (const auto* permit = std::get_if<PermitRequest>(&message->body)) {
+            permit_request_id = permit->request_id;
+          } else if (const auto* room =
+                         std::get_if<RoomRequest>(&message->body)) {
+            room_request_id = room->request_id;
+          }
+        }) {
+    BOOST_REQUIRE(socket.Bind({kHost, entry.port}));
+    UpstreamRecord record;
+    record.id = upstream;
+    record.service = ServiceName("engines");
+    record.address = {kHost, 1};
+    pair.upstreams.SetEngineServices({record.service});
+    pair.upstreams.Put(record);
+  }
+
+  void Send(decltype(StatusMessage::body) body) {
+    socket.Send(entry, EncodeStatus({InstanceId("agent"), 1, std::move(body)}));
+  }
+
+  static constexpr const char* kHost = "127.0.0.2";
+  Endpoint entry;
+  UpstreamId upstream{"engine"};
+  std::optional<std::uint64_t> permit_request_id;
+  std::optional<std::uint64_t> room_request_id;
+  DatagramSocket socket;
+};
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(peer_exchange)
@@ -184,6 +216,56 @@
   BOOST_TEST(granted <= 5 + rate * ToSeconds(ticked_at - resumed_at));
 }
 
+BOOST_AUTO_TEST_CASE(an_agent_that_answered_in_a_pause_is_not_unanswering) {
+  constexpr Duration kWait = milliseconds(35);
+  PeerPair test;
+  EngineAgent agent(test);
+  std::optional<Duration> permit_wait;
+  std::optional<RoomOutcome::Kind> room;
+  test.exchange.RequestPermit(agent.upstream, {false, kCallLimit},
+                              [&](bool, Duration wait) { permit_wait = wait; });
+  RoomRequest request;
+  request.upstream = agent.upstream;
+  request.max_wait = kPause;
+  test.exchange.RequestRoom(
+      request, [&](const RoomOutcome& outcome) { room = outcome.kind; });
+  BOOST_REQUIRE(test.loop.RunUntil(
+      [&] { return agent.permit_request_id && agent.room_request_id; },
+      kTestTimeout));
+  // The entry looks for unanswered requests in the same turn of the loop.
+  const auto first = test.loop.After(
+      Duration::zero(), [] { std::this_thread::sleep_for(milliseconds(40)); });
+  const auto second = test.loop.After(milliseconds(1), [&] {
+    agent.Send(PermitReply{*agent.permit_request_id, false, kWait});
+    agent.Send(RoomReply{*agent.room_request_id, true, {}, false});
+    std::this_thread::sleep_for(kPause);
+  });
+  BOOST_REQUIRE(test.loop.RunUntil(
+      [&] { return permit_wait.has_value() && room.has_value(); },
+      kTestTimeout));
+  BOOST_TEST((*room == RoomOutcome::Kind::kGranted));
+  BOOST_TEST((*permit_wait == kWait));
+}
+
+// What the agent granted is charged to an earlier time.
+BOOST_AUTO_TEST_CASE(a_permit_that_is_read_late_is_not_used) {
+  PeerPair test;
+  EngineAgent agent(test);
+  std::optional<bool> granted;
+  test.exchange.RequestPermit(
+      agent.upstream, {false, kCallLimit},
+      [&](bool is_granted, Duration) { granted = is_granted; });
+  BOOST_REQUIRE(test.loop.RunUntil(
+      [&] { return agent.permit_request_id.has_value(); }, kTestTimeout));
+  const auto hold = test.loop.After(Duration::zero(), [&] {
+    agent.Send(PermitReply{*agent.permit_request_id, true, {}});
+    std::this_thread::sleep_for(kPause);
+  });
+  BOOST_REQUIRE(
+      test.loop.RunUntil([&] { return granted.has_value(); }, kTestTimeout));
+  BOOST_TEST(!*granted);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace bambooquay
