Merge the clock class in calls, peers and permits

One mechanism for both: AfterInput waits for two turns, for sockets that said that they stopped reading early, and for input that the caller of AfterInput names. A pooled connection is checked for unread input when it is taken, not for each candidate.

--- a/packages/runtime/src/http_client.cc
+++ b/packages/runtime/src/http_client.cc
@@ -188,7 +188,8 @@
     }
     auto connection = std::move(connections.back());
     connections.pop_back();
-    if (connection->IsReusable(now)) {
+    // Unread input is the close by the peer, or bytes that nobody asked for.
+    if (connection->IsReusable(now) && !connection->HasUnreadInput()) {
       return connection;
     }
   }
--- a/packages/serving/src/peer_exchange.cc
+++ b/packages/serving/src/peer_exchange.cc
@@ -18,6 +18,10 @@
 // A peer is silent if nothing has arrived from it for this long, which is
 // just over five status periods.
 constexpr Duration kSilentAfter = milliseconds(800);
+// After a pause of this length others may count this entry as silent and share
+// out its part of the permits, until its next statuses have arrived.
+constexpr Duration kNotablePause = kSilentAfter - kStatusPeriod;
+constexpr Duration kRejoinTime = 2 * kStatusPeriod;
 // A silent peer is assumed to go on spending its share for this long, and is
 // then removed. Network partitions are shorter than this.
 constexpr Duration kRemoveSilentAfter = std::chrono::seconds(30);
@@ -57,12 +61,14 @@
 
 bool PeerExchange::Bind(const Endpoint& endpoint) {
   m_port = endpoint.port;
+  m_last_tick_at = m_loop.clock().Now();
   m_status_timer = m_loop.Every(kStatusPeriod, [this] { Tick(); });
-  m_request_timer = m_loop.Every(kLoadResendInterval / 2, [this] {
-    ResendLoadRequests();
-    ExpirePermitRequests();
-    ExpireRoomRequests();
-  });
+  m_request_timer =
+      m_loop.EveryAfterInput(kLoadResendInterval / 2, [this](TimePoint now) {
+        ResendLoadRequests(now);
+        ExpirePermitRequests(now);
+        ExpireRoomRequests(now);
+      });
   return m_socket.Bind(endpoint);
 }
 
@@ -93,7 +99,7 @@
 
 bool PeerExchange::IsSilent(const PeerEntry& peer) const {
   return !peer.last_heard_at.has_value() ||
-         m_loop.clock().Now() - *peer.last_heard_at > kSilentAfter;
+         m_loop.input_clock().Now() - *peer.last_heard_at > kSilentAfter;
 }
 
 std::size_t PeerExchange::member_count() const {
@@ -120,6 +126,14 @@
   return members;
 }
 
+void PeerExchange::LeavePermitsAfterPause() {
+  const TimePoint now = m_loop.clock().Now();
+  if (now - m_last_tick_at > kNotablePause) {
+    m_rejoined_at = now + kRejoinTime;
+    m_entry_permits.SetEntries({m_self}, member_count());
+  }
+}
+
 bool PeerExchange::IsPlanner() const {
   return std::ranges::none_of(m_peers, [this](const auto& item) {
     return item.first < m_self && !IsSilent(item.second) &&
@@ -128,7 +142,7 @@
 }
 
 void PeerExchange::Tick() {
-  const TimePoint now = m_loop.clock().Now();
+  const TimePoint now = m_loop.input_clock().Now();
   std::vector<InstanceId> expired;
   for (auto& [id, peer] : m_peers) {
     const bool silent = IsSilent(peer);
@@ -146,7 +160,11 @@
     RemovePeer(id);
   }
   m_allowance.SetMemberCount(member_count());
-  m_entry_permits.SetEntries(LiveMembers(), member_count());
+  LeavePermitsAfterPause();
+  m_last_tick_at = m_loop.clock().Now();
+  if (m_last_tick_at >= m_rejoined_at) {
+    m_entry_permits.SetEntries(LiveMembers(), member_count());
+  }
   m_entry_permits.RemoveUnused();
   SendStatus();
 }
@@ -276,8 +294,7 @@
   m_pending_loads.emplace(request_id, std::move(load));
 }
 
-void PeerExchange::ResendLoadRequests() {
-  const TimePoint now = m_loop.clock().Now();
+void PeerExchange::ResendLoadRequests(TimePoint now) {
   std::vector<std::uint64_t> failed;
   for (auto& [request_id, load] : m_pending_loads) {
     if (now - load.sent_at < kLoadResendInterval) {
@@ -326,6 +343,7 @@
     done(false, kPermitRetryDelay);
     return;
   }
+  LeavePermitsAfterPause();
   const PermitRequest request{m_next_request_id++, id, bounds};
   const auto issuer = PermitIssuerAddress(*upstream);
   if (!issuer.has_value()) {
@@ -338,8 +356,7 @@
   Send(*issuer, {m_self, m_incarnation, request});
 }
 
-void PeerExchange::ExpirePermitRequests() {
-  const TimePoint now = m_loop.clock().Now();
+void PeerExchange::ExpirePermitRequests(TimePoint now) {
   std::vector<std::uint64_t> expired;
   for (const auto& [request_id, permit] : m_pending_permits) {
     if (now - permit.sent_at > kPermitTimeout) {
@@ -406,8 +423,7 @@
        reply.wait});
 }
 
-void PeerExchange::ExpireRoomRequests() {
-  const TimePoint now = m_loop.clock().Now();
+void PeerExchange::ExpireRoomRequests(TimePoint now) {
   std::vector<std::uint64_t> expired;
   for (const auto& [request_id, room] : m_pending_rooms) {
     if (room.unanswered_at < now) {
@@ -442,6 +458,7 @@
   } else if (const auto* room = std::get_if<RoomReply>(&message->body)) {
     HandleReply(*room);
   } else if (const auto* request = std::get_if<PermitRequest>(&message->body)) {
+    LeavePermitsAfterPause();
     Send(sender_address,
          {m_self, m_incarnation, m_entry_permits.Issue(*request)});
   } else if (m_on_duty_message && IsDutyMessage(*message)) {
