A request keeps the caller's limits that it began under

Callers got 413, 431 or 408 for a request that was within the limits when they sent it, and 431 for one within the new limits; these are answers that are not repeated.

Cause: the body's limit and the header's time limit were read anew from the server while a request arrived; the header's size had two limits, one from the opening of the connection and one from the moment, of which the smaller one counted. So a larger limit never reached the connections that were open.

Change: each connection has its limits: of each the largest that was in force since its request began to arrive. A connection that rests takes the new ones, except for the idle timeout, as before.

--- a/packages/runtime/include/bambooquay/runtime/http_server.h
+++ b/packages/runtime/include/bambooquay/runtime/http_server.h
@@ -120,8 +120,9 @@
   /// Closes idle connections now and every other connection after its current
   /// response. New connections are still accepted and serve one request each.
   void CloseAfterResponses();
-  /// Replaces the limits, also for open connections. A connection that is idle
-  /// keeps a longer idle timeout until it is used.
+  /// Replaces the limits, also for open connections. A request that has begun to
+  /// arrive keeps a larger limit, and a connection that is idle a longer idle
+  /// timeout until it is used.
   void SetLimits(const HttpServerLimits& limits);
   /// Sets a function that returns the organisation whose headers a request has,
   /// or an empty string. Connections of one organisation are charged together,
--- a/packages/runtime/src/http_framing.h
+++ b/packages/runtime/src/http_framing.h
@@ -27,6 +27,8 @@
   /// @param max_bytes  limit on the total size of the names and values.
   explicit HeaderCollector(std::size_t max_bytes) : m_max_bytes(max_bytes) {}
 
+  void SetLimit(std::size_t max_bytes) noexcept { m_max_bytes = max_bytes; }
+
   /// Adds a fragment of a field name.
   /// @returns whether it is within the limits; if not, it is left out.
   [[nodiscard]] bool OnField(std::string_view fragment);
--- a/packages/runtime/src/http_server.cc
+++ b/packages/runtime/src/http_server.cc
@@ -138,8 +138,8 @@
 
 void HttpServer::SetLimits(const HttpServerLimits& limits) {
   m_limits = limits;
-  std::ranges::for_each(m_connections, [&](const auto& connection) {
-    connection->KeepIdleLimit(limits.idle_timeout);
+  std::ranges::for_each(m_connections, [](const auto& connection) {
+    connection->UpdateLimits();
   });
   m_budget.SetLimits(BudgetLimits(limits));
 }
--- a/packages/runtime/src/http_server_connection.cc
+++ b/packages/runtime/src/http_server_connection.cc
@@ -54,7 +54,7 @@
       m_headers(server.m_limits.max_header_bytes),
       m_state_since(server.m_loop.clock().Now()),
       m_last_activity(m_state_since),
-      m_idle_limit(server.m_limits.idle_timeout) {
+      m_limits(server.m_limits) {
   SetSocketOptions(socket, Duration::zero());
   http_parser_init(&m_parser, HTTP_REQUEST);
   m_parser.data = this;
@@ -111,14 +111,13 @@
     return -1;
   }
   const bool has_length = parser->content_length != ULLONG_MAX;
-  if (has_length &&
-      parser->content_length > self.m_server.m_limits.max_body_bytes) {
+  if (has_length && parser->content_length > self.m_limits.max_body_bytes) {
     self.m_refusal_status = ToCode(HttpStatus::kPayloadTooLarge);
     return -1;
   }
   self.m_body_limit = has_length
                           ? static_cast<std::size_t>(parser->content_length)
-                          : self.m_server.m_limits.max_body_bytes;
+                          : self.m_limits.max_body_bytes;
   if (headers.Get("Expect") == "100-continue") {
     AppendBytes(self.output(), "HTTP/1.1 100 Continue\r\n\r\n");
   }
@@ -130,7 +129,7 @@
 int HttpServerConnection::HandleBody(http_parser* parser, const char* data,
                                      size_t size) {
   HttpServerConnection& self = Self(parser);
-  if (self.m_body.size() + size > self.m_server.m_limits.max_body_bytes) {
+  if (self.m_body.size() + size > self.m_limits.max_body_bytes) {
     self.m_refusal_status = ToCode(HttpStatus::kPayloadTooLarge);
     return -1;
   }
@@ -161,11 +160,26 @@
 
 void HttpServerConnection::RecordActivity() {
   m_last_activity = m_server.m_loop.clock().Now();
-  m_idle_limit = m_server.m_limits.idle_timeout;
+  m_limits.idle_timeout = m_server.m_limits.idle_timeout;
 }
 
-void HttpServerConnection::KeepIdleLimit(Duration limit) {
-  m_idle_limit = std::max(m_idle_limit, limit);
+void HttpServerConnection::SetLimits(const HttpServerLimits& limits) {
+  m_limits = limits;
+  m_headers.SetLimit(limits.max_header_bytes);
+}
+
+void HttpServerConnection::UpdateLimits() {
+  HttpServerLimits limits = m_server.m_limits;
+  limits.idle_timeout = std::max(limits.idle_timeout, m_limits.idle_timeout);
+  if (m_state != State::kIdle || HasArrivedRequest()) {
+    limits.max_header_bytes =
+        std::max(limits.max_header_bytes, m_limits.max_header_bytes);
+    limits.max_body_bytes =
+        std::max(limits.max_body_bytes, m_limits.max_body_bytes);
+    limits.header_timeout =
+        std::max(limits.header_timeout, m_limits.header_timeout);
+  }
+  SetLimits(limits);
 }
 
 void HttpServerConnection::Discard() {
@@ -290,8 +304,7 @@
       Dispatch();
       return;
     }
-    if (m_headers.total_bytes() + m_target.size() >
-            m_server.m_limits.max_header_bytes ||
+    if (m_headers.total_bytes() + m_target.size() > m_limits.max_header_bytes ||
         m_headers.has_overflowed() ||
         HTTP_PARSER_ERRNO(&m_parser) == HPE_HEADER_OVERFLOW) {
       Refuse(431, "header_too_large", "the header exceeds the limit");
@@ -300,8 +313,8 @@
     if (HTTP_PARSER_ERRNO(&m_parser) != HPE_OK) {
       if (m_refusal_status == ToCode(HttpStatus::kPayloadTooLarge)) {
         Refuse(m_refusal_status, "body_too_large",
-               "the body exceeds " +
-                   std::to_string(m_server.m_limits.max_body_bytes) + " bytes");
+               "the body exceeds " + std::to_string(m_limits.max_body_bytes) +
+                   " bytes");
       } else {
         Refuse(ToCode(HttpStatus::kBadRequest), "bad_http",
                "the request is not valid HTTP/1.1");
@@ -344,7 +357,7 @@
   request.headers = std::exchange(m_headers.headers(), {});
   request.body = std::exchange(m_body, {});
   if (request.headers.total_bytes() + request.target.size() >
-      m_server.m_limits.max_header_bytes) {
+      m_limits.max_header_bytes) {
     Refuse(431, "header_too_large", "the header exceeds the limit");
     return;
   }
@@ -483,6 +496,7 @@
     return;
   }
   SetState(State::kIdle);
+  SetLimits(m_server.m_limits);
   if (evbuffer_get_length(bufferevent_get_input(m_stream)) > 0) {
     // Parses the next request after the current callback returns.
     bufferevent_trigger(m_stream, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
@@ -501,20 +515,19 @@
 
 void HttpServerConnection::CloseIfExpired(TimePoint now) {
   CheckWritten();
-  const HttpServerLimits& limits = m_server.m_limits;
   const Duration time_in_state = now - m_state_since;
   const bool is_reading_header = m_state == State::kReading && m_body.empty() &&
                                  m_parser.content_length == ULLONG_MAX;
   if (m_state == State::kLingering && time_in_state > kLingerTime) {
     Close();
-  } else if (is_reading_header && time_in_state > limits.header_timeout) {
+  } else if (is_reading_header && time_in_state > m_limits.header_timeout) {
     Refuse(ToCode(HttpStatus::kRequestTimeout), "header_timeout",
            "the request's header took too long");
   } else if (m_server.m_budget.IsTooSlow(*this)) {
     m_server.ReportLimitExceeded(*this, "rate");
     Refuse(ToCode(HttpStatus::kRequestTimeout), "body_timeout",
            "the request's body took too long");
-  } else if (now - m_last_activity > m_idle_limit) {
+  } else if (now - m_last_activity > m_limits.idle_timeout) {
     const bool is_waiting_for_handler =
         m_exchange != nullptr && evbuffer_get_length(output()) == 0;
     if (!is_waiting_for_handler && !HasArrivedRequest()) {
@@ -566,7 +579,7 @@
       .With("silent_ms", (m_server.m_loop.clock().Now() - m_last_activity) /
                              std::chrono::milliseconds(1))
       .With("idle_limit_ms",
-            m_server.m_limits.idle_timeout / std::chrono::milliseconds(1))
+            m_limits.idle_timeout / std::chrono::milliseconds(1))
       .With("sweep_late_ms",
             m_server.m_sweep_delay / std::chrono::milliseconds(1));
 }
--- a/packages/runtime/src/http_server_connection.h
+++ b/packages/runtime/src/http_server_connection.h
@@ -34,9 +34,9 @@
   /// Closes the connection without completing the response.
   void AbortResponse();
 
-  /// The server's limits have changed. A caller that rests now may go by those
-  /// before for as long as it rests.
-  void KeepIdleLimit(Duration limit);
+  /// Follows the server's limits, which have changed. A request that has begun
+  /// to arrive, and a caller that rests, may go by those before.
+  void UpdateLimits();
   /// Closes the connection, or answers 408, if the caller exceeded a time
   /// limit.
   void CloseIfExpired(TimePoint now);
@@ -80,6 +80,7 @@
   /// Refuses a request that could be served at another time.
   void RefuseForNow();
   void SetState(State state);
+  void SetLimits(const HttpServerLimits& limits);
   /// Notes that bytes were received from or written to the caller.
   void RecordActivity();
   /// Charges what the connection holds to the server's budget.
@@ -139,8 +140,9 @@
   TimePoint m_state_since;
   /// Last time at which bytes were received from or written to the caller.
   TimePoint m_last_activity;
-  /// The longest idle limit that was in force since the last activity.
-  Duration m_idle_limit;
+  /// Each the largest that was in force since the request began to arrive; the
+  /// idle timeout, since the last activity.
+  HttpServerLimits m_limits;
   /// The exchange whose response is not complete. It may outlive the
   /// connection, whose destructor detaches it.
   HttpExchange* m_exchange = nullptr;
--- a/packages/runtime/tests/http_server_test.cc
+++ b/packages/runtime/tests/http_server_test.cc
@@ -190,6 +190,27 @@
          "\r\n\r\n" + std::string(sent, 'x');
 }
 
+/// Limits of a configuration, of which the first is the larger one.
+struct ChangedLimits {
+  HttpServerLimits larger;
+  HttpServerLimits smaller;
+};
+
+ChangedLimits MakeChangedLimits() {
+  ChangedLimits limits;
+  limits.larger.max_header_bytes = 4000;
+  limits.larger.max_body_bytes = 4000;
+  limits.larger.header_timeout = std::chrono::seconds(5);
+  limits.smaller.max_header_bytes = 200;
+  limits.smaller.max_body_bytes = 200;
+  limits.smaller.header_timeout = milliseconds(100);
+  return limits;
+}
+
+std::string GetWithHeader(std::size_t bytes) {
+  return "GET / HTTP/1.1\r\nX: " + std::string(bytes, 'a') + "\r\n\r\n";
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(http_server)
@@ -598,6 +619,81 @@
   BOOST_TEST(received > kBodyBytes);
 }
 
+BOOST_AUTO_TEST_CASE(a_body_in_progress_keeps_the_limit_that_it_began_under) {
+  for (const bool is_chunked : {false, true}) {
+    const ChangedLimits limits = MakeChangedLimits();
+    KeptConnection test(limits.larger);
+    const std::string body(1000, 'x');
+    test.caller->Send(is_chunked
+                          ? "POST / HTTP/1.1\r\nTransfer-Encoding: chunked"
+                            "\r\n\r\n7d0\r\n" +
+                                body
+                          : PostOf(2000, 1000));
+    test.loop.RunUntil([&] { return test.server.busy_connection_count() == 1; },
+                       kTestTimeout);
+    test.server.SetLimits(limits.smaller);
+    test.caller->Send(is_chunked ? body + "\r\n0\r\n\r\n" : body);
+    BOOST_TEST(test.IsAnswered());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(
+    a_header_in_progress_keeps_the_limits_that_it_began_under) {
+  const ChangedLimits limits = MakeChangedLimits();
+  KeptConnection test(limits.larger);
+  const std::string request = GetWithHeader(1000);
+  test.caller->Send(request.substr(0, 100));
+  test.loop.RunUntil([&] { return test.server.busy_connection_count() == 1; },
+                     kTestTimeout);
+  test.server.SetLimits(limits.smaller);
+  // Longer than the new limit, and than the period of the checks.
+  test.loop.RunUntil([] { return false; }, milliseconds(1200));
+  test.caller->Send(request.substr(100));
+  BOOST_TEST(test.IsAnswered());
+  // The next request is judged by the new limits.
+  test.caller->Send(request);
+  BOOST_TEST(test.loop.RunUntil(
+      [&] {
+        return test.caller->Received().find("HTTP/1.1 431 ") !=
+               std::string::npos;
+      },
+      kTestTimeout));
+}
+
+BOOST_AUTO_TEST_CASE(
+    an_unread_request_keeps_the_limits_that_it_was_sent_under) {
+  const ChangedLimits limits = MakeChangedLimits();
+  KeptConnection test(limits.larger);
+  const auto hold = test.loop.After(Duration::zero(), [&] {
+    test.caller->Send(GetWithHeader(1000));
+    HoldUp(milliseconds(20));
+    test.server.SetLimits(limits.smaller);
+  });
+  BOOST_TEST(test.IsAnswered());
+}
+
+BOOST_AUTO_TEST_CASE(larger_limits_hold_on_connections_that_are_open) {
+  const ChangedLimits limits = MakeChangedLimits();
+  KeptConnection test(limits.smaller);
+  test.server.SetLimits(limits.larger);
+  test.caller->Send(GetWithHeader(1000));
+  BOOST_TEST(test.IsAnswered());
+  test.caller->Send(PostOf(1000, 1000));
+  BOOST_TEST(test.IsAnswered());
+}
+
+BOOST_AUTO_TEST_CASE(larger_limits_hold_for_a_request_in_progress) {
+  const ChangedLimits limits = MakeChangedLimits();
+  KeptConnection test(limits.smaller);
+  const std::string request = GetWithHeader(1000);
+  test.caller->Send(request.substr(0, 100));
+  test.loop.RunUntil([&] { return test.server.busy_connection_count() == 1; },
+                     kTestTimeout);
+  test.server.SetLimits(limits.larger);
+  test.caller->Send(request.substr(100));
+  BOOST_TEST(test.IsAnswered());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace bambooquay
