A planned stop leaves idle connections open and accepts those that wait

A caller whose request crossed the stop got nothing: its connection was shut down at once, and the request was read and dropped, so the caller could not even repeat it.

Cause: CloseAfterResponses shut down idle connections while new ones were still accepted, and read on for a second what it would not answer. It also ended, after its response, a connection whose response had begun without saying so. And StopListening closed the listening socket with connections in its queue, which resets them.

Change: CloseAfterResponses only announces the close with each response. CloseIdleConnections closes those without an arrived request; it does not read on, so a request that crosses is answered by a reset and may be repeated. The log event request_after_close and the reason late_request go with what they described. StopListening accepts what waits first, as far as there are descriptors.

--- a/packages/runtime/include/bambooquay/runtime/http_server.h
+++ b/packages/runtime/include/bambooquay/runtime/http_server.h
@@ -115,14 +115,18 @@
   [[nodiscard]] bool Listen(const Endpoint& endpoint);
   /// @returns the port that was bound, or 0 if the server does not listen.
   [[nodiscard]] std::uint16_t port() const;
-  /// Stops accepting connections; open connections continue.
+  /// Accepts the connections that wait for it, and no more. Open connections
+  /// continue.
   void StopListening();
-  /// Closes idle connections now and every other connection after its current
-  /// response. New connections are still accepted and serve one request each.
-  void CloseAfterResponses();
-  /// Replaces the limits, also for open connections. A request that has begun to
-  /// arrive keeps a larger limit, and a connection that is idle a longer idle
-  /// timeout until it is used.
+  /// From now on each response says that its connection closes after it. Idle
+  /// connections stay open, and new ones are accepted.
+  void CloseAfterResponses() noexcept { m_is_closing = true; }
+  /// Closes the connections on which no request has arrived. A request that
+  /// crosses the close is not read, so its caller may repeat it.
+  void CloseIdleConnections();
+  /// Replaces the limits, also for open connections. A request that has begun
+  /// to arrive keeps a larger limit, and a connection that is idle a longer
+  /// idle timeout until it is used.
   void SetLimits(const HttpServerLimits& limits);
   /// Sets a function that returns the organisation whose headers a request has,
   /// or an empty string. Connections of one organisation are charged together,
@@ -138,8 +142,7 @@
     m_on_limit_exceeded = std::move(handler);
   }
   /// Sets a callback that runs for each connection that the server ends while
-  /// its caller could still use it, and for each request that arrives too late
-  /// on one. Gets the reason, as used in metrics.
+  /// its caller could still use it. Gets the reason, as used in metrics.
   void OnConnectionClosed(std::function<void(std::string_view)> handler) {
     m_on_connection_closed = std::move(handler);
   }
@@ -160,6 +163,9 @@
   static void HandleAccept(evconnlistener* listener, int socket,
                            sockaddr* address, int length, void* self);
   static void HandleAcceptError(evconnlistener* listener, void* self);
+  void Add(int socket, const sockaddr* address, int length);
+  /// Accepts connections that wait for it, as far as there is room.
+  void AcceptWaiting();
   void Remove(HttpServerConnection& connection);
   /// Accepts connections as long as there is room for another one.
   void UpdateListener();
--- a/packages/runtime/src/http_server.cc
+++ b/packages/runtime/src/http_server.cc
@@ -3,8 +3,10 @@
 
 #include <event2/listener.h>
 #include <netinet/in.h>
+#include <sys/socket.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <cstring>
 #include <utility>
 
@@ -89,7 +91,11 @@
       m_sweep_timer(loop.Every(kSweepPeriod, [this] { Sweep(); })),
       m_last_sweep_at(loop.clock().Now()) {}
 
-HttpServer::~HttpServer() { StopListening(); }
+HttpServer::~HttpServer() {
+  if (m_listener != nullptr) {
+    evconnlistener_free(m_listener);
+  }
+}
 
 bool HttpServer::Listen(const Endpoint& endpoint) {
   const auto address = ToSocketAddress(endpoint);
@@ -119,15 +125,32 @@
 
 void HttpServer::StopListening() {
   if (m_listener != nullptr) {
+    // The close of the listening socket resets those that wait.
+    AcceptWaiting();
     evconnlistener_free(std::exchange(m_listener, nullptr));
   }
 }
 
-void HttpServer::CloseAfterResponses() {
-  m_is_closing = true;
-  std::ranges::for_each(m_connections, [](const auto& connection) {
-    connection->CloseWhenIdle();
-  });
+void HttpServer::AcceptWaiting() {
+  const int listening = evconnlistener_get_fd(m_listener);
+  while (m_budget.HasDescriptor()) {
+    SocketAddress peer;
+    const int socket = accept4(listening, peer.get(), &peer.length,
+                               SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (socket >= 0) {
+      Add(socket, peer.get(), static_cast<int>(peer.length));
+    } else if (errno != EINTR && errno != ECONNABORTED) {
+      return;
+    }
+  }
+}
+
+void HttpServer::CloseIdleConnections() {
+  for (auto it = m_connections.begin(); it != m_connections.end();) {
+    // The connection may remove itself from the list.
+    const auto current = it++;
+    (*current)->CloseIfIdle();
+  }
 }
 
 std::size_t HttpServer::busy_connection_count() const noexcept {
@@ -147,15 +170,18 @@
 void HttpServer::HandleAccept(evconnlistener* /*listener*/, int socket,
                               sockaddr* address, int length, void* self) {
   auto* server = static_cast<HttpServer*>(self);
+  server->Add(socket, address, length);
+  server->MakeRoom();
+  server->m_budget.Enforce();
+}
+
+void HttpServer::Add(int socket, const sockaddr* address, int length) {
   SocketAddress peer;
   peer.length = std::min(static_cast<socklen_t>(length), peer.length);
   std::memcpy(&peer.storage, address, peer.length);
-  auto& connections = server->m_connections;
-  connections.push_back(std::make_unique<HttpServerConnection>(
-      *server, socket, ToEndpoint(peer).host));
-  connections.back()->m_list_position = std::prev(connections.end());
-  server->MakeRoom();
-  server->m_budget.Enforce();
+  m_connections.push_back(std::make_unique<HttpServerConnection>(
+      *this, socket, ToEndpoint(peer).host));
+  m_connections.back()->m_list_position = std::prev(m_connections.end());
 }
 
 void HttpServer::HandleAcceptError(evconnlistener* listener, void* self) {
--- a/packages/runtime/src/http_server_connection.cc
+++ b/packages/runtime/src/http_server_connection.cc
@@ -184,13 +184,6 @@
 
 void HttpServerConnection::Discard() {
   evbuffer* input = bufferevent_get_input(m_stream);
-  if (m_ended_while_idle && m_discarded_bytes == 0) {
-    LogEvent(LogLevel::kInfo, "request_after_close")
-        .With("bytes", evbuffer_get_length(input))
-        .With("after_ms", (m_server.m_loop.clock().Now() - m_state_since) /
-                              std::chrono::milliseconds(1));
-    m_server.CountClosedConnection("late_request");
-  }
   m_discarded_bytes += evbuffer_get_length(input);
   evbuffer_drain(input, evbuffer_get_length(input));
   if (m_discarded_bytes > kMaxLingerBytes) {
@@ -537,15 +530,10 @@
   }
 }
 
-void HttpServerConnection::CloseWhenIdle() {
-  m_keep_alive = false;
-  if (m_state == State::kIdle && !HasArrivedRequest()) {
+void HttpServerConnection::CloseIfIdle() {
+  if (!IsBusy() && m_state == State::kIdle) {
     ReportClose("stopping");
-    m_ended_while_idle = true;
-    SetState(State::kFlushing);
-    if (evbuffer_get_length(output()) == 0) {
-      Linger();
-    }
+    Close();
   }
 }
 
--- a/packages/runtime/src/http_server_connection.h
+++ b/packages/runtime/src/http_server_connection.h
@@ -46,8 +46,9 @@
   [[nodiscard]] bool HasArrivedInput() const override {
     return UnreadBytes() > 0;
   }
-  /// Closes the connection after the current response, or now if there is none.
-  void CloseWhenIdle();
+  /// Closes the connection if no request has arrived on it and no response is
+  /// being written.
+  void CloseIfIdle();
   /// @returns whether a request is partly received or unanswered, or a response
   ///   is not fully written to the socket.
   [[nodiscard]] bool IsBusy() const noexcept;
@@ -129,8 +130,6 @@
   std::size_t m_served_bytes = 0;
   /// Bytes that arrived after the last response.
   std::size_t m_discarded_bytes = 0;
-  /// Whether the server ended the connection while it waited for a request.
-  bool m_ended_while_idle = false;
   /// Whether the organisation of the request was asked for.
   bool m_has_organisation = false;
   bool m_request_complete = false;
--- a/packages/runtime/tests/http_server_test.cc
+++ b/packages/runtime/tests/http_server_test.cc
@@ -2,28 +2,25 @@
 // or disconnect.
 #include "bambooquay/runtime/http_server.h"
 
-#include <netinet/in.h>
 #include <rapidcheck/boost_test.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include <algorithm>
-#include <array>
 #include <boost/test/unit_test.hpp>
-#include <cerrno>
 #include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
-#include <thread>
 #include <vector>
 
+#include "support/plain_caller.h"
 #include "support/scripted_peer.h"
 
 namespace bambooquay {
 namespace {
 
 using std::chrono::milliseconds;
+using testing::HoldUp;
+using testing::PlainCaller;
 using testing::RawClient;
 
 constexpr Duration kTestTimeout = std::chrono::seconds(10);
@@ -67,10 +64,6 @@
 
 constexpr std::string_view kGet = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
 
-/// Holds up the event loop, as a slow callback or a machine without processor
-/// time would.
-void HoldUp(Duration time) { std::this_thread::sleep_for(time); }
-
 std::size_t CountOf(const std::string& text, std::string_view part) {
   std::size_t count = 0;
   for (auto at = text.find(part); at != std::string::npos;
@@ -80,55 +73,6 @@
   return count;
 }
 
-/// A caller that sends from outside the event loop, so also while that is held
-/// up.
-class PlainCaller {
- public:
-  explicit PlainCaller(const Endpoint& server)
-      : m_socket(socket(AF_INET, SOCK_STREAM, 0)) {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(server.port);
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    BOOST_REQUIRE(connect(m_socket, reinterpret_cast<sockaddr*>(&address),
-                          sizeof(address)) == 0);
-  }
-  PlainCaller(const PlainCaller&) = delete;
-  PlainCaller& operator=(const PlainCaller&) = delete;
-  ~PlainCaller() { close(m_socket); }
-
-  void Send(std::string_view bytes) const {
-    BOOST_REQUIRE(send(m_socket, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
-                  static_cast<ssize_t>(bytes.size()));
-  }
-  /// @returns everything received so far.
-  const std::string& Received() {
-    std::array<char, 4096> bytes{};
-    ssize_t length = 0;
-    while ((length = recv(m_socket, bytes.data(), bytes.size(), MSG_DONTWAIT)) >
-           0) {
-      m_received.append(bytes.data(), static_cast<std::size_t>(length));
-    }
-    m_closed = m_closed || length == 0 || (errno != EAGAIN && errno != EINTR);
-    return m_received;
-  }
-  /// Reads and drops at most `max_bytes`.
-  /// @returns the number of bytes.
-  [[nodiscard]] std::size_t Skip(std::size_t max_bytes) const {
-    std::string bytes(max_bytes, '\0');
-    const ssize_t length =
-        recv(m_socket, bytes.data(), max_bytes, MSG_DONTWAIT);
-    return static_cast<std::size_t>(std::max<ssize_t>(length, 0));
-  }
-  /// @returns whether the server has closed the connection, as of Received().
-  [[nodiscard]] bool closed() const { return m_closed; }
-
- private:
-  int m_socket;
-  std::string m_received;
-  bool m_closed = false;
-};
-
 /// A server that answers at once, and a caller with a kept connection.
 struct KeptConnection {
   explicit KeptConnection(const HttpServerLimits& limits)
@@ -694,6 +638,66 @@
   BOOST_TEST(test.IsAnswered());
 }
 
+BOOST_AUTO_TEST_CASE(
+    a_connection_that_rests_at_a_planned_stop_serves_one_more_request) {
+  KeptConnection test({});
+  test.server.CloseAfterResponses();
+  test.loop.RunUntil([] { return false; }, milliseconds(100));
+  BOOST_TEST(test.AsksAndIsAnswered());
+  BOOST_TEST(test.caller->Received().find("Connection: close") !=
+             std::string::npos);
+  BOOST_TEST(test.loop.RunUntil(
+      [&] {
+        static_cast<void>(test.caller->Received());
+        return test.caller->closed();
+      },
+      kTestTimeout));
+}
+
+BOOST_AUTO_TEST_CASE(
+    a_response_that_began_before_a_planned_stop_keeps_its_connection) {
+  TestServer test;
+  RawClient client(test.loop, test.endpoint, kGet);
+  BOOST_REQUIRE(test.loop.RunUntil([&] { return !test.exchanges.empty(); },
+                                   kTestTimeout));
+  // Its head says nothing of a close.
+  test.exchanges[0]->StartStream(200, {});
+  test.server.CloseAfterResponses();
+  test.exchanges[0]->EndStream();
+  client.Send(kGet);
+  BOOST_REQUIRE(test.loop.RunUntil([&] { return test.exchanges.size() == 2; },
+                                   kTestTimeout));
+  test.exchanges[1]->Respond(200, {}, "done");
+  BOOST_TEST(test.loop.RunUntil([&] { return client.closed(); }, kTestTimeout));
+  BOOST_TEST(client.received().ends_with("done"));
+  BOOST_TEST(client.received().find("Connection: close") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(only_connections_without_a_request_are_closed_as_idle) {
+  KeptConnection test({});
+  PlainCaller idle({"127.0.0.1", test.server.port()});
+  test.loop.RunUntil([&] { return test.server.connection_count() == 2; },
+                     kTestTimeout);
+  test.after_pause = [&] {
+    test.server.CloseAfterResponses();
+    test.server.CloseIdleConnections();
+  };
+  test.RestAndSendIntoPause(milliseconds(10), milliseconds(60));
+  BOOST_TEST(test.IsAnswered());
+  BOOST_TEST(idle.Received().empty());
+  BOOST_TEST(idle.closed());
+}
+
+BOOST_AUTO_TEST_CASE(connections_that_wait_to_be_accepted_are_served) {
+  TestServer test;
+  const PlainCaller caller(test.endpoint);
+  caller.Send(kGet);
+  test.server.StopListening();
+  BOOST_TEST(test.server.busy_connection_count() == 1U);
+  BOOST_REQUIRE(test.loop.RunUntil([&] { return !test.exchanges.empty(); },
+                                   kTestTimeout));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace bambooquay
