A stopping entry answers all that has arrived and writes it before it ends

Beside a pause of the loop at the end of a stop, callers got no answer, or 504 in place of a response that had arrived.

Cause: the end was decided in a timer, which runs before what has arrived is handled, and in one go: calls were answered and the loop was stopped before the answers were written; the listening socket was closed with its queue.

Change: the end is judged after what has arrived was handled. Idle connections are closed once calls are refused; then the entry stops to listen, and ends at the earliest a tick later, when all is written or the limit is there. An idle stop takes 0.3 s longer, so that late calls are still refused with an answer.

--- a/packages/serving/include/bambooquay/serving/serving_entry.h
+++ b/packages/serving/include/bambooquay/serving/serving_entry.h
@@ -118,8 +118,12 @@
   /// Records by how much the event loop is late.
   void ObserveLoopDelay();
   void Plan();
+  /// @returns whether the entry drains and takes no more calls.
+  [[nodiscard]] bool RefusesCalls() const;
   /// Ends draining once all calls have ended or the drain limit is near.
   void CheckDrained();
+  /// The same, when all that had arrived by then is handled.
+  void EndDrainIfDue();
   [[nodiscard]] RetryBudget& RetryBudgetFor(const ServiceName& service);
   [[nodiscard]] EntryStatus MakeStatus();
   /// @returns whether this entry tries a part of prompts again, the choice of
@@ -176,6 +180,8 @@
   /// Runs when draining has ended.
   std::function<void()> m_on_drained;
   int m_idle_ticks = 0;
+  bool m_has_stopped_listening = false;
+  std::unique_ptr<Timer> m_drain_timer;
   std::unique_ptr<Timer> m_tick_timer;
   std::unique_ptr<Timer> m_plan_timer;
   /// Plans ahead of m_plan_timer, after the first report of an engine.
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -79,6 +79,9 @@
 // finished in time and are refused.
 constexpr Duration kDrainAcceptTime = milliseconds(2500);
 constexpr int kDrainAcceptDivisor = 3;
+// Calls are refused with an answer for at least this long, before the entry
+// stops to listen.
+constexpr Duration kDrainRefuseTime = milliseconds(300);
 // Time reserved at the end of the drain limit to tell callers that wait for the
 // first byte of a response that there will be none.
 constexpr Duration kDrainAnswerMargin = milliseconds(800);
@@ -370,18 +373,20 @@
         m_calls.erase(found);
         m_deps.loop.Post([finished] {});
       }));
-  const bool refuses_calls =
-      m_draining_since.has_value() &&
-      m_deps.loop.clock().Now() - *m_draining_since >
-          std::min(kDrainAcceptTime,
-                   m_settings.drain_limit / kDrainAcceptDivisor);
-  if (refuses_calls) {
+  if (RefusesCalls()) {
     m_calls.back()->RefuseWhileDraining();
   } else {
     m_calls.back()->Start();
   }
 }
 
+bool ServingEntry::RefusesCalls() const {
+  return m_draining_since.has_value() &&
+         m_deps.loop.clock().Now() - *m_draining_since >
+             std::min(kDrainAcceptTime,
+                      m_settings.drain_limit / kDrainAcceptDivisor);
+}
+
 void ServingEntry::ForEachCall(
     const std::function<void(ForwardedCall&)>& action) {
   // Copied, as calls that end are removed from the list.
@@ -559,18 +564,35 @@
 }
 
 void ServingEntry::CheckDrained() {
-  if (!m_draining_since.has_value() || !m_on_drained) {
-    return;
+  if (m_draining_since.has_value() && m_on_drained &&
+      m_drain_timer == nullptr) {
+    // Responses that have arrived, and requests, count as such.
+    m_drain_timer = m_deps.loop.AfterInput([this] { EndDrainIfDue(); });
   }
+}
+
+void ServingEntry::EndDrainIfDue() {
+  m_drain_timer = nullptr;
   const Duration elapsed = m_deps.loop.clock().Now() - *m_draining_since;
-  const bool idle = m_calls.empty() && m_server.busy_connection_count() == 0;
-  if (elapsed > m_settings.drain_limit - kDrainAnswerMargin) {
+  if (RefusesCalls()) {
+    m_server.CloseIdleConnections();
+  }
+  const bool is_late = elapsed > m_settings.drain_limit - kDrainAnswerMargin;
+  if (is_late) {
     ForEachCall([](ForwardedCall& call) { call.EndWhileDraining(); });
   }
+  const bool idle = m_calls.empty() && m_server.busy_connection_count() == 0;
   // Waits one more tick, so that the last bytes written leave the machine.
   m_idle_ticks = idle ? m_idle_ticks + 1 : 0;
-  if ((m_idle_ticks > 1 && elapsed > kDrainAcceptTime) ||
-      elapsed > m_settings.drain_limit - kStopMargin) {
+  const bool is_over =
+      (m_idle_ticks > 1 && elapsed > kDrainAcceptTime + kDrainRefuseTime) ||
+      elapsed > m_settings.drain_limit - kStopMargin;
+  if (!m_has_stopped_listening && (is_late || is_over)) {
+    // What has arrived by now is answered before the next tick.
+    m_has_stopped_listening = true;
+    m_idle_ticks = 0;
+    m_server.StopListening();
+  } else if (is_over) {
     LogEvent(LogLevel::kInfo, "drain_ended").With("calls", m_calls.size());
     std::exchange(m_on_drained, nullptr)();
   }
