A caller that pipelines while memory is short keeps its call in progress

While half of the callers' memory was held, a second request behind one in progress closed the connection: neither got an answer. And the loop ran without pause while 32 KiB or more waited behind a call.

Cause: the limit on what a served connection may add was a close. The read watermark alone does not stop: libevent calls back again and again while that much waits.

Change: while a request is served, 1 KiB is read ahead, and reading stops at that. What was read before counts when the request is taken, which may refuse it with 503.

--- a/packages/runtime/src/http_server_connection.cc
+++ b/packages/runtime/src/http_server_connection.cc
@@ -16,9 +16,11 @@
 namespace bambooquay {
 namespace {
 
-// Reading from the caller pauses while this many bytes are buffered, such as
-// pipelined requests that wait until an earlier one has been answered.
+// At most this many bytes are read from the caller before they are handled.
 constexpr std::size_t kReadAheadBytes = 32 * 1024;
+// The same while a request is served, which never gives way. Leaves room for
+// blanks behind a request, after which the end of a connection is still seen.
+constexpr std::size_t kPipelinedBytes = 1024;
 // How long a caller may keep sending after the last response on a connection,
 // before the connection is closed.
 constexpr Duration kLingerTime = std::chrono::seconds(1);
@@ -227,9 +229,25 @@
       SetPhase(ConnectionPhase::kRefused);
       break;
   }
+  UpdateReading();
   UpdateHeld();
 }
 
+void HttpServerConnection::UpdateReading() {
+  const std::size_t max_bytes =
+      m_state == State::kResponding ? kPipelinedBytes : kReadAheadBytes;
+  const bool waits = m_state == State::kResponding ||
+                     (m_state == State::kIdle &&
+                      evbuffer_get_length(output()) >= kMaxUnwrittenBytes);
+  const bool reads = !waits || evbuffer_get_length(
+                                   bufferevent_get_input(m_stream)) < max_bytes;
+  bufferevent_setwatermark(m_stream, EV_READ, 0, max_bytes);
+  // The watermark alone would call back without end while that much waits.
+  if (reads != ((bufferevent_get_enabled(m_stream) & EV_READ) != 0)) {
+    (reads ? bufferevent_enable : bufferevent_disable)(m_stream, EV_READ);
+  }
+}
+
 void HttpServerConnection::CheckWritten() {
   const std::size_t unwritten = evbuffer_get_length(output());
   if (unwritten < m_unwritten_bytes) {
@@ -315,16 +333,7 @@
       return;
     }
   }
-  const bool pipelines =
-      m_exchange != nullptr && evbuffer_get_length(input) > 0;
-  if (pipelines && m_server.m_budget.IsShort()) {
-    // A request that is served never gives way, so its caller may not add to
-    // what it holds.
-    m_server.ReportLimitExceeded(*this, "pipelining");
-    ReportClose("pipelining");
-    HandleDisconnect();
-    return;
-  }
+  UpdateReading();
   if (m_state == State::kReading) {
     SetProgress(m_headers.total_bytes() + m_body.size());
     // Not asked for an ordinary request, as it costs time.
@@ -365,7 +374,10 @@
   if (request.body.size() > kSocketBufferBytes) {
     m_served_bytes += request.body.size();
   }
-  if (!m_server.m_budget.MayServe(kConnectionBytes + m_served_bytes)) {
+  const std::size_t pipelined =
+      evbuffer_get_length(bufferevent_get_input(m_stream));
+  if (!m_server.m_budget.MayServe(kConnectionBytes + m_served_bytes +
+                                  pipelined)) {
     request = {};
     RefuseForNow();
     return;
@@ -484,13 +496,15 @@
 void HttpServerConnection::FinishResponse() {
   m_exchange = nullptr;
   m_served_bytes = 0;
+  evbuffer* input = bufferevent_get_input(m_stream);
   if (!m_keep_alive) {
+    evbuffer_drain(input, evbuffer_get_length(input));
     SetState(State::kFlushing);
     return;
   }
   SetState(State::kIdle);
   SetLimits(m_server.m_limits);
-  if (evbuffer_get_length(bufferevent_get_input(m_stream)) > 0) {
+  if (evbuffer_get_length(input) > 0) {
     // Parses the next request after the current callback returns.
     bufferevent_trigger(m_stream, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
   }
--- a/packages/runtime/src/http_server_connection.h
+++ b/packages/runtime/src/http_server_connection.h
@@ -84,6 +84,8 @@
   void SetLimits(const HttpServerLimits& limits);
   /// Notes that bytes were received from or written to the caller.
   void RecordActivity();
+  /// Stops reading while enough input waits for the end of earlier responses.
+  void UpdateReading();
   /// Charges what the connection holds to the server's budget.
   void UpdateHeld();
   /// Records how much of a complete response the caller has taken.
