--- a/packages/runtime/src/http_server_connection.cc
+++ b/packages/runtime/src/http_server_connection.cc
@@ -16,9 +16,11 @@
 namespace bambooquay {
 namespace {
 
-// Reading from the caller pauses while this many bytes are buffered, such as
-// pipelined requests that wait until an earlier one has been answered.
+// At most this many bytes are read from the caller before they are handled.
 constexpr std::size_t kReadAheadBytes = 32 * 1024;
+// The same while a request is served, which never gives way. Leaves room for
+// blanks behind a request, after which the end of a connection is still seen.
+constexpr std::size_t kPipelinedBytes = 1024;
 // How long a caller may keep sending after the last response on a connection,
 // before the connection is closed.
 constexpr Duration kLingerTime = std::chrono::seconds(1);
@@ -54,7 +56,7 @@
       m_headers(server.m_limits.max_header_bytes),
       m_state_since(server.m_loop.clock().Now()),
       m_last_activity(m_state_since),
-      m_idle_limit(server.m_limits.idle_timeout) {
+      m_limits(server.m_limits) {
   SetSocketOptions(socket, Duration::zero());
   http_parser_init(&m_parser, HTTP_REQUEST);
   m_parser.data = this;
@@ -111,14 +113,13 @@
     return -1;
   }
   const bool has_length = parser->content_length != ULLONG_MAX;
-  if (has_length &&
-      parser->content_length > self.m_server.m_limits.max_body_bytes) {
+  if (has_length && parser->content_length > self.m_limits.max_body_bytes) {
     self.m_refusal_status = ToCode(HttpStatus::kPayloadTooLarge);
     return -1;
   }
   self.m_body_limit = has_length
                           ? static_cast<std::size_t>(parser->content_length)
-                          : self.m_server.m_limits.max_body_bytes;
+                          : self.m_limits.max_body_bytes;
   if (headers.Get("Expect") == "100-continue") {
     AppendBytes(self.output(), "HTTP/1.1 100 Continue\r\n\r\n");
   }
@@ -130,7 +131,7 @@
 int HttpServerConnection::HandleBody(http_parser* parser, const char* data,
                                      size_t size) {
   HttpServerConnection& self = Self(parser);
-  if (self.m_body.size() + size > self.m_server.m_limits.max_body_bytes) {
+  if (self.m_body.size() + size > self.m_limits.max_body_bytes) {
     self.m_refusal_status = ToCode(HttpStatus::kPayloadTooLarge);
     return -1;
   }
@@ -161,7 +162,7 @@
 
 void HttpServerConnection::RecordActivity() {
   m_last_activity = m_server.m_loop.clock().Now();
-  m_idle_limit = m_server.m_limits.idle_timeout;
+  m_limits.idle_timeout = m_server.m_limits.idle_timeout;
 }
 
 void HttpServerConnection::PrepareOutput() {
@@ -170,19 +171,27 @@
   }
 }
 
-void HttpServerConnection::KeepIdleLimit(Duration limit) {
-  m_idle_limit = std::max(m_idle_limit, limit);
+void HttpServerConnection::SetLimits(const HttpServerLimits& limits) {
+  m_limits = limits;
+  m_headers.SetLimit(limits.max_header_bytes);
+}
+
+void HttpServerConnection::UpdateLimits() {
+  HttpServerLimits limits = m_server.m_limits;
+  limits.idle_timeout = std::max(limits.idle_timeout, m_limits.idle_timeout);
+  if (m_state != State::kIdle || HasArrivedRequest()) {
+    limits.max_header_bytes =
+        std::max(limits.max_header_bytes, m_limits.max_header_bytes);
+    limits.max_body_bytes =
+        std::max(limits.max_body_bytes, m_limits.max_body_bytes);
+    limits.header_timeout =
+        std::max(limits.header_timeout, m_limits.header_timeout);
+  }
+  SetLimits(limits);
 }
 
 void HttpServerConnection::Discard() {
   evbuffer* input = bufferevent_get_input(m_stream);
-  if (m_ended_while_idle && m_discarded_bytes == 0) {
-    LogEvent(LogLevel::kInfo, "request_after_close")
-        .With("bytes", evbuffer_get_length(input))
-        .With("after_ms", (m_server.m_loop.clock().Now() - m_state_since) /
-                              std::chrono::milliseconds(1));
-    m_server.CountClosedConnection("late_request");
-  }
   m_discarded_bytes += evbuffer_get_length(input);
   evbuffer_drain(input, evbuffer_get_length(input));
   if (m_discarded_bytes > kMaxLingerBytes) {
@@ -226,9 +235,25 @@
       SetPhase(ConnectionPhase::kRefused);
       break;
   }
+  UpdateReading();
   UpdateHeld();
 }
 
+void HttpServerConnection::UpdateReading() {
+  const std::size_t max_bytes =
+      m_state == State::kResponding ? kPipelinedBytes : kReadAheadBytes;
+  const bool waits = m_state == State::kResponding ||
+                     (m_state == State::kIdle &&
+                      evbuffer_get_length(output()) >= kMaxUnwrittenBytes);
+  const bool reads = !waits || evbuffer_get_length(
+                                   bufferevent_get_input(m_stream)) < max_bytes;
+  bufferevent_setwatermark(m_stream, EV_READ, 0, max_bytes);
+  // The watermark alone would call back without end while that much waits.
+  if (reads != ((bufferevent_get_enabled(m_stream) & EV_READ) != 0)) {
+    (reads ? bufferevent_enable : bufferevent_disable)(m_stream, EV_READ);
+  }
+}
+
 void HttpServerConnection::CheckWritten() {
   const std::size_t unwritten = evbuffer_get_length(output());
   if (unwritten < m_unwritten_bytes) {
@@ -296,8 +321,7 @@
       Dispatch();
       return;
     }
-    if (m_headers.total_bytes() + m_target.size() >
-            m_server.m_limits.max_header_bytes ||
+    if (m_headers.total_bytes() + m_target.size() > m_limits.max_header_bytes ||
         m_headers.has_overflowed() ||
         HTTP_PARSER_ERRNO(&m_parser) == HPE_HEADER_OVERFLOW) {
       Refuse(431, "header_too_large", "the header exceeds the limit");
@@ -306,8 +330,8 @@
     if (HTTP_PARSER_ERRNO(&m_parser) != HPE_OK) {
       if (m_refusal_status == ToCode(HttpStatus::kPayloadTooLarge)) {
         Refuse(m_refusal_status, "body_too_large",
-               "the body exceeds " +
-                   std::to_string(m_server.m_limits.max_body_bytes) + " bytes");
+               "the body exceeds " + std::to_string(m_limits.max_body_bytes) +
+                   " bytes");
       } else {
         Refuse(ToCode(HttpStatus::kBadRequest), "bad_http",
                "the request is not valid HTTP/1.1");
@@ -315,16 +339,7 @@
       return;
     }
   }
-  const bool pipelines =
-      m_exchange != nullptr && evbuffer_get_length(input) > 0;
-  if (pipelines && m_server.m_budget.IsShort()) {
-    // A request that is served never gives way, so its caller may not add to
-    // what it holds.
-    m_server.ReportLimitExceeded(*this, "pipelining");
-    ReportClose("pipelining");
-    HandleDisconnect();
-    return;
-  }
+  UpdateReading();
   if (m_state == State::kReading) {
     SetProgress(m_headers.total_bytes() + m_body.size());
     // Not asked for an ordinary request, as it costs time.
@@ -350,7 +365,7 @@
   request.headers = std::exchange(m_headers.headers(), {});
   request.body = std::exchange(m_body, {});
   if (request.headers.total_bytes() + request.target.size() >
-      m_server.m_limits.max_header_bytes) {
+      m_limits.max_header_bytes) {
     Refuse(431, "header_too_large", "the header exceeds the limit");
     return;
   }
@@ -365,7 +380,10 @@
   if (request.body.size() > kSocketBufferBytes) {
     m_served_bytes += request.body.size();
   }
-  if (!m_server.m_budget.MayServe(kConnectionBytes + m_served_bytes)) {
+  const std::size_t pipelined =
+      evbuffer_get_length(bufferevent_get_input(m_stream));
+  if (!m_server.m_budget.MayServe(kConnectionBytes + m_served_bytes +
+                                  pipelined)) {
     request = {};
     RefuseForNow();
     return;
@@ -488,12 +506,15 @@
 void HttpServerConnection::FinishResponse() {
   m_exchange = nullptr;
   m_served_bytes = 0;
+  evbuffer* input = bufferevent_get_input(m_stream);
   if (!m_keep_alive) {
+    evbuffer_drain(input, evbuffer_get_length(input));
     SetState(State::kFlushing);
     return;
   }
   SetState(State::kIdle);
-  if (evbuffer_get_length(bufferevent_get_input(m_stream)) > 0) {
+  SetLimits(m_server.m_limits);
+  if (evbuffer_get_length(input) > 0) {
     // Parses the next request after the current callback returns.
     bufferevent_trigger(m_stream, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
   }
@@ -511,20 +532,19 @@
 
 void HttpServerConnection::CloseIfExpired(TimePoint now) {
   CheckWritten();
-  const HttpServerLimits& limits = m_server.m_limits;
   const Duration time_in_state = now - m_state_since;
   const bool is_reading_header = m_state == State::kReading && m_body.empty() &&
                                  m_parser.content_length == ULLONG_MAX;
   if (m_state == State::kLingering && time_in_state > kLingerTime) {
     Close();
-  } else if (is_reading_header && time_in_state > limits.header_timeout) {
+  } else if (is_reading_header && time_in_state > m_limits.header_timeout) {
     Refuse(ToCode(HttpStatus::kRequestTimeout), "header_timeout",
            "the request's header took too long");
   } else if (m_server.m_budget.IsTooSlow(*this)) {
     m_server.ReportLimitExceeded(*this, "rate");
     Refuse(ToCode(HttpStatus::kRequestTimeout), "body_timeout",
            "the request's body took too long");
-  } else if (now - m_last_activity > m_idle_limit) {
+  } else if (now - m_last_activity > m_limits.idle_timeout) {
     const bool is_waiting_for_handler =
         m_exchange != nullptr && evbuffer_get_length(output()) == 0;
     if (!is_waiting_for_handler && !HasArrivedRequest()) {
@@ -534,15 +554,10 @@
   }
 }
 
-void HttpServerConnection::CloseWhenIdle() {
-  m_keep_alive = false;
-  if (m_state == State::kIdle && !HasArrivedRequest()) {
+void HttpServerConnection::CloseIfIdle() {
+  if (!IsBusy() && m_state == State::kIdle) {
     ReportClose("stopping");
-    m_ended_while_idle = true;
-    SetState(State::kFlushing);
-    if (evbuffer_get_length(output()) == 0) {
-      Linger();
-    }
+    Close();
   }
 }
 
@@ -577,7 +592,7 @@
       .With("silent_ms", (m_server.m_loop.clock().Now() - m_last_activity) /
                              std::chrono::milliseconds(1))
       .With("idle_limit_ms",
-            m_server.m_limits.idle_timeout / std::chrono::milliseconds(1))
+            m_limits.idle_timeout / std::chrono::milliseconds(1))
       .With("sweep_late_ms",
             m_server.m_sweep_delay / std::chrono::milliseconds(1));
 }
--- a/packages/runtime/src/http_server_connection.h
+++ b/packages/runtime/src/http_server_connection.h
@@ -34,9 +34,9 @@
   /// Closes the connection without completing the response.
   void AbortResponse();
 
-  /// The server's limits have changed. A caller that rests now may go by those
-  /// before for as long as it rests.
-  void KeepIdleLimit(Duration limit);
+  /// Follows the server's limits, which have changed. A request that has begun
+  /// to arrive, and a caller that rests, may go by those before.
+  void UpdateLimits();
   /// Closes the connection, or answers 408, if the caller exceeded a time
   /// limit.
   void CloseIfExpired(TimePoint now);
@@ -46,8 +46,9 @@
   [[nodiscard]] bool HasArrivedInput() const override {
     return UnreadBytes() > 0;
   }
-  /// Closes the connection after the current response, or now if there is none.
-  void CloseWhenIdle();
+  /// Closes the connection if no request has arrived on it and no response is
+  /// being written.
+  void CloseIfIdle();
   /// @returns whether a request is partly received or unanswered, or a response
   ///   is not fully written to the socket.
   [[nodiscard]] bool IsBusy() const noexcept;
@@ -80,11 +81,14 @@
   /// Refuses a request that could be served at another time.
   void RefuseForNow();
   void SetState(State state);
+  void SetLimits(const HttpServerLimits& limits);
   /// Notes that bytes were received from or written to the caller.
   void RecordActivity();
   /// Must run before output is added. From the first of it on, the caller has
   /// the whole idle limit to take it.
   void PrepareOutput();
+  /// Stops reading while enough input waits for the end of earlier responses.
+  void UpdateReading();
   /// Charges what the connection holds to the server's budget.
   void UpdateHeld();
   /// Records how much of a complete response the caller has taken.
@@ -131,8 +135,6 @@
   std::size_t m_served_bytes = 0;
   /// Bytes that arrived after the last response.
   std::size_t m_discarded_bytes = 0;
-  /// Whether the server ended the connection while it waited for a request.
-  bool m_ended_while_idle = false;
   /// Whether the organisation of the request was asked for.
   bool m_has_organisation = false;
   bool m_request_complete = false;
@@ -143,8 +145,9 @@
   /// Last time at which bytes were received from or written to the caller, or
   /// were ready for it.
   TimePoint m_last_activity;
-  /// The longest idle limit that was in force since the last activity.
-  Duration m_idle_limit;
+  /// Each the largest that was in force since the request began to arrive; the
+  /// idle timeout, since the last activity.
+  HttpServerLimits m_limits;
   /// The exchange whose response is not complete. It may outlive the
   /// connection, whose destructor detaches it.
   HttpExchange* m_exchange = nullptr;
