Decisions wait for the input of many connections

AfterInput ran its callback after two turns of the loop, and libevent takes only 32 ready sockets in its first turn: with more callers, what some had sent was still unread.

Change: AfterInput lets nine turns pass. libevent doubles the number with each turn that had as many, so that is enough for all connections that an entry holds.

--- a/packages/runtime/src/event_loop.cc
+++ b/packages/runtime/src/event_loop.cc
@@ -13,9 +13,10 @@
 namespace bambooquay {
 namespace {
 
-// In the first turn of the loop, timers run after the input was read from the
-// sockets and before the callbacks that handle it.
-constexpr int kTurnsToHandleInput = 1;
+// Timers run after the input was read from the sockets and before the callbacks
+// that handle it. libevent takes 32 ready sockets in its first turn, and twice
+// as many after each turn that had as many as it takes, up to 4096.
+constexpr int kTurnsToHandleInput = 9;
 // Each turn reads 16 KiB of a socket: this is enough for a full receive buffer.
 constexpr int kMaxTurnsToReadSocket = 512;
 
--- a/packages/runtime/tests/held_up_loop_test.cc
+++ b/packages/runtime/tests/held_up_loop_test.cc
@@ -1,12 +1,16 @@
 // Tests of calls and timers whose event loop is held up.
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <boost/test/unit_test.hpp>
 #include <memory>
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "bambooquay/runtime/http_client.h"
+#include "bambooquay/runtime/http_server.h"
 #include "support/plain_server.h"
 
 namespace bambooquay {
@@ -203,6 +207,42 @@
   BOOST_TEST(test.client.opened_connection_count() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(input_of_many_connections_is_handled_before_a_decision) {
+  constexpr std::size_t kConnections = 400;
+  EventLoop loop;
+  std::size_t request_count = 0;
+  HttpServer server(loop, {},
+                    [&](const std::shared_ptr<HttpExchange>& exchange) {
+                      ++request_count;
+                      exchange->Respond(200, {}, "");
+                    });
+  BOOST_REQUIRE(server.Listen({"127.0.0.1", 0}));
+  std::vector<int> callers;
+  for (std::size_t i = 0; i < kConnections; ++i) {
+    callers.push_back(socket(AF_INET, SOCK_STREAM, 0));
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(server.port());
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    BOOST_REQUIRE(connect(callers.back(), reinterpret_cast<sockaddr*>(&address),
+                          sizeof(address)) == 0);
+    loop.RunUntil([] { return false; }, milliseconds(1));
+  }
+  for (const int caller : callers) {
+    constexpr std::string_view kGet = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    BOOST_REQUIRE(send(caller, kGet.data(), kGet.size(), MSG_NOSIGNAL) ==
+                  static_cast<ssize_t>(kGet.size()));
+  }
+  std::optional<std::size_t> handled;
+  const auto decision = loop.AfterInput([&] { handled = request_count; });
+  BOOST_REQUIRE(
+      loop.RunUntil([&] { return handled.has_value(); }, kTestTimeout));
+  BOOST_TEST(*handled == kConnections);
+  for (const int caller : callers) {
+    close(caller);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace bambooquay
