Timeouts that a slow callback sets have their whole time

Calls begun by a slow callback were timed out early, and timers ran early, by the time that the callback had taken until then: a call with 300 ms, begun after 250 ms, had 50 ms.

Cause: libevent counts timeouts from the time that it cached at the begin of the turn.

Change: timers and calls renew that time before they set their timeouts. What remains: a connection's timeout restarts with the begin of the turn in which it read.

--- a/packages/runtime/src/event_loop.cc
+++ b/packages/runtime/src/event_loop.cc
@@ -8,6 +8,7 @@
 #include <new>
 #include <utility>
 
+#include "loop_time.h"
 #include "timeval.h"
 
 namespace bambooquay {
@@ -38,6 +39,7 @@
           event_new(base, -1, repeats ? EV_PERSIST : 0, &Timer::Fire, this)),
       m_callback(std::move(callback)),
       m_idle_turns(std::move(idle_turns)) {
+  StartTimeoutsNow(base);
   const timeval interval = ToTimeval(delay);
   event_add(m_event, &interval);
 }
--- a/packages/runtime/src/http_client_connection.cc
+++ b/packages/runtime/src/http_client_connection.cc
@@ -10,6 +10,7 @@
 #include <charconv>
 #include <utility>
 
+#include "loop_time.h"
 #include "socket_address.h"
 #include "timeval.h"
 
@@ -85,6 +86,7 @@
 void HttpClientConnection::Send(const HttpRequest& request,
                                 Duration idle_timeout, bool keep_alive,
                                 HttpObserver& observer) {
+  StartTimeoutsNow(m_loop.base());
   m_observer = &observer;
   m_awaits_response = true;
   m_keep_alive = keep_alive;
@@ -130,6 +132,7 @@
   if (paused) {
     bufferevent_disable(m_stream, EV_READ);
   } else {
+    StartTimeoutsNow(m_loop.base());
     bufferevent_enable(m_stream, EV_READ);
   }
 }
@@ -251,6 +254,7 @@
 }
 
 bool HttpClientConnection::ResumeAfterTimeout(short events) {
+  StartTimeoutsNow(m_loop.base());
   const auto resume = [this](short direction) {
     if (direction == EV_READ && m_is_paused) {
       return true;
--- a/packages/runtime/tests/held_up_loop_test.cc
+++ b/packages/runtime/tests/held_up_loop_test.cc
@@ -207,6 +207,37 @@
   BOOST_TEST(test.client.opened_connection_count() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(a_timer_set_after_a_slow_callback_waits_its_whole_time) {
+  EventLoop loop;
+  std::optional<Duration> waited;
+  std::unique_ptr<Timer> timer;
+  const auto slow = loop.After(Duration::zero(), [&] {
+    HoldUp(milliseconds(400));
+    timer = loop.After(milliseconds(300), [&, set_at = loop.clock().Now()] {
+      waited = loop.clock().Now() - set_at;
+    });
+  });
+  BOOST_REQUIRE(
+      loop.RunUntil([&] { return waited.has_value(); }, kTestTimeout));
+  BOOST_TEST((*waited >= milliseconds(290)));
+}
+
+BOOST_AUTO_TEST_CASE(a_call_begun_by_a_slow_callback_has_its_whole_timeout) {
+  HeldUpClient test;
+  Outcome outcome;
+  std::unique_ptr<HttpCall> call;
+  std::optional<TimePoint> started_at;
+  const auto slow = test.loop.After(Duration::zero(), [&] {
+    HoldUp(milliseconds(250));
+    started_at = test.loop.clock().Now();
+    call = test.Start(outcome);
+  });
+  test.WaitForRequest();
+  test.WaitForEnd(outcome);
+  BOOST_TEST((outcome.outcome == HttpOutcome::kTimedOut));
+  BOOST_TEST((test.loop.clock().Now() - *started_at >= milliseconds(290)));
+}
+
 BOOST_AUTO_TEST_CASE(input_of_many_connections_is_handled_before_a_decision) {
   constexpr std::size_t kConnections = 400;
   EventLoop loop;
