Responses that arrived by a call's time limit are delivered

A caller got 504 or a cut stream though the whole response had arrived at the entry.

Cause: HandleTimeLimit looked once for unread input and ended the call at its second look. A turn reads 16 KiB of a socket, and callbacks for what a turn reads run after the timers of that turn: a second look in the turn that reads is too early.

Evidence: held_up_entry/a_large_response_that_arrived_in_time_is_delivered (200 KB) and a_response_that_arrives_between_two_timers_is_delivered failed before, 3 of 3 each, and pass after, 3 of 3. a_silent_upstream_is_left_at_the_time_limit_after_a_pause passed before and after. All hosting tests pass.

Change: the limit waits with AfterInput, for a bounded number of turns, until the input is read. A call without an attempt ends at once, as before. No attempt is made meanwhile, as there is no time left for one.

--- a/packages/serving/include/bambooquay/serving/forwarded_call.h
+++ b/packages/serving/include/bambooquay/serving/forwarded_call.h
@@ -332,8 +332,6 @@
   /// Charges m_body, the incomplete event and m_unsent_response_bytes.
   BufferHolding m_held_bytes;
   bool m_done = false;
-  /// Whether the time limit has passed, and what has arrived by then is read.
-  bool m_reads_before_limit = false;
   /// Times of the first and the last event, since the call arrived.
   std::optional<Duration> m_first_event;
   Duration m_last_event{};
--- a/packages/serving/src/forwarded_call.cc
+++ b/packages/serving/src/forwarded_call.cc
@@ -440,16 +440,15 @@
 }
 
 void ForwardedCall::HandleTimeLimit() {
-  if (!m_reads_before_limit && m_attempt != nullptr &&
-      m_attempt->HasUnreadInput()) {
-    // The response may be complete: after a pause of the event loop, timers run
-    // before what has arrived meanwhile is read.
-    m_reads_before_limit = true;
-    m_limit_timer =
-        m_context.loop.After(Duration::zero(), [this] { HandleTimeLimit(); });
+  const auto give_up = [this] { GiveUp("time_limit", Duration::zero()); };
+  if (m_attempt == nullptr) {
+    give_up();
     return;
   }
-  GiveUp("time_limit", Duration::zero());
+  // The response may have arrived during a pause of the event loop.
+  m_limit_timer = m_context.loop.AfterInput(give_up, [this] {
+    return m_attempt != nullptr && m_attempt->HasUnreadInput();
+  });
 }
 
 void ForwardedCall::GiveUp(std::string_view reason, Duration retry_after) {
