--- a/packages/runtime/src/event_loop.cc
+++ b/packages/runtime/src/event_loop.cc
@@ -8,6 +8,7 @@
 #include <new>
 #include <utility>
 
+#include "loop_time.h"
 #include "timeval.h"
 
 namespace bambooquay {
@@ -16,6 +17,12 @@
 // In the first turn of the loop, timers run after the input was read from the
 // sockets and before the callbacks that handle it.
 constexpr int kTurnsToHandleInput = 1;
+// libevent takes 32 ready sockets in its first turn, and twice as many after
+// each turn that had as many as it takes, up to 4096.
+constexpr int kTurnsToReachSockets = 9;
+// A turn with fewer callbacks than this has reached all sockets that were
+// ready.
+constexpr int kManyCallbacks = 16;
 // Bounds the wait for sockets to which more arrives than is read. Each turn
 // reads 16 KiB of a socket: this is enough for a full receive buffer.
 constexpr int kMaxTurnsToHandleInput = 512;
@@ -40,6 +47,7 @@
           event_new(base, -1, repeats ? EV_PERSIST : 0, &Timer::Fire, this)),
       m_callback(std::move(callback)),
       m_waits(std::move(waits)) {
+  StartTimeoutsNow(base);
   const timeval interval = ToTimeval(delay);
   event_add(m_event, &interval);
 }
@@ -114,7 +122,11 @@
             notes != m_unread_notes || (has_unread_input && has_unread_input());
         notes = m_unread_notes;
         ++turns;
-        return turns <= kTurnsToHandleInput ||
+        const bool is_reaching_sockets =
+            turns <= kTurnsToReachSockets &&
+            event_base_get_num_events(m_base, EVENT_BASE_COUNT_ACTIVE) >=
+                kManyCallbacks;
+        return turns <= kTurnsToHandleInput || is_reaching_sockets ||
                (has_unread && turns < kMaxTurnsToHandleInput);
       });
 }
