Engines are not lost because the entry stood still

After a pause of 1 s or more all engines gave no sign of life and no report was fresh, before what had arrived meanwhile was read: calls were refused or moved, failures made their engine avoided, and cold engines got calls without a permit, as for an agent that can't be reached (rule LIMIT).

That the entry sets the input clock has no test of its own.

Change: sign of life and freshness go by the input clock. Own waits, cold times and permits keep to the loop's clock.

Bounds: a fresh report is what makes calls need permits, so judging it later admits fewer calls.

--- a/packages/serving/include/bambooquay/serving/upstream_set.h
+++ b/packages/serving/include/bambooquay/serving/upstream_set.h
@@ -161,6 +161,11 @@
               DataCentreId own_data_centre,
               std::function<bool(const Endpoint&)> is_connected);
 
+  /// Sets the clock by which upstreams and agents are silent, such as
+  /// EventLoop::input_clock().
+  void SetInputClock(const Clock& input_clock) noexcept {
+    m_input_clock = &input_clock;
+  }
   void Put(const UpstreamRecord& record);
   /// @param grace  how long the upstream may still be used. For an upstream
   ///   whose listing expired because the store was lost.
@@ -398,7 +403,13 @@
   [[nodiscard]] std::optional<std::size_t> CountUnpermittedSenders(
       const UpstreamId& id, std::size_t max_senders) const;
 
+  /// @returns the time for which nothing has followed what was handled at `at`.
+  [[nodiscard]] Duration SilentSince(TimePoint at) const {
+    return m_input_clock->Now() - at;
+  }
+
   const Clock& m_clock;
+  const Clock* m_input_clock;
   RandomSource& m_random;
   DataCentreId m_own_data_centre;
   std::function<bool(const Endpoint&)> m_is_connected;
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -174,6 +174,7 @@
     mirror->SetFallback(m_peer_table);
     m_table_relay.Serve(*mirror);
   }
+  m_upstreams.SetInputClock(deps.loop.input_clock());
   RegisterGauges();
   m_server.SetOrganisationSource(
       [this](const HttpHeaders& headers) { return OrganisationOf(headers); });
--- a/packages/serving/src/upstream_set.cc
+++ b/packages/serving/src/upstream_set.cc
@@ -35,6 +35,7 @@
                          DataCentreId own_data_centre,
                          std::function<bool(const Endpoint&)> is_connected)
     : m_clock(clock),
+      m_input_clock(&clock),
       m_random(random),
       m_own_data_centre(std::move(own_data_centre)),
       m_is_connected(std::move(is_connected)),
@@ -243,7 +244,7 @@
 
 bool UpstreamSet::HasFreshReport(const Upstream& upstream) const {
   return upstream.report.has_value() &&
-         m_clock.Now() - upstream.reported_at < kReportLifetime;
+         SilentSince(upstream.reported_at) < kReportLifetime;
 }
 
 std::optional<Duration> UpstreamSet::ReportAge(const Upstream& upstream) const {
@@ -253,12 +254,11 @@
 }
 
 SignOfLife UpstreamSet::FindSignOfLife(const Upstream& upstream) const {
-  const auto report_age = ReportAge(upstream);
-  if (!upstream.has_engine || !report_age.has_value()) {
+  if (!upstream.has_engine || !upstream.report.has_value()) {
     return SignOfLife::kUnknown;
   }
-  const Duration since_progress = m_clock.Now() - upstream.last_progress_at;
-  return std::min(*report_age, since_progress) < kSignOfLifeTime
+  return SilentSince(std::max(upstream.reported_at,
+                              upstream.last_progress_at)) < kSignOfLifeTime
              ? SignOfLife::kRecent
              : SignOfLife::kNone;
 }
--- a/packages/serving/tests/upstream_set_test.cc
+++ b/packages/serving/tests/upstream_set_test.cc
@@ -404,6 +404,42 @@
   BOOST_TEST(!set.Pick(MakeQuery("s", "m")).has_value());
 }
 
+// The entry stands still for 3 s while a call waits for the engine. What has
+// arrived meanwhile is handled only when the input clock goes on.
+BOOST_AUTO_TEST_CASE(an_engine_is_not_lost_because_the_entry_stood_still) {
+  UpstreamSetFixture set;
+  ManualClock input_clock;
+  set.upstreams.SetInputClock(input_clock);
+  set.upstreams.SetEngineServices({ServiceName("s")});
+  set.upstreams.Put(MakeRecord("a", 1));
+  set.upstreams.SetReport(UpstreamId("a"), MakeReport());
+  const PickQuery query = MakeQuery("s", "m");
+  set.upstreams.RecordAttemptStart(UpstreamId("a"), query);
+  set.clock.Advance(seconds(3));
+  BOOST_TEST(set.Pick(query).has_value());
+  set.RecordAttempt(UpstreamId("a"), AttemptResult::kTimedOut);
+  BOOST_TEST(set.Pick(query).has_value());
+  input_clock.Advance(seconds(3));
+  BOOST_TEST(!set.Pick(query).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_cold_engine_takes_permits_after_the_entry_stood_still) {
+  UpstreamSetFixture set;
+  ManualClock input_clock;
+  set.upstreams.SetInputClock(input_clock);
+  set.upstreams.SetEngineServices({ServiceName("s")});
+  set.upstreams.SetColdRate(ServiceName("s"), kColdRate);
+  UpstreamRecord record = MakeRecord("a", 1);
+  record.cold_remaining = seconds(20);
+  set.upstreams.Put(record);
+  set.upstreams.SetReport(UpstreamId("a"), MakeReport());
+  const PickQuery query = MakeQuery("s", "m");
+  BOOST_TEST(!set.Pick(query).has_value());
+  set.clock.Advance(seconds(3));
+  BOOST_TEST(!set.Pick(query).has_value());
+  BOOST_TEST(set.upstreams.PickForColdPermit(query).has_value());
+}
+
 // Load: all upstreams of a plain service fail half of their calls.
 BOOST_AUTO_TEST_CASE(failing_upstreams_are_used_when_there_are_no_others) {
   UpstreamSetFixture set;
