A pause adds no allowance before the peers' spending is read

After a pause the entry credited the fleet's whole allowance for that time, and calls that it handled before the peers' statuses could spend what the peers had spent already, up to the burst.

Evidence: peer_exchange/a_pause_adds_no_allowance_before_peers_spending_is_read failed with the loop's clock: 1000 of a burst of 1000 after the pause, 651.8 before it; the test as committed has a larger burst. That the entry passes the input clock has no test of its own.

Change: the bucket is credited by the input clock.

Bound: only lower than before, by up to 50 ms of the allowance.

--- a/packages/serving/include/bambooquay/serving/fleet_allowance.h
+++ b/packages/serving/include/bambooquay/serving/fleet_allowance.h
@@ -82,6 +82,8 @@
 /// @endcode
 class FleetAllowance {
  public:
+  /// @param clock  the time up to which the peers' spending is known, such as
+  ///   EventLoop::input_clock().
   explicit FleetAllowance(const Clock& clock) : m_clock(clock) {}
 
   /// Sets an organisation's allowance. A rate of 0 removes the limit.
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -107,7 +107,7 @@
                   [this](const Endpoint& address) {
                     return m_client.HasIdleConnection(address);
                   }),
-      m_allowance(deps.loop.clock()),
+      m_allowance(deps.loop.input_clock()),
       m_quarantine(deps.loop.clock()),
       m_demand(deps.loop.clock()),
       m_planner(deps.loop.clock(), m_upstreams),
--- a/packages/serving/tests/peer_exchange_test.cc
+++ b/packages/serving/tests/peer_exchange_test.cc
@@ -67,6 +67,7 @@
     const auto first = loop.After(
         kStatusPeriod / 3, [] { std::this_thread::sleep_for(kStatusPeriod); });
     const auto second = loop.After(kStatusPeriod / 2, [&] {
+      on_paused();
       std::this_thread::sleep_for(kPause);
       for (int i = 0; i < count; ++i) {
         SendPeerStatus();
@@ -128,11 +129,12 @@
   SeededRandom random{1};
   UpstreamSet upstreams{loop.clock(), random, DataCentreId("dc"),
                         [](const Endpoint&) { return true; }};
-  FleetAllowance allowance{loop.clock()};
+  FleetAllowance allowance{loop.input_clock()};
   PeerExchange exchange{loop, kSelf, allowance, upstreams};
   Endpoint address{"127.0.0.1", FreeDatagramPort()};
   DatagramSocket peer{loop, [](const Endpoint&, std::string_view) {}};
   std::function<void()> on_tick;
+  std::function<void()> on_paused = [] {};
   std::function<void()> on_resumed = [] {};
   std::function<void()> on_tick_after_pause = [] {};
 };
@@ -187,6 +189,29 @@
   BOOST_TEST(!took_over.value_or(true));
 }
 
+BOOST_AUTO_TEST_CASE(a_pause_adds_no_allowance_before_peers_spending_is_read) {
+  const OrganisationId organisation("o");
+  PeerPair test;
+  test.allowance.Configure(organisation, TokensPerSecond{1000.0},
+                           Tokens{100'000.0});
+  double level_before = 0.0;
+  double level_after = 0.0;
+  test.on_paused = [&] {
+    level_before = test.allowance.Level(organisation).count;
+  };
+  test.on_resumed = [&] {
+    level_after = test.allowance.Level(organisation).count;
+  };
+  test.HoldUpAcrossTick(1);
+  BOOST_TEST(level_after == level_before);
+  BOOST_TEST(test.loop.RunUntil(
+      [&] {
+        return test.allowance.Level(organisation).count >=
+               level_before + 1000.0 * ToSeconds(kPause);
+      },
+      kTestTimeout));
+}
+
 BOOST_AUTO_TEST_CASE(a_peer_that_stays_away_becomes_silent) {
   PeerPair test;
   BOOST_TEST(test.loop.RunUntil([&] { return test.exchange.IsPlanner(); },
