--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -110,7 +110,7 @@
                   [this](const Endpoint& address) {
                     return m_client.HasIdleConnection(address);
                   }),
-      m_allowance(deps.loop.clock()),
+      m_allowance(deps.loop.input_clock()),
       m_quarantine(deps.loop.clock()),
       m_demand(deps.loop.clock()),
       m_planner(deps.loop.clock(), m_upstreams),
@@ -177,6 +177,7 @@
     mirror->SetFallback(m_peer_table);
     m_table_relay.Serve(*mirror);
   }
+  m_upstreams.SetInputClock(deps.loop.input_clock());
   RegisterGauges();
   m_server.SetOrganisationSource(
       [this](const HttpHeaders& headers) { return OrganisationOf(headers); });
