A request that has arrived is refused, not dropped, when memory is short

A caller whose request had arrived on an idle connection got no answer: its connection was closed.

Cause: the budget counts such a connection as reading, but the connection's own state was idle still, and an idle one that gives way is closed.

Change: for lack of memory, an idle connection with an arrived request is refused as one that is being read. For lack of descriptors it is still closed, as a refusal would keep the descriptor.

--- a/packages/runtime/src/http_server_connection.cc
+++ b/packages/runtime/src/http_server_connection.cc
@@ -420,6 +420,12 @@
 }
 
 void HttpServerConnection::GiveWay(YieldReason reason) {
+  if (reason == YieldReason::kMemory && HasArrivedRequest()) {
+    // The method of the request that has arrived is not known.
+    m_parser.method = HTTP_GET;
+    RefuseForNow();
+    return;
+  }
   if (reason == YieldReason::kMemory && m_state == State::kReading) {
     RefuseForNow();
     return;
--- a/packages/runtime/tests/http_server_test.cc
+++ b/packages/runtime/tests/http_server_test.cc
@@ -418,6 +418,36 @@
       [&] { return caller.received().ends_with("second"); }, kTestTimeout));
 }
 
+// Load: what is read behind a request counts when that is taken.
+BOOST_AUTO_TEST_CASE(a_crowd_that_pipelines_stays_within_the_limit) {
+  TestServer test(SmallLimits());
+  constexpr std::size_t kCrowd = 100;
+  std::vector<std::unique_ptr<RawClient>> crowd;
+  for (std::size_t i = 0; i < kCrowd; ++i) {
+    crowd.push_back(std::make_unique<RawClient>(
+        test.loop, test.endpoint, PostOf(5, 5) + PostOf(200'000, 100'000)));
+  }
+  std::size_t most = 0;
+  test.loop.RunUntil(
+      [&] {
+        most = std::max(most, test.server.held_bytes());
+        return false;
+      },
+      milliseconds(1000));
+  // Each connection may have one part of its input that is not counted yet.
+  BOOST_TEST(most <= 800'000U + kCrowd * 1024);
+  BOOST_TEST(test.exchanges.size() > 0U);
+  const auto refused = std::ranges::count_if(crowd, [](const auto& client) {
+    return HasStatus(client->received(), "503");
+  });
+  // Each first request is served or refused.
+  BOOST_TEST(test.exchanges.size() + static_cast<std::size_t>(refused) ==
+             kCrowd);
+  for (const auto& exchange : test.exchanges) {
+    BOOST_TEST(!exchange->closed());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(
     a_request_that_arrives_in_parts_is_charged_to_its_organisation) {
   TestServer test(SmallLimits());
