A refusal reaches a caller that is still sending its body

A caller whose body was refused while it arrived (503 for lack of memory, 408, 413) saw its connection reset.

Cause: the connection was closed with input unread after 256 KiB or one second, which resets it and can destroy the answer.

Change: after a refusal, as much as a body may have is dropped besides, and the time counts from the last bytes, up to 10 s.

--- a/packages/runtime/src/http_server_connection.cc
+++ b/packages/runtime/src/http_server_connection.cc
@@ -21,10 +21,13 @@
 // The same while a request is served, which never gives way. Leaves room for
 // blanks behind a request, after which the end of a connection is still seen.
 constexpr std::size_t kPipelinedBytes = 1024;
-// How long a caller may keep sending after the last response on a connection,
-// before the connection is closed.
+// The connection is closed when its caller has sent nothing for this long after
+// the last response on it,
 constexpr Duration kLingerTime = std::chrono::seconds(1);
-// How many bytes it may send in that time.
+// or has kept sending for this long. Many callers read a refusal only when they
+// have sent their body.
+constexpr Duration kMaxLingerTime = std::chrono::seconds(10);
+// How many bytes it may send meanwhile, besides the rest of a body.
 constexpr std::size_t kMaxLingerBytes = std::size_t{256} * 1024;
 // The next pipelined request waits while this many bytes of earlier responses
 // are not written.
@@ -54,6 +57,7 @@
       m_stream(bufferevent_socket_new(server.m_loop.base(), socket,
                                       BEV_OPT_DEFER_CALLBACKS)),
       m_headers(server.m_limits.max_header_bytes),
+      m_max_discarded_bytes(kMaxLingerBytes),
       m_state_since(server.m_loop.clock().Now()),
       m_last_activity(m_state_since),
       m_limits(server.m_limits) {
@@ -188,7 +192,10 @@
   evbuffer* input = bufferevent_get_input(m_stream);
   m_discarded_bytes += evbuffer_get_length(input);
   evbuffer_drain(input, evbuffer_get_length(input));
-  if (m_discarded_bytes > kMaxLingerBytes) {
+  if (m_state == State::kLingering) {
+    RecordActivity();
+  }
+  if (m_discarded_bytes > m_max_discarded_bytes) {
     Close();
   }
 }
@@ -397,6 +404,7 @@
     headers.Add("Retry-After", kRetryAfter);
   }
   m_keep_alive = false;
+  m_max_discarded_bytes = kMaxLingerBytes + m_limits.max_body_bytes;
   m_is_head_request = m_parser.method == HTTP_HEAD;
   // An assignment would keep the memory.
   std::string().swap(m_body);
@@ -531,7 +539,10 @@
   const Duration time_in_state = now - m_state_since;
   const bool is_reading_header = m_state == State::kReading && m_body.empty() &&
                                  m_parser.content_length == ULLONG_MAX;
-  if (m_state == State::kLingering && time_in_state > kLingerTime) {
+  const bool has_lingered =
+      m_state == State::kLingering &&
+      (now - m_last_activity > kLingerTime || time_in_state > kMaxLingerTime);
+  if (has_lingered) {
     Close();
   } else if (is_reading_header && time_in_state > m_limits.header_timeout) {
     Refuse(ToCode(HttpStatus::kRequestTimeout), "header_timeout",
--- a/packages/runtime/src/http_server_connection.h
+++ b/packages/runtime/src/http_server_connection.h
@@ -130,8 +130,9 @@
   std::size_t m_unwritten_bytes = 0;
   /// What the request that is being served holds.
   std::size_t m_served_bytes = 0;
-  /// Bytes that arrived after the last response.
+  /// Bytes that arrived after the last response, and how many may.
   std::size_t m_discarded_bytes = 0;
+  std::size_t m_max_discarded_bytes;
   /// Whether the organisation of the request was asked for.
   bool m_has_organisation = false;
   bool m_request_complete = false;
--- a/packages/runtime/tests/http_server_test.cc
+++ b/packages/runtime/tests/http_server_test.cc
@@ -448,6 +448,54 @@
   }
 }
 
+// Load: bodies for which there is no room while they arrive. The callers read
+// nothing before they have sent all.
+BOOST_AUTO_TEST_CASE(a_caller_may_send_the_rest_of_a_body_that_is_refused) {
+  HttpServerLimits limits;
+  limits.max_body_bytes = 2'000'000;
+  limits.max_held_bytes = 8'000'000;
+  TestServer test(limits);
+  constexpr std::size_t kCrowd = 8;
+  const std::string request = PostOf(2'000'000, 2'000'000);
+  std::vector<std::unique_ptr<PlainCaller>> crowd;
+  std::vector<std::size_t> sent(kCrowd, 0);
+  for (std::size_t i = 0; i < kCrowd; ++i) {
+    crowd.push_back(std::make_unique<PlainCaller>(test.endpoint));
+  }
+  int broken = 0;
+  const auto send_up_to = [&](std::size_t end) {
+    for (std::size_t i = 0; i < kCrowd; ++i) {
+      const ssize_t length =
+          sent[i] < end ? crowd[i]->SendSome(std::string_view(request).substr(
+                              sent[i], end - sent[i]))
+                        : 0;
+      broken += length < 0 ? 1 : 0;
+      sent[i] += static_cast<std::size_t>(std::max<ssize_t>(length, 0));
+    }
+    return broken > 0 || std::ranges::all_of(sent, [&](std::size_t bytes) {
+             return bytes >= end;
+           });
+  };
+  for (std::size_t end = 1'100'000; end <= 2'000'000; end += 150'000) {
+    BOOST_TEST(
+        test.loop.RunUntil([&] { return send_up_to(end); }, kTestTimeout));
+    test.loop.RunUntil([] { return false; }, milliseconds(300));
+  }
+  BOOST_TEST(test.loop.RunUntil([&] { return send_up_to(request.size()); },
+                                kTestTimeout));
+  BOOST_TEST(broken == 0);
+  const auto answered = [&] {
+    return test.exchanges.size() +
+           static_cast<std::size_t>(
+               std::ranges::count_if(crowd, [](const auto& caller) {
+                 return HasStatus(caller->Received(), "503");
+               }));
+  };
+  BOOST_TEST(test.loop.RunUntil([&] { return answered() == kCrowd; },
+                                milliseconds(2000)));
+  BOOST_TEST(test.exchanges.size() < kCrowd);
+}
+
 BOOST_AUTO_TEST_CASE(
     a_request_that_arrives_in_parts_is_charged_to_its_organisation) {
   TestServer test(SmallLimits());
