Tests take ports that the system gives to no other socket

entry.Start() failed once in 8 runs of a new test: the port was free for datagrams, and a connection of another process had it. FreePort() looks for one that is free for both, outside the range that the system chooses from and those of the deployments.

--- a/packages/runtime/tests/event_loop_test.cc
+++ b/packages/runtime/tests/event_loop_test.cc
@@ -31,7 +31,7 @@
   }
 
   EventLoop loop;
-  Endpoint address{"127.0.0.1", testing::FreeDatagramPort()};
+  Endpoint address{"127.0.0.1", testing::FreePort()};
   int received = 0;
   DatagramSocket receiver{loop, [this](const Endpoint&, std::string_view) {
                             ++received;
--- a/packages/serving/tests/peer_exchange_test.cc
+++ b/packages/serving/tests/peer_exchange_test.cc
@@ -19,7 +19,7 @@
 namespace {
 
 using std::chrono::milliseconds;
-using testing::FreeDatagramPort;
+using testing::FreePort;
 
 constexpr Duration kTestTimeout = std::chrono::seconds(10);
 // Period of the entry's statuses, in which it judges the others.
@@ -131,7 +131,7 @@
                         [](const Endpoint&) { return true; }};
   FleetAllowance allowance{loop.input_clock()};
   PeerExchange exchange{loop, kSelf, allowance, upstreams};
-  Endpoint address{"127.0.0.1", FreeDatagramPort()};
+  Endpoint address{"127.0.0.1", FreePort()};
   DatagramSocket peer{loop, [](const Endpoint&, std::string_view) {}};
   std::function<void()> on_tick;
   std::function<void()> on_paused = [] {};
--- a/testing/support/free_port.h
+++ b/testing/support/free_port.h
@@ -10,20 +10,34 @@
 
 namespace bambooquay::testing {
 
-/// @returns a port on which no datagram socket is bound at the moment.
-inline std::uint16_t FreeDatagramPort() {
-  const int descriptor = socket(AF_INET, SOCK_DGRAM, 0);
+/// @param type  SOCK_STREAM or SOCK_DGRAM.
+/// @returns whether no socket of this type is bound to a port of the machine.
+inline bool IsFree(std::uint16_t port, int type) {
+  const int descriptor = socket(AF_INET, type, 0);
   sockaddr_in address{};
   address.sin_family = AF_INET;
+  address.sin_port = htons(port);
   address.sin_addr.s_addr = htonl(INADDR_ANY);
-  socklen_t length = sizeof(address);
-  if (bind(descriptor, reinterpret_cast<sockaddr*>(&address), length) != 0 ||
-      getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &length) !=
-          0) {
-    std::abort();
-  }
+  const bool is_free =
+      bind(descriptor, reinterpret_cast<const sockaddr*>(&address),
+           sizeof(address)) == 0;
   close(descriptor);
-  return ntohs(address.sin_port);
+  return is_free;
+}
+
+/// @returns a port that no socket of this machine is bound to at the moment,
+///   and that the system does not give to sockets without one.
+inline std::uint16_t FreePort() {
+  constexpr int kFirst = 31'200;
+  constexpr int kCount = 1'500;
+  static int number = getpid();
+  for (int i = 0; i < kCount; ++i) {
+    const auto port = static_cast<std::uint16_t>(kFirst + (++number % kCount));
+    if (IsFree(port, SOCK_STREAM) && IsFree(port, SOCK_DGRAM)) {
+      return port;
+    }
+  }
+  std::abort();
 }
 
 }  // namespace bambooquay::testing
