Duties are performed after what has arrived was read

Counts of requests that had arrived in a pause of the holder were missing from the report of their window: the holder settled it at the end of the time for which it waits, before they were read. A renewal whose response had arrived counted as failed after 600 ms, and was made again.

The renewal is read in the code only.

Change: the duties' timer runs after the input was handled.

Bounds: the lease reads the clock when it decides, and a grant ends by the time at which the renewal was sent. A pause of more than 700 ms counts from the last tick, so a tick that comes later only makes the holder wait longer for a confirmed renewal. Duty lease tests pass unchanged.

--- a/packages/duties/src/entry_duties.cc
+++ b/packages/duties/src/entry_duties.cc
@@ -92,7 +92,8 @@
   for (const std::string& name : m_settings.unknown_names) {
     LogEvent(LogLevel::kWarning, "duty_unknown").With("duty", name);
   }
-  m_tick_timer = m_deps.loop.Every(DutyLease::kTickPeriod, [this] { Tick(); });
+  m_tick_timer = m_deps.loop.EveryAfterInput(DutyLease::kTickPeriod,
+                                             [this](TimePoint) { Tick(); });
 }
 
 void EntryDuties::Tick() {
