A stopping entry with its own interface answers requests on kept connections

A caller with a kept connection went on sending, and its call was cut when the process ended.

Cause: no response said that its connection would close; the process ended 0.2 s after the entry had once been without a request, whatever had begun since.

Change: responses announce the close from the signal on; before the end, idle connections are closed and the others are waited for, within the drain limit.

--- a/programs/bambooquay/run_entry.cc
+++ b/programs/bambooquay/run_entry.cc
@@ -16,6 +16,8 @@
 // Time for the load balancer to notice that the entry no longer accepts
 // connections.
 constexpr Duration kReadinessDelay = std::chrono::seconds(1);
+// Interval at which a draining entry checks whether all responses are written.
+constexpr Duration kResponseCheckPeriod = std::chrono::milliseconds(20);
 // Time to send the last responses to callers before the process exits.
 constexpr Duration kResponseFlushTime = std::chrono::milliseconds(200);
 
@@ -57,12 +59,23 @@
 
  private:
   void Drain() {
+    m_caller_server.CloseAfterResponses();
     m_caller_server.StopListening();
     m_drain_timer = m_fleet.loop.After(kReadinessDelay, [this] {
-      m_entry.Drain([this] { m_fleet.StopAfter(kResponseFlushTime); });
+      m_entry.Drain([this] { StopOnceWritten(); });
     });
   }
 
+  void StopOnceWritten() {
+    m_caller_server.CloseIdleConnections();
+    if (m_caller_server.busy_connection_count() > 0) {
+      m_drain_timer = m_fleet.loop.After(kResponseCheckPeriod,
+                                         [this] { StopOnceWritten(); });
+      return;
+    }
+    m_fleet.StopAfter(kResponseFlushTime);
+  }
+
   FleetProcess m_fleet;
   Entry m_entry;
   NodeServer m_server;
--- a/testing/support/plain_caller.h
+++ b/testing/support/plain_caller.h
@@ -2,6 +2,7 @@
 // event loop, so also while that is held up.
 #pragma once
 
+#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -23,7 +24,7 @@
 /// time would.
 inline void HoldUp(Duration time) { std::this_thread::sleep_for(time); }
 
-/// A connection to a port on loopback.
+/// A connection to an IPv4 address.
 class PlainCaller {
  public:
   explicit PlainCaller(const Endpoint& server)
@@ -31,7 +32,8 @@
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_port = htons(server.port);
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    BOOST_REQUIRE(inet_pton(AF_INET, server.host.c_str(), &address.sin_addr) ==
+                  1);
     BOOST_REQUIRE(connect(m_socket, reinterpret_cast<sockaddr*>(&address),
                           sizeof(address)) == 0);
   }
