A stop that comes while a process starts is a planned one

A SIGTERM between the first accepted connection and the loop killed the process: connections in its queue were reset.

Cause: the signal's handler was installed after the process listened.

Evidence: planned_stop/a_stop_while_a_process_starts_is_a_planned_one failed before, 1 of 1 (the tests ended by signal 15), and passes 3 of 3.

Change: hosted processes, and the two with an interface of their own, install their handlers before they listen.

--- a/programs/agent/main.cc
+++ b/programs/agent/main.cc
@@ -39,13 +39,13 @@
 
   ExitCode Run() {
     const ProcessSettings& settings = m_fleet.settings;
+    m_fleet.DrainOnSignal([this] {
+      m_agent.Drain([this] { m_fleet.StopAfter(kResponseFlushTime); });
+    });
     if (!m_server.Listen(settings.peers) || !m_admin.Listen(settings.admin)) {
       LogEvent(LogLevel::kError, "cannot_listen");
       return ExitCode::kUnavailable;
     }
-    m_fleet.DrainOnSignal([this] {
-      m_agent.Drain([this] { m_fleet.StopAfter(kResponseFlushTime); });
-    });
     m_registration.Start(settings.upstream, settings.peers,
                          [this](std::uint64_t fencing_token) {
                            m_agent.SetRegistered(fencing_token);
--- a/programs/bambooquay/run_entry.cc
+++ b/programs/bambooquay/run_entry.cc
@@ -43,12 +43,12 @@
 
   ExitCode Run() {
     const ProcessSettings& settings = m_fleet.settings;
+    m_fleet.DrainOnSignal([this] { Drain(); });
     if (!m_server.Listen(settings.peers) || !m_admin.Listen(settings.admin) ||
         !m_caller_server.Listen(settings.callers)) {
       LogEvent(LogLevel::kError, "cannot_listen");
       return ExitCode::kUnavailable;
     }
-    m_fleet.DrainOnSignal([this] { Drain(); });
     LogEvent(LogLevel::kInfo, "entry_started")
         .With("callers", settings.callers.ToString())
         .With("peers", settings.peers.ToString());
--- a/programs/hosted_process.cc
+++ b/programs/hosted_process.cc
@@ -20,14 +20,15 @@
           [this] { return StatusJson(); }) {}
 
 ExitCode HostedProcess::Run() {
-  if (!Start() || !m_admin.Listen(m_settings.admin)) {
-    LogEvent(LogLevel::kError, "cannot_listen");
-    return ExitCode::kUnavailable;
-  }
+  // Before the process listens, as a signal without a handler ends it.
   for (const int signal : {SIGTERM, SIGINT}) {
     m_loop.OnSignal(signal, [this] { Stop(); });
   }
   m_loop.OnSignal(SIGHUP, [this] { ReloadSettings(); });
+  if (!Start() || !m_admin.Listen(m_settings.admin)) {
+    LogEvent(LogLevel::kError, "cannot_listen");
+    return ExitCode::kUnavailable;
+  }
   const auto [key, value] = StartLogField();
   LogEvent(LogLevel::kInfo, m_identity.name + "_started").With(key, value);
   m_loop.Run();
