Work is not given up because this process stood still

After a pause of 1.4 s or more a process closed its connections to all others on which work was in progress, and that work failed: it had sent no heartbeat in the pause, so there was no reply.

Change: a peer is silent only while a heartbeat is unanswered, counted from one period before it was sent, and by the input clock.

Seen besides, open: ~PeerRuntime ends the process if events of kj are queued, as when it is destroyed right after its loop was held up.

--- a/packages/peers/src/node_client.cc
+++ b/packages/peers/src/node_client.cc
@@ -8,6 +8,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -325,12 +326,17 @@
       m_last_reply_at = now;
       return;
     }
-    if (now - m_last_reply_at > kHeartbeatTimeout) {
+    // Without a heartbeat that it could reply to, the peer is not silent.
+    const TimePoint silent_since =
+        std::max(m_last_reply_at, m_heartbeat_at - kHeartbeatPeriod);
+    if (m_heartbeat_call != nullptr &&
+        m_loop.input_clock().Now() - silent_since > kHeartbeatTimeout) {
       m_failed = true;
       m_stream.Fail("the peer is silent");
       return;
     }
     if (m_heartbeat_call == nullptr) {
+      m_heartbeat_at = now;
       m_heartbeat_call =
           Exchange({}, [this](const RpcResult<ExchangeReply>& reply) {
             m_heartbeat_call = nullptr;
@@ -348,6 +354,7 @@
   capnp::RpcSystem<capnp::rpc::twoparty::VatId> m_system;
   rpc::Node::Client m_node;
   TimePoint m_last_reply_at;
+  TimePoint m_heartbeat_at{};  ///< When the last one was sent.
   std::unique_ptr<RpcCall> m_heartbeat_call;
   std::unique_ptr<Timer> m_heartbeat_timer;
   bool m_failed = false;
