Crashes of upstreams are told by the end of their run, in each form

Cause: only a stream that had begun and had no event counted as a crash, and any first event cleared all parts. Servers that end before or inside the response's head, after an event, or under a call that is not streamed were never recorded. The class: a decision by one form of a failure that has many.

Change (packages/quarantine, new): - BrokenCalls: any call whose connection broke is a crash once the run of its upstream has ended: another run or none is listed, an agent reports another one, or the upstream cannot be reached. Two crashes before the listing follows are two. A call that goes on over the break shows that there was none. A break of the old form still counts at once, but at least one crash must be certain. - Survivals: a call clears a crash if it got clearly further, twice as far and 100 ms. Calls that break later than 300 ms after their first event are not suspected.

Ruled out: counting each break at once. Resets and closes of kept connections would make quarantines; crash_forms/connections_that_break_make_no_quarantine and the_loss_of_half_of_the_engines_makes_no_quarantine guard that.

--- a/packages/peers/include/bambooquay/peers/status_messages.h
+++ b/packages/peers/include/bambooquay/peers/status_messages.h
@@ -15,6 +15,7 @@
 #include "bambooquay/core/ids.h"
 #include "bambooquay/core/units.h"
 #include "bambooquay/core/upstream_run.h"
+#include "bambooquay/quarantine/survival.h"
 
 namespace bambooquay {
 
@@ -29,19 +30,24 @@
   double reading_rate = 0.0;
 };
 
-/// A call with these parts had begun and sent no event when its upstream broke.
-/// Ages are those at the time of sending.
+/// Calls with these parts broke as their upstream ended. Ages are those at the
+/// time of sending.
 struct PartCrash {
   std::vector<PromptPartId> parts;
   std::uint64_t upstream_run = 0;  ///< Identifies the upstream and its start.
   Duration begun_age{};
   Duration crash_age{};
+  /// Of the call that had come the least far.
+  CallProgress progress = kNoEvent;
+  /// Whether the run of the upstream is known to have ended.
+  bool is_certain = false;
 };
 
-/// A call with this part has sent an event.
+/// A call with this part has sent an event, or its whole response.
 struct PartSurvival {
   PromptPartId part{};
   Duration begun_age{};
+  Duration lasted{};  ///< Since its first event, or kCompleteCall.
 };
 
 /// Prompts with this part are not sent to upstreams.
@@ -53,6 +59,8 @@
   /// Parts that may be the cause instead. Prompts without one of them are
   /// allowed.
   std::vector<PromptPartId> companions;
+  /// How far calls had come that broke in the crashes.
+  CallProgress progress = kNoEvent;
 };
 
 /// What an entry knows of parts that crash engines.
--- a/packages/peers/src/status_messages.cc
+++ b/packages/peers/src/status_messages.cc
@@ -74,6 +74,15 @@
   return parts;
 }
 
+// On the wire, 0 means no event.
+std::uint32_t ToProgressMs(const CallProgress& progress) {
+  return progress.has_value() ? ToMs(*progress) + 1 : 0;
+}
+
+CallProgress ReadProgress(std::uint32_t ms) {
+  return ms == 0 ? kNoEvent : CallProgress(std::chrono::milliseconds(ms - 1));
+}
+
 void Write(status::EntryStatus::Builder to, const PromptPartReports& from) {
   auto crashes = to.initPartCrashes(static_cast<unsigned>(from.crashes.size()));
   unsigned index = 0;
@@ -84,6 +93,8 @@
     out.setUpstreamRun(item.upstream_run);
     out.setBegunAgeMs(ToMs(item.begun_age));
     out.setCrashAgeMs(ToMs(item.crash_age));
+    out.setProgressMs(ToProgressMs(item.progress));
+    out.setCertain(item.is_certain);
   }
   auto survivals =
       to.initPartSurvivals(static_cast<unsigned>(from.survivals.size()));
@@ -92,6 +103,7 @@
     auto out = survivals[index++];
     out.setPart(static_cast<std::uint64_t>(item.part));
     out.setBegunAgeMs(ToMs(item.begun_age));
+    out.setLastedMs(ToMs(item.lasted));
   }
   auto quarantines =
       to.initPartQuarantines(static_cast<unsigned>(from.quarantines.size()));
@@ -106,6 +118,7 @@
     WriteParts(
         out.initCompanions(static_cast<unsigned>(item.companions.size())),
         item.companions);
+    out.setProgressMs(ToProgressMs(item.progress));
   }
 }
 
@@ -113,19 +126,21 @@
   using std::chrono::milliseconds;
   PromptPartReports to;
   for (const auto item : from.getPartCrashes()) {
-    to.crashes.push_back({ReadParts(item.getParts()), item.getUpstreamRun(),
-                          milliseconds(item.getBegunAgeMs()),
-                          milliseconds(item.getCrashAgeMs())});
+    to.crashes.push_back(
+        {ReadParts(item.getParts()), item.getUpstreamRun(),
+         milliseconds(item.getBegunAgeMs()), milliseconds(item.getCrashAgeMs()),
+         ReadProgress(item.getProgressMs()), item.getCertain()});
   }
   for (const auto item : from.getPartSurvivals()) {
-    to.survivals.push_back(
-        {PromptPartId{item.getPart()}, milliseconds(item.getBegunAgeMs())});
+    to.survivals.push_back({PromptPartId{item.getPart()},
+                            milliseconds(item.getBegunAgeMs()),
+                            milliseconds(item.getLastedMs())});
   }
   for (const auto item : from.getPartQuarantines()) {
     to.quarantines.push_back(
         {PromptPartId{item.getPart()}, static_cast<int>(item.getRound()),
          milliseconds(item.getLastCrashAgeMs()), milliseconds(item.getLeftMs()),
-         ReadParts(item.getCompanions())});
+         ReadParts(item.getCompanions()), ReadProgress(item.getProgressMs())});
   }
   return to;
 }
--- a/packages/peers/status.capnp
+++ b/packages/peers/status.capnp
@@ -23,19 +23,23 @@
   readingRate @4 :Float32;
 }
 
-# A call with these parts had begun and sent no event when its upstream broke.
-# Ages are those at the time of sending.
+# Calls with these parts broke as their upstream ended. Ages are those at the time
+# of sending.
 struct PartCrash {
   parts @0 :List(UInt64);
   upstreamRun @1 :UInt64;  # identifies the upstream and its start
   begunAgeMs @2 :UInt32;
   crashAgeMs @3 :UInt32;
+  # From its first event until the call broke, and 1; 0: it had sent no event.
+  progressMs @4 :UInt32;
+  certain @5 :Bool;        # the run of the upstream is known to have ended
 }
 
-# A call with this part has sent an event.
+# A call with this part has sent an event, or its whole response.
 struct PartSurvival {
   part @0 :UInt64;
   begunAgeMs @1 :UInt32;
+  lastedMs @2 :UInt32;      # since its first event
 }
 
 # Prompts with this part are not sent to upstreams.
@@ -46,6 +50,7 @@
   leftMs @3 :Int32;         # negative once it has expired
   # Parts that may be the cause instead. Prompts without one of them are allowed.
   companions @4 :List(UInt64);
+  progressMs @5 :UInt32;    # of its crashes, as in PartCrash
 }
 
 # Calls per second that an upstream takes from all entries together, by one of
--- a/packages/serving/include/bambooquay/serving/forwarded_call.h
+++ b/packages/serving/include/bambooquay/serving/forwarded_call.h
@@ -182,8 +182,11 @@
   /// Refuses the call if its prompt is under quarantine.
   /// @returns whether it may go on.
   [[nodiscard]] bool PassQuarantine();
-  /// Records that the upstream broke, if this call may be the cause.
-  void RecordPossibleCrash();
+  /// Records that the attempt's connection broke.
+  void RecordBroken();
+  /// Records how far the attempt has come, at intervals that double.
+  void RecordLasting();
+  [[nodiscard]] CallProgress AttemptProgress() const;
   /// Ends the call because its prompt is under quarantine.
   void RefuseQuarantined();
   /// Chooses one of the route's services by weight. Leaves m_service null if
@@ -355,6 +358,10 @@
   std::optional<Duration> m_attempt_first_event;
   /// Events that the current attempt has sent.
   int m_attempt_events = 0;
+  /// The run of the current attempt's upstream.
+  UpstreamRun m_attempt_run;
+  /// When RecordLasting() last recorded it, from the first event on.
+  Duration m_lasting_reported{};
   /// What keeps the current attempt at its silent upstream, if it was logged.
   std::optional<RepeatObstacle> m_held_by;
 
--- a/packages/serving/include/bambooquay/serving/prompt_quarantine.h
+++ b/packages/serving/include/bambooquay/serving/prompt_quarantine.h
@@ -10,6 +10,9 @@
 #include "bambooquay/core/clock.h"
 #include "bambooquay/core/ids.h"
 #include "bambooquay/peers/status_messages.h"
+#include "bambooquay/quarantine/broken_calls.h"
+#include "bambooquay/quarantine/recent_survivals.h"
+#include "bambooquay/quarantine/survival.h"
 #include "bambooquay/serving/call_codec.h"
 
 namespace bambooquay {
@@ -22,10 +25,11 @@
   kQuarantined,
 };
 
-/// Finds the part of prompts under which engines crash. A call that has begun
-/// to respond and has sent no event when its connection breaks is suspected of
-/// the break, and with it each part of its prompt but the last one, which no
-/// other prompt has. A call that begins later and sends an event clears all its
+/// Finds the part of prompts under which engines crash. A call whose connection
+/// breaks is suspected of the break, and with it each part of its prompt but
+/// the last one, which no other prompt has: at once if it has begun to respond
+/// and sent no event, else as soon as the run of its upstream is known to have
+/// ended. A call that begins later and gets clearly further clears all its
 /// parts. What is left after three crashes is the part that no call survives.
 /// If several parts are left, prompts with all of them are kept away, and a
 /// prompt with only some of them is a trial that tells them apart.
@@ -36,6 +40,7 @@
 /// Crashes count only if they cannot have one cause besides the part: each on
 /// another run of an upstream, by a call that began after the crash before. So
 /// neither one broken upstream nor the loss of many at once makes a quarantine.
+/// At least one of them must be certain: the run of its upstream has ended.
 ///
 /// Entries exchange what they have seen in their statuses, so that all of them
 /// decide alike. A quarantine ends when a call with the part survives: a trial,
@@ -77,17 +82,40 @@
   ///   it has expired, or the prompt only waits for the outcome of a trial.
   [[nodiscard]] Duration TimeLeft(const std::vector<PromptPart>& prompt) const;
 
-  /// Records that the connection of a call broke before its first event.
+  /// Sets how to find out whether an upstream's run has ended.
+  void SetRunFinder(BrokenCalls::RunFinder finder) {
+    m_find_present_run = std::move(finder);
+  }
+
+  /// Records that the connection of a call broke.
+  /// @param begun_at  when the upstream began to respond, or got the call.
+  /// @param has_begun  whether it began to respond with a stream.
+  void RecordBroken(const std::vector<PromptPart>& prompt,
+                    const UpstreamRun& run, TimePoint begun_at, bool has_begun,
+                    const CallProgress& progress);
+  /// Records that a call that was sent at `sent_at` gets more of its response.
+  void RecordProgress(const UpstreamRun& run, TimePoint sent_at) {
+    if (!m_broken_calls.empty()) {
+      m_broken_calls.RecordProgress(run, sent_at);
+    }
+  }
+  /// Records that no connection to an upstream could be made.
+  void RecordUnreachable(const UpstreamRun& run) {
+    m_broken_calls.RecordUnreachable(run);
+  }
+  /// Records that a call broke as its upstream ended.
   /// @param upstream_run  identifies the upstream and its start.
   /// @param begun_at  when the upstream began to respond.
   void RecordCrash(const std::vector<PromptPart>& prompt,
                    std::uint64_t upstream_run, TimePoint begun_at);
-  /// Records that a call has sent its first event.
-  void RecordSurvival(const std::vector<PromptPart>& prompt,
-                      TimePoint begun_at);
+  /// Records how far a call has come.
+  /// @param lasted  time since its first event, or kCompleteCall.
+  void RecordSurvival(const std::vector<PromptPart>& prompt, TimePoint begun_at,
+                      Duration lasted = Duration::zero());
 
-  /// Forgets parts that were not suspected for a while.
-  void RemoveExpired();
+  /// Counts the crashes that are certain now, and forgets parts that were not
+  /// suspected for a while.
+  void Update();
   /// @returns what the other entries need to know.
   [[nodiscard]] PromptPartReports MakeReports() const;
   /// Takes over what another entry has reported.
@@ -98,13 +126,28 @@
 
  private:
   struct Crash {
-    std::vector<PromptPartId> parts;  ///< Shared parts of the prompt.
+    /// Shared parts of the prompts of the calls that broke.
+    std::vector<PromptPartId> parts;
     std::uint64_t upstream_run = 0;
     TimePoint begun_at{};
     TimePoint crashed_at{};
+    /// Of the call that had come the least far.
+    CallProgress progress = kNoEvent;
+    /// Whether the run of the upstream is known to have ended.
+    bool is_certain = true;
+    /// Whether this entry has seen it itself.
+    bool is_own = false;
+    /// When this entry learned of it.
+    TimePoint recorded_at{};
+  };
+  struct OwnCrash {
+    Crash crash;
+    TimePoint recorded_at{};
   };
   struct Quarantine {
     TimePoint last_crash_at{};
+    /// How far any of the calls had come; a survival must last longer.
+    CallProgress progress = kNoEvent;
     TimePoint until{};
     /// Quarantines of the part without a survival in between.
     int round = 1;
@@ -117,8 +160,7 @@
     /// By time; none is older than the last survival.
     std::vector<Crash> crashes;
     std::optional<Quarantine> quarantine;
-    /// Beginning of the newest call that survived.
-    std::optional<TimePoint> survived_at;
+    Survivals survivals;
     /// When other entries last needed to know of the survival.
     std::optional<TimePoint> survival_reported_at;
     TimePoint updated_at{};
@@ -128,21 +170,34 @@
   [[nodiscard]] const Part* Find(PromptPartId id) const;
   /// @returns the part, which is added if it is new.
   Part& FindOrAdd(PromptPartId id);
-  void AddCrash(const Crash& crash);
+  void RecordCrash(const Crash& crash);
+  void AddCrash(const Crash& report);
+  /// Adds what another report says of a crash that is known.
+  static void Amend(Crash& known, const Crash& report);
   /// Clears the part of all crashes until a surviving call began.
-  void Clear(PromptPartId id, Part& part, TimePoint begun_at);
+  void Clear(PromptPartId id, Part& part, const Survival& survival);
+  /// @returns whether the crashes of a part are enough, and calls with it have
+  /// had
+  ///   the time to survive.
+  [[nodiscard]] bool IsConvicted(const Part& part) const;
   /// Puts the part under quarantine if the evidence is sufficient.
   void Evaluate(PromptPartId id, Part& part);
   void StartQuarantine(PromptPartId id, Part& part, Quarantine quarantine);
+  /// @returns whether a crash is by a call that began after another crash.
+  /// @param crashed_at  of the other crash; zero if there is none.
+  [[nodiscard]] static bool IsLater(const Crash& crash, TimePoint crashed_at);
   /// @returns the number of crashes that count against the part.
   [[nodiscard]] static int CountCrashes(const Part& part);
-  /// @returns the parts that were in all prompts that count against `part` and
-  ///   are as suspect as it is.
-  [[nodiscard]] std::vector<PromptPartId> FindCompanions(
-      PromptPartId id, const Part& part) const;
+  [[nodiscard]] static CallProgress FurthestProgress(const Part& part);
+  /// @returns the parts that were in all crashes that count against `part` and
+  ///   have at least `min_crashes` of their own.
+  [[nodiscard]] std::vector<PromptPartId> FindCompanions(PromptPartId id,
+                                                         const Part& part,
+                                                         int min_crashes) const;
   /// @returns whether `prompt` has all companions of a part.
   [[nodiscard]] static bool HasCompanions(
-      const Quarantine& quarantine, const std::vector<PromptPart>& prompt);
+      const std::vector<PromptPartId>& companions,
+      const std::vector<PromptPart>& prompt);
   /// @returns the quarantine of the part if it applies to `prompt`, or null.
   [[nodiscard]] const Quarantine* FindApplicable(
       PromptPartId id, const std::vector<PromptPart>& prompt) const;
@@ -154,10 +209,13 @@
   const Clock& m_clock;
   TrialChooser m_makes_trial;
   std::function<void()> m_on_quarantined;
+  BrokenCalls::RunFinder m_find_present_run;
+  BrokenCalls m_broken_calls{m_clock};
+  RecentSurvivals m_recent_survivals{m_clock};
   /// Parts that were suspected lately.
   Parts m_parts;
   /// Crashes that this entry has seen and still reports.
-  std::vector<Crash> m_own_crashes;
+  std::vector<OwnCrash> m_own_crashes;
 };
 
 }  // namespace bambooquay
--- a/packages/serving/include/bambooquay/serving/upstream_set.h
+++ b/packages/serving/include/bambooquay/serving/upstream_set.h
@@ -195,6 +195,10 @@
   void SetEngineServices(std::set<ServiceName> services);
   /// Records that another instance answered at the upstream's address.
   void MarkReplaced(const UpstreamId& id);
+  /// @returns the upstream's present run, by its row and its reports; nothing
+  /// if
+  ///   it has ended or is not listed.
+  [[nodiscard]] std::optional<UpstreamRun> FindRun(const UpstreamId& id) const;
   /// Records that the upstream lacks a model or adapter, contrary to its
   /// report.
   void MarkMissing(const UpstreamId& id, const ModelName& model,
--- a/packages/serving/src/forwarded_response.cc
+++ b/packages/serving/src/forwarded_response.cc
@@ -1,7 +1,6 @@
 // Handling of an upstream's response to a forwarded call, and of failed
 // attempts.
 #include <algorithm>
-#include <boost/container_hash/hash.hpp>
 #include <utility>
 
 #include "bambooquay/runtime/log.h"
@@ -29,6 +28,8 @@
 // Interval at which a call that should leave a silent upstream looks for
 // another one.
 constexpr Duration kStallRecheckInterval = milliseconds(200);
+// A stream reports that it lasts after this time, and whenever it has doubled.
+constexpr Duration kMinLastingReport = milliseconds(50);
 
 }  // namespace
 
@@ -195,6 +196,7 @@
 
 void ForwardedCall::OnPart(std::string_view bytes) {
   m_context.upstreams.RecordProgress(*m_upstream);
+  m_context.quarantine.RecordProgress(m_attempt_run, m_attempt_sent_at);
   const std::size_t max_holding = m_context.response_buffers.MaxHolding();
   if (m_event_stream) {
     const std::string events = m_events.Append(bytes);
@@ -202,6 +204,8 @@
       CountRun();
       if (m_attempt_events++ == 0) {
         RecordFirstEvent();
+      } else {
+        RecordLasting();
       }
       RecordEventTime();
       RelayBody(events);
@@ -249,12 +253,29 @@
     m_context.quarantine.RecordSurvival(m_call.prompt, *m_attempt_begun_at);
   }
   m_attempt_first_event = m_context.loop.clock().Now() - m_attempt_sent_at;
+  m_lasting_reported = Duration::zero();
   m_context.demand.RecordReading(m_service->name, m_query.model,
                                  m_unread_tokens, *m_attempt_first_event);
   ReleaseRoom(true);
   RecordPrediction();
 }
 
+CallProgress ForwardedCall::AttemptProgress() const {
+  return m_attempt_events == 0
+             ? kNoEvent
+             : CallProgress(m_context.loop.clock().Now() - m_attempt_sent_at -
+                            *m_attempt_first_event);
+}
+
+void ForwardedCall::RecordLasting() {
+  const Duration lasted = *AttemptProgress();
+  if (lasted >= std::max(m_lasting_reported * 2, kMinLastingReport)) {
+    m_lasting_reported = lasted;
+    m_context.quarantine.RecordSurvival(
+        m_call.prompt, m_attempt_begun_at.value_or(m_attempt_sent_at), lasted);
+  }
+}
+
 void ForwardedCall::RecordEventTime() {
   const Duration now = Elapsed();
   if (m_first_event.has_value()) {
@@ -297,17 +318,18 @@
   switch (outcome) {
     case HttpOutcome::kComplete:
       if (IsStreamBrokenOff()) {
-        RecordPossibleCrash();
+        RecordBroken();
         HandleFailedAttempt(AttemptResult::kBroken, true, "broken_off");
         return;
       }
       HandleCompleteResponse();
       return;
     case HttpOutcome::kNotSent:
+      m_context.quarantine.RecordUnreachable(m_attempt_run);
       HandleFailedAttempt(AttemptResult::kUnreachable, false, "unreachable");
       return;
     case HttpOutcome::kBroken:
-      RecordPossibleCrash();
+      RecordBroken();
       HandleFailedAttempt(AttemptResult::kBroken, true, "broken");
       return;
     case HttpOutcome::kTimedOut:
@@ -326,6 +348,10 @@
 void ForwardedCall::HandleCompleteResponse() {
   const bool failed = m_status >= ToCode(HttpStatus::kInternalError);
   const UpstreamId upstream = *m_upstream;
+  if (!failed && m_attempt_begun_at.has_value()) {
+    m_context.quarantine.RecordSurvival(m_call.prompt, *m_attempt_begun_at,
+                                        kCompleteCall);
+  }
   EndAttempt(failed ? AttemptResult::kFailed : AttemptResult::kServed);
   if (failed && !m_relaying) {
     m_may_have_run = true;
@@ -350,16 +376,11 @@
   Finish(failed ? "upstream_error" : "served", std::to_string(m_status));
 }
 
-void ForwardedCall::RecordPossibleCrash() {
-  if (!m_event_stream || m_attempt_events > 0 ||
-      !m_attempt_begun_at.has_value()) {
-    return;
-  }
-  std::size_t run = std::hash<UpstreamId>()(*m_upstream);
-  if (const Upstream* upstream = m_context.upstreams.Find(*m_upstream)) {
-    boost::hash_combine(run, upstream->record.started_at_ms);
-  }
-  m_context.quarantine.RecordCrash(m_call.prompt, run, *m_attempt_begun_at);
+void ForwardedCall::RecordBroken() {
+  m_context.quarantine.RecordBroken(
+      m_call.prompt, m_attempt_run,
+      m_attempt_begun_at.value_or(m_attempt_sent_at),
+      m_event_stream && m_attempt_begun_at.has_value(), AttemptProgress());
 }
 
 std::variant<UpstreamId, RepeatObstacle> ForwardedCall::PickForRepeat() {
--- a/packages/serving/src/prompt_quarantine.cc
+++ b/packages/serving/src/prompt_quarantine.cc
@@ -2,6 +2,7 @@
 #include "bambooquay/serving/prompt_quarantine.h"
 
 #include <algorithm>
+#include <boost/container_hash/hash.hpp>
 #include <iterator>
 #include <span>
 #include <utility>
@@ -20,6 +21,13 @@
 // Shortest time from the first crash to a quarantine. In it, the parts that
 // many prompts share are cleared, and the reports of other entries arrive.
 constexpr Duration kMinObservation = milliseconds(500);
+// Upstreams that are lost at once are seen to break within this time: reports
+// of other entries come a little late.
+constexpr Duration kSameMoment = milliseconds(40);
+// Time from sending a call to its first event, usually.
+constexpr Duration kUsualStartTime = milliseconds(250);
+// Until then, other entries may still report calls that broke in a crash.
+constexpr Duration kSettlingTime = milliseconds(400);
 // Crashes that are older say nothing about the present.
 constexpr Duration kEvidenceLifetime = seconds(60);
 constexpr Duration kFirstQuarantine = seconds(30);
@@ -39,6 +47,7 @@
 constexpr std::size_t kMaxParts = 256;
 constexpr std::size_t kMaxCrashesPerPart = 8;
 constexpr std::size_t kMaxReports = 32;
+constexpr std::size_t kMaxReportedSurvivals = 64;
 constexpr std::size_t kMaxPartsPerPrompt = 16;
 
 /// @returns the parts that other prompts may have too: all but the last one.
@@ -47,6 +56,19 @@
   return std::span(prompt).first(std::min(count, kMaxPartsPerPrompt));
 }
 
+std::vector<PromptPartId> SharedPartIds(const std::vector<PromptPart>& prompt) {
+  std::vector<PromptPartId> parts;
+  std::ranges::transform(SharedParts(prompt), std::back_inserter(parts),
+                         &PromptPart::id);
+  return parts;
+}
+
+std::uint64_t ToRunNumber(const UpstreamRun& run) {
+  std::size_t number = std::hash<UpstreamId>()(run.id);
+  boost::hash_combine(number, run.started_at_ms);
+  return number;
+}
+
 bool Contains(const std::vector<PromptPartId>& parts, PromptPartId id) {
   return std::ranges::find(parts, id) != parts.end();
 }
@@ -70,11 +92,15 @@
   return part;
 }
 
+bool PromptQuarantine::IsLater(const Crash& crash, TimePoint crashed_at) {
+  return crashed_at == TimePoint{} || crash.begun_at > crashed_at + kSameMoment;
+}
+
 int PromptQuarantine::CountCrashes(const Part& part) {
   int count = 0;
   TimePoint last_crash_at{};
   std::ranges::for_each(part.crashes, [&](const Crash& crash) {
-    if (crash.begun_at >= last_crash_at) {
+    if (IsLater(crash, last_crash_at)) {
       ++count;
       last_crash_at = crash.crashed_at;
     }
@@ -86,21 +112,24 @@
   if (m_parts.empty()) {
     return PromptVerdict::kAllowed;
   }
-  std::vector<Quarantine*> trials;
+  // The evaluation of one part may change the others.
   for (const PromptPart& item : SharedParts(prompt)) {
     const auto found = m_parts.find(item.id);
-    if (found == m_parts.end()) {
-      continue;
+    if (found != m_parts.end()) {
+      Evaluate(found->first, found->second);
     }
-    Evaluate(found->first, found->second);
-    auto& quarantine = found->second.quarantine;
-    if (!quarantine.has_value()) {
+  }
+  std::vector<Quarantine*> trials;
+  for (const PromptPart& item : SharedParts(prompt)) {
+    const auto found = m_parts.find(item.id);
+    if (found == m_parts.end() || !found->second.quarantine.has_value()) {
       continue;
     }
-    if (!IsTrialDue(item.id, *quarantine, prompt)) {
+    Quarantine& quarantine = *found->second.quarantine;
+    if (!IsTrialDue(item.id, quarantine, prompt)) {
       return PromptVerdict::kQuarantined;
     }
-    trials.push_back(&*quarantine);
+    trials.push_back(&quarantine);
   }
   std::ranges::for_each(trials, [this](Quarantine* quarantine) {
     quarantine->trial_started_at = m_clock.Now();
@@ -108,10 +137,11 @@
   return trials.empty() ? PromptVerdict::kAllowed : PromptVerdict::kTrial;
 }
 
-bool PromptQuarantine::HasCompanions(const Quarantine& quarantine,
-                                     const std::vector<PromptPart>& prompt) {
+bool PromptQuarantine::HasCompanions(
+    const std::vector<PromptPartId>& companions,
+    const std::vector<PromptPart>& prompt) {
   const auto parts = SharedParts(prompt);
-  return std::ranges::all_of(quarantine.companions, [&](PromptPartId id) {
+  return std::ranges::all_of(companions, [&](PromptPartId id) {
     return std::ranges::find(parts, id, &PromptPart::id) != parts.end();
   });
 }
@@ -123,7 +153,7 @@
       now - *quarantine.trial_started_at < kTrialTimeout) {
     return false;
   }
-  if (!HasCompanions(quarantine, prompt)) {
+  if (!HasCompanions(quarantine.companions, prompt)) {
     return true;
   }
   if (now < quarantine.until) {
@@ -138,7 +168,7 @@
     PromptPartId id, const std::vector<PromptPart>& prompt) const {
   const Part* part = Find(id);
   const bool applies = part != nullptr && part->quarantine.has_value() &&
-                       HasCompanions(*part->quarantine, prompt);
+                       HasCompanions(part->quarantine->companions, prompt);
   return applies ? &*part->quarantine : nullptr;
 }
 
@@ -152,7 +182,7 @@
 
 bool PromptQuarantine::MayRepeat(const std::vector<PromptPart>& prompt) const {
   return m_parts.empty() ||
-         std::ranges::none_of(SharedParts(prompt), [this](const auto& item) {
+         std::ranges::none_of(SharedParts(prompt), [&](const auto& item) {
            const Part* part = Find(item.id);
            return part != nullptr &&
                   (part->quarantine.has_value() ||
@@ -171,45 +201,85 @@
   return left;
 }
 
+void PromptQuarantine::RecordBroken(const std::vector<PromptPart>& prompt,
+                                    const UpstreamRun& run, TimePoint begun_at,
+                                    bool has_begun,
+                                    const CallProgress& progress) {
+  if (SharedParts(prompt).empty()) {
+    return;
+  }
+  m_broken_calls.Record(
+      {SharedPartIds(prompt), run, begun_at, m_clock.Now(), progress});
+  if (has_begun && !progress.has_value()) {
+    RecordCrash({SharedPartIds(prompt), ToRunNumber(run), begun_at,
+                 m_clock.Now(), kNoEvent, false});
+  }
+}
+
 void PromptQuarantine::RecordCrash(const std::vector<PromptPart>& prompt,
                                    std::uint64_t upstream_run,
                                    TimePoint begun_at) {
-  const TimePoint now = m_clock.Now();
-  Crash crash{{}, upstream_run, begun_at, now};
-  std::ranges::transform(SharedParts(prompt), std::back_inserter(crash.parts),
-                         &PromptPart::id);
+  RecordCrash({SharedPartIds(prompt), upstream_run, begun_at, m_clock.Now()});
+}
+
+void PromptQuarantine::RecordCrash(const Crash& crash) {
   if (crash.parts.empty()) {
     return;
   }
-  std::erase_if(m_own_crashes, [&](const Crash& reported) {
-    return now - reported.crashed_at >= kReportTime;
+  const TimePoint now = m_clock.Now();
+  std::erase_if(m_own_crashes, [&](const OwnCrash& own) {
+    return now - own.recorded_at >= kReportTime;
   });
   if (m_own_crashes.size() < kMaxReports) {
-    m_own_crashes.push_back(crash);
+    m_own_crashes.push_back({crash, now});
+  }
+  Crash own = crash;
+  own.is_own = true;
+  AddCrash(own);
+}
+
+void PromptQuarantine::Amend(Crash& known, const Crash& report) {
+  known.progress = LessAdvanced(known.progress, report.progress);
+  known.is_own = known.is_own || report.is_own;
+  known.is_certain = known.is_certain || report.is_certain;
+  // A report that was under way for longer says a later time.
+  const Duration delay = known.crashed_at - report.crashed_at;
+  if (delay > Duration::zero()) {
+    known.crashed_at -= delay;
+    known.begun_at -= delay;
   }
-  AddCrash(crash);
 }
 
-void PromptQuarantine::AddCrash(const Crash& crash) {
-  for (const PromptPartId id : crash.parts) {
+void PromptQuarantine::AddCrash(const Crash& report) {
+  Crash crash = report;
+  crash.recorded_at = m_clock.Now();
+  for (const PromptPartId id : report.parts) {
+    const bool is_new = !m_parts.contains(id);
     Part& part = FindOrAdd(id);
-    const bool is_outdated =
-        part.survived_at.has_value() && crash.crashed_at <= *part.survived_at;
-    const bool is_known =
-        std::ranges::find(part.crashes, crash.upstream_run,
-                          &Crash::upstream_run) != part.crashes.end();
-    if (is_outdated || is_known) {
+    if (is_new) {
+      std::ranges::for_each(
+          m_recent_survivals.Find(id).all(),
+          [&](const Survival& known) { part.survivals.Add(known); });
+    }
+    if (part.survivals.AnySince(crash.crashed_at, crash.progress)) {
+      // The sender may have missed that the part was cleared.
+      part.survival_reported_at = m_clock.Now();
       continue;
     }
-    part.crashes.insert(std::ranges::upper_bound(part.crashes, crash.crashed_at,
-                                                 {}, &Crash::crashed_at),
-                        crash);
+    const auto known = std::ranges::find(part.crashes, crash.upstream_run,
+                                         &Crash::upstream_run);
+    if (known != part.crashes.end()) {
+      Amend(*known, crash);
+    } else {
+      part.crashes.push_back(crash);
+    }
+    std::ranges::stable_sort(part.crashes, {}, &Crash::crashed_at);
     if (part.crashes.size() > kMaxCrashesPerPart) {
       part.crashes.erase(part.crashes.begin());
     }
   }
   // Parts are compared with each other, so each must have the crash first.
-  for (const PromptPartId id : crash.parts) {
+  for (const PromptPartId id : report.parts) {
     const auto found = m_parts.find(id);
     if (found != m_parts.end()) {
       Evaluate(id, found->second);
@@ -217,6 +287,33 @@
   }
 }
 
+bool PromptQuarantine::IsConvicted(const Part& part) const {
+  const TimePoint now = m_clock.Now();
+  int count = 0;
+  TimePoint counted_at{};
+  std::ranges::for_each(part.crashes, [&](const Crash& crash) {
+    // The times of a report may be late until the next copies have come.
+    const bool is_exact =
+        crash.is_own || now - crash.recorded_at >= kSettlingTime;
+    if (count < kCrashesToQuarantine && is_exact &&
+        IsLater(crash, counted_at)) {
+      ++count;
+      counted_at = crash.crashed_at;
+    }
+  });
+  if (count < kCrashesToQuarantine ||
+      std::ranges::none_of(part.crashes, &Crash::is_certain)) {
+    return false;
+  }
+  // Calls that were sent after the crashes need this long to outlive them.
+  const CallProgress progress = FurthestProgress(part);
+  const Duration wait = progress.has_value()
+                            ? TimeToOutlive(*progress) + kUsualStartTime
+                            : Duration::zero();
+  return now - part.crashes.front().crashed_at >= kMinObservation &&
+         now - counted_at >= wait;
+}
+
 void PromptQuarantine::Evaluate(PromptPartId id, Part& part) {
   const TimePoint now = m_clock.Now();
   std::erase_if(part.crashes, [&](const Crash& crash) {
@@ -227,35 +324,53 @@
   }
   const TimePoint last_crash_at = part.crashes.back().crashed_at;
   if (!part.quarantine.has_value()) {
-    if (CountCrashes(part) >= kCrashesToQuarantine &&
-        now - part.crashes.front().crashed_at >= kMinObservation) {
+    if (IsConvicted(part)) {
       StartQuarantine(id, part,
-                      {last_crash_at, {}, 1, FindCompanions(id, part), {}});
+                      {last_crash_at,
+                       FurthestProgress(part),
+                       {},
+                       1,
+                       FindCompanions(id, part, kCrashesToQuarantine),
+                       {}});
     }
     return;
   }
   Quarantine& quarantine = *part.quarantine;
   if (last_crash_at > quarantine.until) {
     // A trial has failed.
-    StartQuarantine(
-        id, part,
-        {last_crash_at, {}, quarantine.round + 1, quarantine.companions, {}});
+    StartQuarantine(id, part,
+                    {last_crash_at,
+                     {},
+                     {},
+                     quarantine.round + 1,
+                     quarantine.companions,
+                     {}});
   }
   part.quarantine->last_crash_at =
       std::max(part.quarantine->last_crash_at, last_crash_at);
+  part.quarantine->progress =
+      MoreAdvanced(part.quarantine->progress, FurthestProgress(part));
   std::erase_if(part.quarantine->companions, [&](PromptPartId companion) {
     return !Contains(part.crashes.back().parts, companion);
   });
 }
 
+CallProgress PromptQuarantine::FurthestProgress(const Part& part) {
+  CallProgress furthest = kNoEvent;
+  std::ranges::for_each(part.crashes, [&](const Crash& crash) {
+    furthest = MoreAdvanced(furthest, crash.progress);
+  });
+  return furthest;
+}
+
 std::vector<PromptPartId> PromptQuarantine::FindCompanions(
-    PromptPartId id, const Part& part) const {
+    PromptPartId id, const Part& part, int min_crashes) const {
   std::vector<PromptPartId> companions = part.crashes.front().parts;
   std::erase_if(companions, [&](PromptPartId other_id) {
     const Part* other = Find(other_id);
     const bool is_suspect =
-        other != nullptr && (other->quarantine.has_value() ||
-                             CountCrashes(*other) >= kCrashesToQuarantine);
+        other != nullptr &&
+        (other->quarantine.has_value() || CountCrashes(*other) >= min_crashes);
     return other_id == id || !is_suspect ||
            !std::ranges::all_of(part.crashes, [&](const Crash& crash) {
              return Contains(crash.parts, other_id);
@@ -283,27 +398,27 @@
 }
 
 void PromptQuarantine::RecordSurvival(const std::vector<PromptPart>& prompt,
-                                      TimePoint begun_at) {
-  if (m_parts.empty()) {
-    return;
-  }
+                                      TimePoint begun_at, Duration lasted) {
   for (const PromptPart& item : SharedParts(prompt)) {
+    m_recent_survivals.Add(item.id, {begun_at, lasted});
     const auto found = m_parts.find(item.id);
     if (found != m_parts.end()) {
       found->second.survival_reported_at = m_clock.Now();
-      Clear(found->first, found->second, begun_at);
+      Clear(found->first, found->second, {begun_at, lasted});
     }
   }
 }
 
-void PromptQuarantine::Clear(PromptPartId id, Part& part, TimePoint begun_at) {
-  part.survived_at = std::max(part.survived_at.value_or(begun_at), begun_at);
+void PromptQuarantine::Clear(PromptPartId id, Part& part,
+                             const Survival& survival) {
+  part.survivals.Add(survival);
   part.updated_at = m_clock.Now();
   std::erase_if(part.crashes, [&](const Crash& crash) {
-    return crash.crashed_at <= *part.survived_at;
+    return part.survivals.AnySince(crash.crashed_at, crash.progress);
   });
   if (!part.quarantine.has_value() ||
-      part.quarantine->last_crash_at > *part.survived_at) {
+      !part.survivals.AnySince(part.quarantine->last_crash_at,
+                               part.quarantine->progress)) {
     return;
   }
   part.quarantine.reset();
@@ -316,8 +431,21 @@
       .With("part", static_cast<std::uint64_t>(id));
 }
 
-void PromptQuarantine::RemoveExpired() {
+void PromptQuarantine::Update() {
   const TimePoint now = m_clock.Now();
+  if (!m_broken_calls.empty() && m_find_present_run) {
+    for (const BrokenCall& call :
+         m_broken_calls.TakeCrashed(m_find_present_run)) {
+      LogEvent(LogLevel::kInfo, "call_broken_by_crash")
+          .With("upstream", call.run.id.value())
+          .With("run", call.run.started_at_ms)
+          .WithMilliseconds("progress_ms", call.progress)
+          .With("broke_ms_ago", (now - call.broke_at) / milliseconds(1));
+      RecordCrash({call.parts, ToRunNumber(call.run), call.begun_at,
+                   call.broke_at, call.progress});
+    }
+  }
+  m_recent_survivals.RemoveExpired();
   std::erase_if(m_parts, [&](const auto& item) {
     const Part& part = item.second;
     return part.quarantine.has_value()
@@ -329,23 +457,33 @@
 PromptPartReports PromptQuarantine::MakeReports() const {
   const TimePoint now = m_clock.Now();
   PromptPartReports reports;
-  for (const Crash& crash : m_own_crashes) {
-    if (now - crash.crashed_at < kReportTime) {
+  for (const auto& [crash, recorded_at] : m_own_crashes) {
+    if (now - recorded_at < kReportTime) {
       reports.crashes.push_back({crash.parts, crash.upstream_run,
-                                 now - crash.begun_at, now - crash.crashed_at});
+                                 now - crash.begun_at, now - crash.crashed_at,
+                                 crash.progress, crash.is_certain});
     }
   }
   for (const auto& [id, part] : m_parts) {
     if (part.survival_reported_at.has_value() &&
-        now - *part.survival_reported_at < kReportTime &&
-        reports.survivals.size() < kMaxReports) {
-      reports.survivals.push_back({id, now - *part.survived_at});
+        now - *part.survival_reported_at < kReportTime) {
+      // The newest one, and the one that lasted longest.
+      const auto& survivals = part.survivals.all();
+      const std::size_t count = std::min<std::size_t>(survivals.size(), 2);
+      for (std::size_t i = 0;
+           i < count && reports.survivals.size() < kMaxReportedSurvivals; ++i) {
+        const Survival& survival =
+            i == 0 ? survivals.back() : survivals.front();
+        reports.survivals.push_back(
+            {id, now - survival.begun_at, survival.lasted});
+      }
     }
     if (part.quarantine.has_value() &&
         reports.quarantines.size() < kMaxReports) {
       reports.quarantines.push_back(
           {id, part.quarantine->round, now - part.quarantine->last_crash_at,
-           part.quarantine->until - now, part.quarantine->companions});
+           part.quarantine->until - now, part.quarantine->companions,
+           part.quarantine->progress});
     }
   }
   return reports;
@@ -355,18 +493,19 @@
   const TimePoint now = m_clock.Now();
   for (const PartCrash& crash : reports.crashes) {
     AddCrash({crash.parts, crash.upstream_run, now - crash.begun_age,
-              now - crash.crash_age});
+              now - crash.crash_age, crash.progress, crash.is_certain});
   }
   for (const PartQuarantine& reported : reports.quarantines) {
     Part& part = FindOrAdd(reported.part);
     const TimePoint last_crash_at = now - reported.last_crash_age;
-    if (part.survived_at.has_value() && *part.survived_at >= last_crash_at) {
+    if (part.survivals.AnySince(last_crash_at, reported.progress)) {
       // The sender has missed that the part was cleared.
       part.survival_reported_at = now;
     } else if (!part.quarantine.has_value() ||
                part.quarantine->round < reported.round) {
       StartQuarantine(reported.part, part,
                       {last_crash_at,
+                       reported.progress,
                        now + reported.time_left,
                        reported.round,
                        reported.companions,
@@ -376,7 +515,8 @@
   for (const PartSurvival& survival : reports.survivals) {
     const auto found = m_parts.find(survival.part);
     if (found != m_parts.end()) {
-      Clear(found->first, found->second, now - survival.begun_age);
+      Clear(found->first, found->second,
+            {now - survival.begun_age, survival.lasted});
     }
   }
 }
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -199,6 +199,8 @@
   m_quarantine.SetTrialChooser([this](PromptPartId part, std::uint64_t turn) {
     return MakesTrial(part, turn);
   });
+  m_quarantine.SetRunFinder(
+      [this](const UpstreamId& id) { return m_upstreams.FindRun(id); });
   m_quarantine.OnQuarantined([this] {
     // Runs within a call that has just failed, so the others end later.
     m_deps.loop.Post([this] {
@@ -504,7 +506,7 @@
     m_client.CloseIdleConnections();
   }
   m_upstreams.Tick();
-  m_quarantine.RemoveExpired();
+  m_quarantine.Update();
   const std::vector<InstanceId> members = m_peers.Members();
   std::ranges::for_each(m_budgets, [this](auto& item) {
     item.second.SetEntryCount(m_peers.known_count());
--- a/packages/serving/src/upstream_set.cc
+++ b/packages/serving/src/upstream_set.cc
@@ -199,6 +199,19 @@
   });
 }
 
+std::optional<UpstreamRun> UpstreamSet::FindRun(const UpstreamId& id) const {
+  const Upstream* upstream = Find(id);
+  if (upstream == nullptr || !upstream->listed || upstream->superseded ||
+      upstream->replaced) {
+    return std::nullopt;
+  }
+  // The report of a new run may come before its row.
+  const std::int64_t reported_start =
+      upstream->report.has_value() ? upstream->report->started_at_ms : 0;
+  return UpstreamRun{id,
+                     std::max(reported_start, upstream->record.started_at_ms)};
+}
+
 void UpstreamSet::MarkReplaced(const UpstreamId& id) {
   const auto found = m_upstreams.find(id);
   if (found != m_upstreams.end()) {
--- a/packages/serving/tests/prompt_quarantine_test.cc
+++ b/packages/serving/tests/prompt_quarantine_test.cc
@@ -231,13 +231,17 @@
   status.prompt_parts.crashes = {{{PromptPartId{kDeadly}, PromptPartId{2}},
                                   ~std::uint64_t{0},
                                   milliseconds(150),
-                                  milliseconds(50)}};
-  status.prompt_parts.survivals = {{PromptPartId{3}, milliseconds(7)}};
+                                  milliseconds(50),
+                                  milliseconds(0),
+                                  true}};
+  status.prompt_parts.survivals = {
+      {PromptPartId{3}, milliseconds(7), kCompleteCall}};
   status.prompt_parts.quarantines = {{PromptPartId{kDeadly},
                                       2,
                                       seconds(9),
                                       milliseconds(-4),
-                                      {PromptPartId{2}}}};
+                                      {PromptPartId{2}},
+                                      milliseconds(80)}};
   const auto message =
       DecodeStatus(EncodeStatus({InstanceId("entry-1"), 1, status}));
   BOOST_REQUIRE(message.has_value());
@@ -250,14 +254,18 @@
   BOOST_TEST(reports.crashes[0].upstream_run == ~std::uint64_t{0});
   BOOST_TEST((reports.crashes[0].begun_age == milliseconds(150)));
   BOOST_TEST((reports.crashes[0].crash_age == milliseconds(50)));
+  BOOST_TEST((reports.crashes[0].progress == milliseconds(0)));
+  BOOST_TEST(reports.crashes[0].is_certain);
   BOOST_REQUIRE(reports.survivals.size() == 1U);
   BOOST_TEST((reports.survivals[0].begun_age == milliseconds(7)));
+  BOOST_TEST((reports.survivals[0].lasted == kCompleteCall));
   BOOST_REQUIRE(reports.quarantines.size() == 1U);
   BOOST_TEST(reports.quarantines[0].round == 2);
   BOOST_TEST((reports.quarantines[0].last_crash_age == seconds(9)));
   BOOST_TEST((reports.quarantines[0].time_left == milliseconds(-4)));
   BOOST_TEST(
       (reports.quarantines[0].companions == std::vector{PromptPartId{2}}));
+  BOOST_TEST((reports.quarantines[0].progress == milliseconds(80)));
 }
 
 BOOST_AUTO_TEST_CASE(invented_parts_do_not_displace_a_quarantine) {
