Sound calls beside a crash are not taken for its cause

Beside that, a first part that two crashes have in common stopped the repeats of all calls with it. The class: what is known of one crash was kept by part, not by crash.

Change: all parts of the calls that broke in a crash are known to each of them. Whether another part was in all crashes is judged once their reports should have come. A crash under a part that is the cause for certain says nothing about others. A suspect is not repeated only if the prompt has all parts that its crashes have in common.

--- a/packages/serving/include/bambooquay/serving/prompt_quarantine.h
+++ b/packages/serving/include/bambooquay/serving/prompt_quarantine.h
@@ -41,6 +41,7 @@
 /// another run of an upstream, by a call that began after the crash before. So
 /// neither one broken upstream nor the loss of many at once makes a quarantine.
 /// At least one of them must be certain: the run of its upstream has ended.
+/// A crash under a part that is kept away says nothing about other parts.
 ///
 /// Entries exchange what they have seen in their statuses, so that all of them
 /// decide alike. A quarantine ends when a call with the part survives: a trial,
@@ -166,6 +167,7 @@
     TimePoint updated_at{};
   };
   using Parts = std::map<PromptPartId, Part>;
+  using Culprits = std::vector<std::pair<PromptPartId, const Part*>>;
 
   [[nodiscard]] const Part* Find(PromptPartId id) const;
   /// @returns the part, which is added if it is new.
@@ -174,6 +176,18 @@
   void AddCrash(const Crash& report);
   /// Adds what another report says of a crash that is known.
   static void Amend(Crash& known, const Crash& report);
+  /// Tells a crash, and what is known of the same one, each other's parts: the
+  /// calls that broke in it may have none in common.
+  void ShareParts(Crash& crash);
+  /// @returns the parts under quarantine that are the cause for certain.
+  [[nodiscard]] Culprits FindCulprits() const;
+  [[nodiscard]] static bool HasCulprit(const std::vector<PromptPartId>& parts,
+                                       const Culprits& culprits);
+  /// @returns whether a crash is the work of one of the culprits.
+  [[nodiscard]] static bool IsExplained(const Crash& crash,
+                                        const Culprits& culprits);
+  /// Forgets the crashes of other parts that a part under quarantine explains.
+  void DropExplained();
   /// Clears the part of all crashes until a surviving call began.
   void Clear(PromptPartId id, Part& part, const Survival& survival);
   /// @returns whether the crashes of a part are enough, and calls with it have
@@ -188,6 +202,10 @@
   [[nodiscard]] static bool IsLater(const Crash& crash, TimePoint crashed_at);
   /// @returns the number of crashes that count against the part.
   [[nodiscard]] static int CountCrashes(const Part& part);
+  /// @returns whether `id` was in all crashes of `part` of which all reports
+  ///   should have arrived.
+  [[nodiscard]] bool IsInSettledCrashes(PromptPartId id,
+                                        const Part& part) const;
   [[nodiscard]] static CallProgress FurthestProgress(const Part& part);
   /// @returns the parts that were in all crashes that count against `part` and
   ///   have at least `min_crashes` of their own.
--- a/packages/serving/src/prompt_quarantine.cc
+++ b/packages/serving/src/prompt_quarantine.cc
@@ -49,6 +49,7 @@
 constexpr std::size_t kMaxReports = 32;
 constexpr std::size_t kMaxReportedSurvivals = 64;
 constexpr std::size_t kMaxPartsPerPrompt = 16;
+constexpr std::size_t kMaxPartsPerCrash = 64;
 
 /// @returns the parts that other prompts may have too: all but the last one.
 std::span<const PromptPart> SharedParts(const std::vector<PromptPart>& prompt) {
@@ -73,6 +74,13 @@
   return std::ranges::find(parts, id) != parts.end();
 }
 
+void AddParts(std::vector<PromptPartId>& to,
+              const std::vector<PromptPartId>& from) {
+  std::ranges::copy_if(from, std::back_inserter(to), [&](PromptPartId id) {
+    return to.size() < kMaxPartsPerCrash && !Contains(to, id);
+  });
+}
+
 }  // namespace
 
 const PromptQuarantine::Part* PromptQuarantine::Find(PromptPartId id) const {
@@ -184,9 +192,16 @@
   return m_parts.empty() ||
          std::ranges::none_of(SharedParts(prompt), [&](const auto& item) {
            const Part* part = Find(item.id);
-           return part != nullptr &&
-                  (part->quarantine.has_value() ||
-                   CountCrashes(*part) >= kCrashesToStopRepeats);
+           if (part == nullptr) {
+             return false;
+           }
+           if (part->quarantine.has_value()) {
+             return true;
+           }
+           return CountCrashes(*part) >= kCrashesToStopRepeats &&
+                  HasCompanions(
+                      FindCompanions(item.id, *part, kCrashesToStopRepeats),
+                      prompt);
          });
 }
 
@@ -250,9 +265,67 @@
   }
 }
 
+void PromptQuarantine::ShareParts(Crash& crash) {
+  std::vector<Crash*> known;
+  for (auto& [id, part] : m_parts) {
+    const auto found = std::ranges::find(part.crashes, crash.upstream_run,
+                                         &Crash::upstream_run);
+    if (found != part.crashes.end()) {
+      known.push_back(&*found);
+      AddParts(crash.parts, found->parts);
+    }
+  }
+  std::ranges::for_each(
+      known, [&](Crash* other) { AddParts(other->parts, crash.parts); });
+}
+
+PromptQuarantine::Culprits PromptQuarantine::FindCulprits() const {
+  Culprits culprits;
+  for (const auto& [id, part] : m_parts) {
+    if (part.quarantine.has_value() && part.quarantine->companions.empty()) {
+      culprits.emplace_back(id, &part);
+    }
+  }
+  return culprits;
+}
+
+bool PromptQuarantine::HasCulprit(const std::vector<PromptPartId>& parts,
+                                  const Culprits& culprits) {
+  return std::ranges::any_of(culprits, [&](const auto& culprit) {
+    return Contains(parts, culprit.first);
+  });
+}
+
+bool PromptQuarantine::IsExplained(const Crash& crash,
+                                   const Culprits& culprits) {
+  return std::ranges::any_of(culprits, [&](const auto& culprit) {
+    const auto& crashes = culprit.second->crashes;
+    return Contains(crash.parts, culprit.first) ||
+           std::ranges::find(crashes, crash.upstream_run,
+                             &Crash::upstream_run) != crashes.end();
+  });
+}
+
+void PromptQuarantine::DropExplained() {
+  const Culprits culprits = FindCulprits();
+  for (auto& [id, part] : m_parts) {
+    if (part.quarantine.has_value() &&
+        HasCulprit(part.quarantine->companions, culprits)) {
+      part.quarantine.reset();
+    }
+    if (!part.quarantine.has_value()) {
+      std::erase_if(part.crashes, [&](const Crash& crash) {
+        return IsExplained(crash, culprits);
+      });
+    }
+  }
+}
+
 void PromptQuarantine::AddCrash(const Crash& report) {
   Crash crash = report;
   crash.recorded_at = m_clock.Now();
+  ShareParts(crash);
+  const bool is_explained = IsExplained(crash, FindCulprits());
   for (const PromptPartId id : report.parts) {
     const bool is_new = !m_parts.contains(id);
     Part& part = FindOrAdd(id);
@@ -266,6 +339,9 @@
       part.survival_reported_at = m_clock.Now();
       continue;
     }
+    if (is_explained && !part.quarantine.has_value()) {
+      continue;
+    }
     const auto known = std::ranges::find(part.crashes, crash.upstream_run,
                                          &Crash::upstream_run);
     if (known != part.crashes.end()) {
@@ -345,13 +421,28 @@
                      quarantine.round + 1,
                      quarantine.companions,
                      {}});
+    if (!part.quarantine.has_value()) {
+      return;
+    }
   }
   part.quarantine->last_crash_at =
       std::max(part.quarantine->last_crash_at, last_crash_at);
   part.quarantine->progress =
       MoreAdvanced(part.quarantine->progress, FurthestProgress(part));
-  std::erase_if(part.quarantine->companions, [&](PromptPartId companion) {
-    return !Contains(part.crashes.back().parts, companion);
+  const std::size_t removed =
+      std::erase_if(part.quarantine->companions, [&](PromptPartId companion) {
+        return !IsInSettledCrashes(companion, part);
+      });
+  if (removed > 0) {
+    DropExplained();
+  }
+}
+
+bool PromptQuarantine::IsInSettledCrashes(PromptPartId id,
+                                          const Part& part) const {
+  const TimePoint now = m_clock.Now();
+  return std::ranges::all_of(part.crashes, [&](const Crash& crash) {
+    return now - crash.recorded_at < kSettlingTime || Contains(crash.parts, id);
   });
 }
 
@@ -365,16 +456,19 @@
 
 std::vector<PromptPartId> PromptQuarantine::FindCompanions(
     PromptPartId id, const Part& part, int min_crashes) const {
+  // Another part may still get reports of the newest crashes.
+  const TimePoint now = m_clock.Now();
+  min_crashes -= static_cast<int>(
+      std::ranges::count_if(part.crashes, [&](const Crash& crash) {
+        return now - crash.recorded_at < kSettlingTime;
+      }));
   std::vector<PromptPartId> companions = part.crashes.front().parts;
   std::erase_if(companions, [&](PromptPartId other_id) {
     const Part* other = Find(other_id);
     const bool is_suspect =
         other != nullptr &&
         (other->quarantine.has_value() || CountCrashes(*other) >= min_crashes);
-    return other_id == id || !is_suspect ||
-           !std::ranges::all_of(part.crashes, [&](const Crash& crash) {
-             return Contains(crash.parts, other_id);
-           });
+    return other_id == id || !is_suspect || !IsInSettledCrashes(other_id, part);
   });
   return companions;
 }
@@ -392,6 +486,7 @@
       .With("companions", quarantine.companions.size())
       .With("for_ms", (quarantine.until - m_clock.Now()) / milliseconds(1));
   part.quarantine = std::move(quarantine);
+  DropExplained();
   if (m_on_quarantined) {
     m_on_quarantined();
   }
@@ -427,6 +522,7 @@
       std::erase(other.quarantine->companions, id);
     }
   }
+  DropExplained();
   LogEvent(LogLevel::kInfo, "prompt_part_cleared")
       .With("part", static_cast<std::uint64_t>(id));
 }
@@ -501,6 +597,9 @@
     if (part.survivals.AnySince(last_crash_at, reported.progress)) {
       // The sender has missed that the part was cleared.
       part.survival_reported_at = now;
+    } else if (HasCulprit(reported.companions, FindCulprits())) {
+      // The sender has not heard yet that the companion is the cause.
+      continue;
     } else if (!part.quarantine.has_value() ||
                part.quarantine->round < reported.round) {
       StartQuarantine(reported.part, part,
--- a/packages/serving/tests/prompt_quarantine_test.cc
+++ b/packages/serving/tests/prompt_quarantine_test.cc
@@ -152,6 +152,36 @@
   BOOST_TEST(fixture.Refuses({kDeadly}));
 }
 
+// The third crash breaks a sound call with the part beside the deadly one.
+BOOST_AUTO_TEST_CASE(a_part_that_was_beside_the_cause_is_not_taken_for_it) {
+  Fixture fixture;
+  for (int i = 0; i < 2; ++i) {
+    fixture.Crash(MakePrompt({kDeadly, kNeighbour}));
+    fixture.clock.Advance(milliseconds(300));
+  }
+  const TimePoint begun_at = fixture.clock.Now();
+  fixture.clock.Advance(milliseconds(50));
+  fixture.quarantine.RecordCrash(MakePrompt({kNeighbour}), ++fixture.run,
+                                 begun_at);
+  fixture.quarantine.RecordCrash(MakePrompt({kDeadly}), fixture.run, begun_at);
+  fixture.clock.Advance(milliseconds(500));
+  BOOST_TEST(!fixture.Refuses({kNeighbour}));
+  fixture.Survive(MakePrompt({kNeighbour}));
+  BOOST_TEST(fixture.Allows({kNeighbour}));
+  BOOST_TEST(fixture.Refuses({kDeadly}));
+}
+
+BOOST_AUTO_TEST_CASE(sound_calls_that_broke_beside_the_cause_are_repeated) {
+  Fixture fixture;
+  for (int i = 0; i < 2; ++i) {
+    fixture.Crash(MakePrompt({kBeginning, kDeadly}));
+    fixture.clock.Advance(milliseconds(300));
+  }
+  BOOST_TEST(!fixture.quarantine.MayRepeat(MakePrompt({kBeginning, kDeadly})));
+  BOOST_TEST(
+      fixture.quarantine.MayRepeat(MakePrompt({kBeginning, kNeighbour})));
+}
+
 // A part that was taken for the cause: calls that were on their way survive.
 BOOST_AUTO_TEST_CASE(a_call_that_was_on_its_way_ends_a_wrong_quarantine) {
   Fixture fixture;
