--- a/packages/serving/tests/prompt_quarantine_test.cc
+++ b/packages/serving/tests/prompt_quarantine_test.cc
@@ -152,6 +152,36 @@
   BOOST_TEST(fixture.Refuses({kDeadly}));
 }
 
+// The third crash breaks a sound call with the part beside the deadly one.
+BOOST_AUTO_TEST_CASE(a_part_that_was_beside_the_cause_is_not_taken_for_it) {
+  Fixture fixture;
+  for (int i = 0; i < 2; ++i) {
+    fixture.Crash(MakePrompt({kDeadly, kNeighbour}));
+    fixture.clock.Advance(milliseconds(300));
+  }
+  const TimePoint begun_at = fixture.clock.Now();
+  fixture.clock.Advance(milliseconds(50));
+  fixture.quarantine.RecordCrash(MakePrompt({kNeighbour}), ++fixture.run,
+                                 begun_at);
+  fixture.quarantine.RecordCrash(MakePrompt({kDeadly}), fixture.run, begun_at);
+  fixture.clock.Advance(milliseconds(500));
+  BOOST_TEST(!fixture.Refuses({kNeighbour}));
+  fixture.Survive(MakePrompt({kNeighbour}));
+  BOOST_TEST(fixture.Allows({kNeighbour}));
+  BOOST_TEST(fixture.Refuses({kDeadly}));
+}
+
+BOOST_AUTO_TEST_CASE(sound_calls_that_broke_beside_the_cause_are_repeated) {
+  Fixture fixture;
+  for (int i = 0; i < 2; ++i) {
+    fixture.Crash(MakePrompt({kBeginning, kDeadly}));
+    fixture.clock.Advance(milliseconds(300));
+  }
+  BOOST_TEST(!fixture.quarantine.MayRepeat(MakePrompt({kBeginning, kDeadly})));
+  BOOST_TEST(
+      fixture.quarantine.MayRepeat(MakePrompt({kBeginning, kNeighbour})));
+}
+
 // A part that was taken for the cause: calls that were on their way survive.
 BOOST_AUTO_TEST_CASE(a_call_that_was_on_its_way_ends_a_wrong_quarantine) {
   Fixture fixture;
@@ -231,13 +261,17 @@
   status.prompt_parts.crashes = {{{PromptPartId{kDeadly}, PromptPartId{2}},
                                   ~std::uint64_t{0},
                                   milliseconds(150),
-                                  milliseconds(50)}};
-  status.prompt_parts.survivals = {{PromptPartId{3}, milliseconds(7)}};
+                                  milliseconds(50),
+                                  milliseconds(0),
+                                  true}};
+  status.prompt_parts.survivals = {
+      {PromptPartId{3}, milliseconds(7), kCompleteCall}};
   status.prompt_parts.quarantines = {{PromptPartId{kDeadly},
                                       2,
                                       seconds(9),
                                       milliseconds(-4),
-                                      {PromptPartId{2}}}};
+                                      {PromptPartId{2}},
+                                      milliseconds(80)}};
   const auto message =
       DecodeStatus(EncodeStatus({InstanceId("entry-1"), 1, status}));
   BOOST_REQUIRE(message.has_value());
@@ -250,14 +284,18 @@
   BOOST_TEST(reports.crashes[0].upstream_run == ~std::uint64_t{0});
   BOOST_TEST((reports.crashes[0].begun_age == milliseconds(150)));
   BOOST_TEST((reports.crashes[0].crash_age == milliseconds(50)));
+  BOOST_TEST((reports.crashes[0].progress == milliseconds(0)));
+  BOOST_TEST(reports.crashes[0].is_certain);
   BOOST_REQUIRE(reports.survivals.size() == 1U);
   BOOST_TEST((reports.survivals[0].begun_age == milliseconds(7)));
+  BOOST_TEST((reports.survivals[0].lasted == kCompleteCall));
   BOOST_REQUIRE(reports.quarantines.size() == 1U);
   BOOST_TEST(reports.quarantines[0].round == 2);
   BOOST_TEST((reports.quarantines[0].last_crash_age == seconds(9)));
   BOOST_TEST((reports.quarantines[0].time_left == milliseconds(-4)));
   BOOST_TEST(
       (reports.quarantines[0].companions == std::vector{PromptPartId{2}}));
+  BOOST_TEST((reports.quarantines[0].progress == milliseconds(80)));
 }
 
 BOOST_AUTO_TEST_CASE(invented_parts_do_not_displace_a_quarantine) {
