The end of a stop is judged by the time at which its input was collected

A response that had arrived was replaced by 504 if the pause of the loop fell between the timer and the decision.

Cause: the decision waits for what had arrived when it was asked for, but looked at the clock anew.

--- a/packages/serving/include/bambooquay/serving/serving_entry.h
+++ b/packages/serving/include/bambooquay/serving/serving_entry.h
@@ -122,8 +122,9 @@
   [[nodiscard]] bool RefusesCalls() const;
   /// Ends draining once all calls have ended or the drain limit is near.
   void CheckDrained();
-  /// The same, when all that had arrived by then is handled.
-  void EndDrainIfDue();
+  /// @param now  by which the limits are judged: all input that had arrived
+  ///   then was handled.
+  void EndDrainIfDue(TimePoint now);
   [[nodiscard]] RetryBudget& RetryBudgetFor(const ServiceName& service);
   [[nodiscard]] EntryStatus MakeStatus();
   /// @returns whether this entry tries a part of prompts again, the choice of
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -567,13 +567,14 @@
   if (m_draining_since.has_value() && m_on_drained &&
       m_drain_timer == nullptr) {
     // Responses that have arrived, and requests, count as such.
-    m_drain_timer = m_deps.loop.AfterInput([this] { EndDrainIfDue(); });
+    m_drain_timer = m_deps.loop.AfterInput(
+        [this, now = m_deps.loop.clock().Now()] { EndDrainIfDue(now); });
   }
 }
 
-void ServingEntry::EndDrainIfDue() {
+void ServingEntry::EndDrainIfDue(TimePoint now) {
   m_drain_timer = nullptr;
-  const Duration elapsed = m_deps.loop.clock().Now() - *m_draining_since;
+  const Duration elapsed = now - *m_draining_since;
   if (RefusesCalls()) {
     m_server.CloseIdleConnections();
   }
