A part with fewer crashes does not hide the evidence against another

No unit test of this order yet.

Change: a part is taken for the cause instead of another one only if it has more crashes.

--- a/packages/serving/include/bambooquay/serving/prompt_quarantine.h
+++ b/packages/serving/include/bambooquay/serving/prompt_quarantine.h
@@ -179,8 +179,10 @@
   /// Tells a crash, and what is known of the same one, each other's parts: the
   /// calls that broke in it may have none in common.
   void ShareParts(Crash& crash);
-  /// @returns the parts under quarantine that are the cause for certain.
-  [[nodiscard]] Culprits FindCulprits() const;
+  /// @returns the parts under quarantine that may be taken for the cause
+  /// instead
+  ///   of a part with this many crashes: they have more, and no companion.
+  [[nodiscard]] Culprits FindCulprits(std::size_t crashes) const;
   [[nodiscard]] static bool HasCulprit(const std::vector<PromptPartId>& parts,
                                        const Culprits& culprits);
   /// @returns whether a crash is the work of one of the culprits.
--- a/packages/serving/src/prompt_quarantine.cc
+++ b/packages/serving/src/prompt_quarantine.cc
@@ -279,10 +279,12 @@
       known, [&](Crash* other) { AddParts(other->parts, crash.parts); });
 }
 
-PromptQuarantine::Culprits PromptQuarantine::FindCulprits() const {
+PromptQuarantine::Culprits PromptQuarantine::FindCulprits(
+    std::size_t crashes) const {
   Culprits culprits;
   for (const auto& [id, part] : m_parts) {
-    if (part.quarantine.has_value() && part.quarantine->companions.empty()) {
+    if (part.quarantine.has_value() && part.quarantine->companions.empty() &&
+        part.crashes.size() > crashes) {
       culprits.emplace_back(id, &part);
     }
   }
@@ -307,8 +309,11 @@
 }
 
 void PromptQuarantine::DropExplained() {
-  const Culprits culprits = FindCulprits();
   for (auto& [id, part] : m_parts) {
+    const Culprits culprits = FindCulprits(part.crashes.size());
+    if (culprits.empty()) {
+      continue;
+    }
     if (part.quarantine.has_value() &&
         HasCulprit(part.quarantine->companions, culprits)) {
       part.quarantine.reset();
@@ -325,7 +330,6 @@
   Crash crash = report;
   crash.recorded_at = m_clock.Now();
   ShareParts(crash);
-  const bool is_explained = IsExplained(crash, FindCulprits());
   for (const PromptPartId id : report.parts) {
     const bool is_new = !m_parts.contains(id);
     Part& part = FindOrAdd(id);
@@ -339,7 +343,8 @@
       part.survival_reported_at = m_clock.Now();
       continue;
     }
-    if (is_explained && !part.quarantine.has_value()) {
+    if (!part.quarantine.has_value() &&
+        IsExplained(crash, FindCulprits(part.crashes.size()))) {
       continue;
     }
     const auto known = std::ranges::find(part.crashes, crash.upstream_run,
@@ -597,7 +602,8 @@
     if (part.survivals.AnySince(last_crash_at, reported.progress)) {
       // The sender has missed that the part was cleared.
       part.survival_reported_at = now;
-    } else if (HasCulprit(reported.companions, FindCulprits())) {
+    } else if (HasCulprit(reported.companions,
+                          FindCulprits(part.crashes.size()))) {
       // The sender has not heard yet that the companion is the cause.
       continue;
     } else if (!part.quarantine.has_value() ||
