An entry that stood still does not leave upstreams that work

After a pause of its own, an entry moved calls away from engines that worked on them: runs were repeated, or calls ended.

Cause: the check for silence runs as a timer, so before the reports that arrived in the pause are read (64 in a turn), and with reports that are as old as the pause.

Change: the check is made once the input is handled, and one that is more than 200 ms late is repeated once, 200 ms later.

--- a/packages/serving/include/bambooquay/serving/forwarded_call.h
+++ b/packages/serving/include/bambooquay/serving/forwarded_call.h
@@ -254,6 +254,8 @@
   void MoveTo(const UpstreamId& next);
   /// Records that the attempt has been sent or has made progress.
   void RestartStallTimer();
+  /// Checks for a stall after `wait`, once what has arrived by then is handled.
+  void StartStallTimer(Duration wait);
   [[nodiscard]] SilentAttempt DescribeSilence() const;
   /// @returns the time since the caller got its last event, or sent its
   ///   request.
@@ -355,6 +357,9 @@
   int m_attempt_events = 0;
   /// What keeps the current attempt at its silent upstream, if it was logged.
   std::optional<RepeatObstacle> m_held_by;
+  TimePoint m_stall_check_at;
+  /// Whether the last check was late and is repeated once.
+  bool m_repeats_stall_check = false;
 
   /// Callbacks that may run after the call was destroyed hold a weak pointer
   /// to this.
--- a/packages/serving/src/forwarded_response.cc
+++ b/packages/serving/src/forwarded_response.cc
@@ -29,6 +29,9 @@
 // Interval at which a call that should leave a silent upstream looks for
 // another one.
 constexpr Duration kStallRecheckInterval = milliseconds(200);
+// A check that is later than this says that the event loop was held up, so that
+// the reports of upstreams are old.
+constexpr Duration kMaxStallCheckDelay = milliseconds(200);
 
 }  // namespace
 
@@ -60,11 +63,25 @@
   // An upstream may stop to give signs of life at any moment.
   const SilentAttempt attempt{.started = m_attempt_events > 0,
                               .upstream = SignOfLife::kNone};
-  m_stall_timer = m_context.loop.After(MakeStallPolicy().TimeUntilMove(attempt),
-                                       [this] { HandleStall(); });
+  m_repeats_stall_check = false;
+  StartStallTimer(MakeStallPolicy().TimeUntilMove(attempt));
+}
+
+void ForwardedCall::StartStallTimer(Duration wait) {
+  m_stall_check_at = m_context.loop.clock().Now() + wait;
+  m_stall_timer = m_context.loop.After(wait, [this] {
+    m_stall_timer = m_context.loop.AfterInput([this] { HandleStall(); });
+  });
 }
 
 void ForwardedCall::HandleStall() {
+  const bool is_late =
+      m_context.loop.clock().Now() - m_stall_check_at > kMaxStallCheckDelay;
+  m_repeats_stall_check = is_late && !m_repeats_stall_check;
+  if (m_repeats_stall_check) {
+    StartStallTimer(kStallRecheckInterval);
+    return;
+  }
   const StallPolicy policy = MakeStallPolicy();
   const SilentAttempt attempt = DescribeSilence();
   const Duration wait = policy.TimeUntilMove(attempt);
@@ -80,10 +97,9 @@
       return;
     }
   }
-  m_stall_timer = m_context.loop.After(
-      wait == Duration::zero() ? kStallRecheckInterval
-                               : std::min(wait, kStallRecheckInterval),
-      [this] { HandleStall(); });
+  StartStallTimer(wait == Duration::zero()
+                      ? kStallRecheckInterval
+                      : std::min(wait, kStallRecheckInterval));
 }
 
 void ForwardedCall::LogHeldCall(RepeatObstacle obstacle) {
--- a/testing/support/plain_server.h
+++ b/testing/support/plain_server.h
@@ -10,6 +10,7 @@
 #include <array>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -23,6 +24,20 @@
 /// time would.
 inline void HoldUp(Duration time) { std::this_thread::sleep_for(time); }
 
+/// @returns a port to which no datagram socket of this machine is bound.
+inline std::uint16_t FreeDatagramPort() {
+  const int descriptor = socket(AF_INET, SOCK_DGRAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_ANY);
+  socklen_t length = sizeof(address);
+  BOOST_REQUIRE(
+      bind(descriptor, reinterpret_cast<sockaddr*>(&address), length) == 0);
+  getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &length);
+  close(descriptor);
+  return ntohs(address.sin_port);
+}
+
 /// Accepts one connection after another. All calls return at once.
 class PlainServer {
  public:
