A planned stop does not close connections whose first request is on its way

At the end of a stop each check closed what was idle, also connections that had just been accepted.

Evidence: http_server/a_planned_stop_waits_for_the_first_request_of_a_connection fails without the minimum rest (the connection is closed at once).

Change: in a stop, a connection is closed as idle once it has rested for 200 ms.

--- a/packages/runtime/include/bambooquay/runtime/http_server.h
+++ b/packages/runtime/include/bambooquay/runtime/http_server.h
@@ -121,9 +121,11 @@
   /// From now on each response says that its connection closes after it. Idle
   /// connections stay open, and new ones are accepted.
   void CloseAfterResponses() noexcept { m_is_closing = true; }
-  /// Closes the connections on which no request has arrived. A request that
-  /// crosses the close is not read, so its caller may repeat it.
-  void CloseIdleConnections();
+  /// Closes the connections on which no request has arrived and nothing was
+  /// sent or received for `min_rest`: the first request of a new connection is
+  /// on its way. A request that crosses the close is not read, so its caller
+  /// may repeat it.
+  void CloseIdleConnections(Duration min_rest);
   /// Replaces the limits, also for open connections. A request that has begun
   /// to arrive keeps a larger limit, and a connection that is idle a longer
   /// idle timeout until it is used.
@@ -179,8 +181,7 @@
       m_on_connection_closed(reason);
     }
   }
-  /// Starts a check of all connections against the time limits.
-  void Sweep();
+  /// Checks all connections against the time limits.
   /// @param now  by which the limits are judged: all input that had arrived
   /// then
   ///   was handled.
@@ -196,7 +197,6 @@
   evconnlistener* m_listener = nullptr;
   std::list<std::unique_ptr<HttpServerConnection>> m_connections;
   std::unique_ptr<Timer> m_sweep_timer;
-  std::unique_ptr<Timer> m_close_timer;
   TimePoint m_last_sweep_at;
   /// How much later than planned the last sweep began.
   Duration m_sweep_delay{};
--- a/packages/runtime/src/http_server.cc
+++ b/packages/runtime/src/http_server.cc
@@ -88,7 +88,8 @@
       m_limits(limits),
       m_handler(std::move(handler)),
       m_budget(loop.clock(), BudgetLimits(limits)),
-      m_sweep_timer(loop.Every(kSweepPeriod, [this] { Sweep(); })),
+      m_sweep_timer(loop.EveryAfterInput(
+          kSweepPeriod, [this](TimePoint now) { CloseExpired(now); })),
       m_last_sweep_at(loop.clock().Now()) {}
 
 HttpServer::~HttpServer() {
@@ -145,11 +146,11 @@
   }
 }
 
-void HttpServer::CloseIdleConnections() {
+void HttpServer::CloseIdleConnections(Duration min_rest) {
   for (auto it = m_connections.begin(); it != m_connections.end();) {
     // The connection may remove itself from the list.
     const auto current = it++;
-    (*current)->CloseIfIdle();
+    (*current)->CloseIfIdle(min_rest);
   }
 }
 
@@ -233,15 +234,10 @@
   }
 }
 
-void HttpServer::Sweep() {
-  const TimePoint now = m_loop.clock().Now();
+void HttpServer::CloseExpired(TimePoint now) {
   m_sweep_delay =
       std::max(now - m_last_sweep_at - kSweepPeriod, Duration::zero());
   m_last_sweep_at = now;
-  m_close_timer = m_loop.AfterInput([this, now] { CloseExpired(now); });
-}
-
-void HttpServer::CloseExpired(TimePoint now) {
   for (auto it = m_connections.begin(); it != m_connections.end();) {
     // The connection may remove itself from the list.
     const auto current = it++;
--- a/packages/runtime/src/http_server_connection.cc
+++ b/packages/runtime/src/http_server_connection.cc
@@ -571,8 +571,10 @@
   }
 }
 
-void HttpServerConnection::CloseIfIdle() {
-  if (!IsBusy() && m_state == State::kIdle) {
+void HttpServerConnection::CloseIfIdle(Duration min_rest) {
+  const bool rests =
+      m_server.m_loop.clock().Now() - m_last_activity >= min_rest;
+  if (rests && !IsBusy() && m_state == State::kIdle) {
     ReportClose("stopping");
     Close();
   }
--- a/packages/runtime/src/http_server_connection.h
+++ b/packages/runtime/src/http_server_connection.h
@@ -46,9 +46,9 @@
   [[nodiscard]] bool HasArrivedInput() const override {
     return UnreadBytes() > 0;
   }
-  /// Closes the connection if no request has arrived on it and no response is
-  /// being written.
-  void CloseIfIdle();
+  /// Closes the connection if no request has arrived on it, no response is
+  /// being written, and it has rested for `min_rest`.
+  void CloseIfIdle(Duration min_rest);
   /// @returns whether a request is partly received or unanswered, or a response
   ///   is not fully written to the socket.
   [[nodiscard]] bool IsBusy() const noexcept;
--- a/packages/runtime/tests/http_server_test.cc
+++ b/packages/runtime/tests/http_server_test.cc
@@ -792,7 +792,7 @@
                      kTestTimeout);
   test.after_pause = [&] {
     test.server.CloseAfterResponses();
-    test.server.CloseIdleConnections();
+    test.server.CloseIdleConnections(Duration::zero());
   };
   test.RestAndSendIntoPause(milliseconds(10), milliseconds(60));
   BOOST_TEST(test.IsAnswered());
@@ -800,6 +800,22 @@
   BOOST_TEST(idle.closed());
 }
 
+BOOST_AUTO_TEST_CASE(
+    a_planned_stop_waits_for_the_first_request_of_a_connection) {
+  TestServer test;
+  PlainCaller caller(test.endpoint);
+  test.loop.RunUntil([&] { return test.server.connection_count() == 1; },
+                     kTestTimeout);
+  test.server.CloseAfterResponses();
+  test.server.CloseIdleConnections(std::chrono::seconds(5));
+  caller.Send(kGet);
+  BOOST_REQUIRE(test.loop.RunUntil([&] { return !test.exchanges.empty(); },
+                                   kTestTimeout));
+  test.exchanges[0]->Respond(200, {}, "done");
+  BOOST_TEST(test.loop.RunUntil(
+      [&] { return caller.Received().ends_with("done"); }, kTestTimeout));
+}
+
 BOOST_AUTO_TEST_CASE(connections_that_wait_to_be_accepted_are_served) {
   TestServer test;
   const PlainCaller caller(test.endpoint);
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -82,6 +82,9 @@
 // Calls are refused with an answer for at least this long, before the entry
 // stops to listen.
 constexpr Duration kDrainRefuseTime = milliseconds(300);
+// A connection that rests for less may be a new one whose request is on its
+// way.
+constexpr Duration kDrainMinRest = milliseconds(200);
 // Time reserved at the end of the drain limit to tell callers that wait for the
 // first byte of a response that there will be none.
 constexpr Duration kDrainAnswerMargin = milliseconds(800);
@@ -579,7 +582,7 @@
   m_drain_timer = nullptr;
   const Duration elapsed = now - *m_draining_since;
   if (RefusesCalls()) {
-    m_server.CloseIdleConnections();
+    m_server.CloseIdleConnections(kDrainMinRest);
   }
   const bool is_late = elapsed > m_settings.drain_limit - kDrainAnswerMargin;
   if (is_late) {
--- a/programs/bambooquay/run_entry.cc
+++ b/programs/bambooquay/run_entry.cc
@@ -67,7 +67,7 @@
   }
 
   void StopOnceWritten() {
-    m_caller_server.CloseIdleConnections();
+    m_caller_server.CloseIdleConnections(Duration::zero());
     if (m_caller_server.busy_connection_count() > 0) {
       m_drain_timer = m_fleet.loop.After(kResponseCheckPeriod,
                                          [this] { StopOnceWritten(); });
