A shorter idle limit does not cut a request in progress

A caller that was sending a request while the idle limit became shorter was cut without an answer: each part that arrived put the new limit in force for the rest of the request.

Change: the limit becomes shorter with a response only, after which its caller can know it.

--- a/packages/runtime/src/http_server_connection.cc
+++ b/packages/runtime/src/http_server_connection.cc
@@ -166,7 +166,6 @@
 
 void HttpServerConnection::RecordActivity() {
   m_last_activity = m_server.m_loop.clock().Now();
-  m_limits.idle_timeout = m_server.m_limits.idle_timeout;
 }
 
 void HttpServerConnection::PrepareOutput() {
@@ -564,7 +563,10 @@
   } else if (now - m_last_activity > m_limits.idle_timeout) {
     const bool is_waiting_for_handler =
         m_exchange != nullptr && evbuffer_get_length(output()) == 0;
-    if (!is_waiting_for_handler && !HasArrivedRequest()) {
+    if (m_state == State::kReading) {
+      Refuse(ToCode(HttpStatus::kRequestTimeout), "body_timeout",
+             "the rest of the request took too long");
+    } else if (!is_waiting_for_handler && !HasArrivedRequest()) {
       ReportClose("idle");
       HandleDisconnect();
     }
--- a/packages/runtime/src/http_server_connection.h
+++ b/packages/runtime/src/http_server_connection.h
@@ -147,7 +147,7 @@
   /// were ready for it.
   TimePoint m_last_activity;
   /// Each the largest that was in force since the request began to arrive; the
-  /// idle timeout, since the last activity.
+  /// idle timeout, since the last response.
   HttpServerLimits m_limits;
   /// The exchange whose response is not complete. It may outlive the
   /// connection, whose destructor detaches it.
--- a/packages/runtime/tests/http_server_test.cc
+++ b/packages/runtime/tests/http_server_test.cc
@@ -816,6 +816,24 @@
       [&] { return caller.Received().ends_with("done"); }, kTestTimeout));
 }
 
+BOOST_AUTO_TEST_CASE(
+    a_request_in_progress_keeps_the_idle_limit_that_it_began_under) {
+  KeptConnection test(WithIdleTimeout(milliseconds(3000)));
+  test.caller->Send(kGet.substr(0, 5));
+  test.loop.RunUntil([&] { return test.server.busy_connection_count() == 1; },
+                     kTestTimeout);
+  test.server.SetLimits(WithIdleTimeout(milliseconds(200)));
+  test.caller->Send(kGet.substr(5, 5));
+  test.loop.RunUntil([] { return false; }, milliseconds(1200));
+  test.caller->Send(kGet.substr(10));
+  BOOST_TEST(test.IsAnswered(), test.caller->Received());
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_stops_in_the_middle_is_refused) {
+  TestServer test(WithIdleTimeout(milliseconds(200)));
+  BOOST_TEST(HasStatus(test.SendInvalid(PostOf(2000, 1000)), "408"));
+}
+
 BOOST_AUTO_TEST_CASE(connections_that_wait_to_be_accepted_are_served) {
   TestServer test;
   const PlainCaller caller(test.endpoint);
