The wait for unread input is bounded in time as well

Now it waits for 200 ms at most besides the turns that libevent needs to reach all sockets. held_up_loop, held_up_entry and held_up_reports pass.

--- a/packages/runtime/src/event_loop.cc
+++ b/packages/runtime/src/event_loop.cc
@@ -26,6 +26,7 @@
 // Bounds the wait for sockets to which more arrives than is read. Each turn
 // reads 16 KiB of a socket: this is enough for a full receive buffer.
 constexpr int kMaxTurnsToHandleInput = 512;
+constexpr Duration kMaxTimeToHandleInput = std::chrono::milliseconds(200);
 // Well below the times after which others count as silent.
 constexpr Duration kInputClockPeriod = std::chrono::milliseconds(50);
 
@@ -116,7 +117,7 @@
     std::function<void()> callback, std::function<bool()> has_unread_input) {
   return std::make_unique<Timer>(
       m_base, Duration::zero(), false, std::move(callback),
-      [this, turns = 0, notes = m_unread_notes,
+      [this, turns = 0, notes = m_unread_notes, since = m_clock.Now(),
        has_unread_input = std::move(has_unread_input)]() mutable {
         const bool has_unread =
             notes != m_unread_notes || (has_unread_input && has_unread_input());
@@ -127,7 +128,8 @@
             event_base_get_num_events(m_base, EVENT_BASE_COUNT_ACTIVE) >=
                 kManyCallbacks;
         return turns <= kTurnsToHandleInput || is_reaching_sockets ||
-               (has_unread && turns < kMaxTurnsToHandleInput);
+               (has_unread && turns < kMaxTurnsToHandleInput &&
+                m_clock.Now() - since < kMaxTimeToHandleInput);
       });
 }
 
