--- a/testing/support/plain_caller.h
+++ b/testing/support/plain_caller.h
@@ -13,17 +13,12 @@
 #include <cerrno>
 #include <string>
 #include <string_view>
-#include <thread>
 
-#include "bambooquay/core/clock.h"
 #include "bambooquay/runtime/endpoint.h"
+#include "support/hold_up.h"
 
 namespace bambooquay::testing {
 
-/// Holds up the event loop, as a slow callback or a machine without processor
-/// time would.
-inline void HoldUp(Duration time) { std::this_thread::sleep_for(time); }
-
 /// A connection to an IPv4 address.
 class PlainCaller {
  public:
--- a/testing/support/plain_server.h
+++ b/testing/support/plain_server.h
@@ -17,27 +17,10 @@
 
 #include "bambooquay/core/clock.h"
 #include "bambooquay/runtime/endpoint.h"
+#include "support/hold_up.h"
 
 namespace bambooquay::testing {
 
-/// Holds up the event loop, as a slow callback or a machine without processor
-/// time would.
-inline void HoldUp(Duration time) { std::this_thread::sleep_for(time); }
-
-/// @returns a port to which no datagram socket of this machine is bound.
-inline std::uint16_t FreeDatagramPort() {
-  const int descriptor = socket(AF_INET, SOCK_DGRAM, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_ANY);
-  socklen_t length = sizeof(address);
-  BOOST_REQUIRE(
-      bind(descriptor, reinterpret_cast<sockaddr*>(&address), length) == 0);
-  getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &length);
-  close(descriptor);
-  return ntohs(address.sin_port);
-}
-
 /// Accepts one connection after another. All calls return at once.
 class PlainServer {
  public:
