A stream that sends single bytes is left again

A stream whose upstream sends a byte now and then and no event was not left, so its caller waited for it in vain.

Cause: made the check for silence wait for input. A byte that arrived during that wait was unread at the check, which then took the stream for one that goes on.

Change: the check waits until that input is read too. What is unread even then waits for the caller to read.

--- a/packages/serving/src/forwarded_response.cc
+++ b/packages/serving/src/forwarded_response.cc
@@ -71,7 +71,10 @@
 void ForwardedCall::StartStallTimer(Duration wait) {
   m_stall_check_at = m_context.loop.clock().Now() + wait;
   m_stall_timer = m_context.loop.After(wait, [this] {
-    m_stall_timer = m_context.loop.AfterInput([this] { HandleStall(); });
+    // Input that is still unread after that waits for the caller to read.
+    m_stall_timer = m_context.loop.AfterInput(
+        [this] { HandleStall(); },
+        [this] { return m_attempt->HasUnreadInput(); });
   });
 }
 
