--- a/packages/runtime/src/http_server_connection.cc
+++ b/packages/runtime/src/http_server_connection.cc
@@ -563,10 +563,7 @@
   } else if (now - m_last_activity > m_limits.idle_timeout) {
     const bool is_waiting_for_handler =
         m_exchange != nullptr && evbuffer_get_length(output()) == 0;
-    if (m_state == State::kReading) {
-      Refuse(ToCode(HttpStatus::kRequestTimeout), "body_timeout",
-             "the rest of the request took too long");
-    } else if (!is_waiting_for_handler && !HasArrivedRequest()) {
+    if (!is_waiting_for_handler && !HasArrivedRequest()) {
       ReportClose("idle");
       HandleDisconnect();
     }
