--- a/packages/quarantine/include/bambooquay/quarantine/broken_calls.h
+++ b/packages/quarantine/include/bambooquay/quarantine/broken_calls.h
@@ -44,12 +44,10 @@
   explicit BrokenCalls(const Clock& clock) noexcept : m_clock(clock) {}
 
   void Record(BrokenCall call);
-  /// @returns the calls whose run has ended since, by its row or as it cannot
-  /// be
-  ///   reached, and forgets them. If a call
-  ///   began after another one broke, and the same upstream is listed with
-  ///   another run, it may have met that run: it is returned, and remembered as
-  ///   one of that run, too.
+  /// @returns the calls whose run has ended since, by its row or because it
+  ///   cannot be reached, and forgets them. A call that began after another one
+  ///   broke may have met the next run, if the upstream is listed with one: it
+  ///   is returned, and remembered as one of that run, too.
   [[nodiscard]] std::vector<BrokenCall> TakeCrashed(
       const RunFinder& find_present_run);
   /// Records that a call which was sent at `sent_at` gets more of its response:
--- a/packages/runtime/include/bambooquay/runtime/http_server.h
+++ b/packages/runtime/include/bambooquay/runtime/http_server.h
@@ -127,8 +127,8 @@
   /// may repeat it.
   void CloseIdleConnections(Duration min_rest);
   /// Replaces the limits, also for open connections. A request that has begun
-  /// to arrive keeps a larger limit, and a connection that is idle a longer
-  /// idle timeout until it is used.
+  /// to arrive keeps a larger limit, and a connection a longer idle timeout
+  /// until its next response.
   void SetLimits(const HttpServerLimits& limits);
   /// Sets a function that returns the organisation whose headers a request has,
   /// or an empty string. Connections of one organisation are charged together,
@@ -182,9 +182,8 @@
     }
   }
   /// Checks all connections against the time limits.
-  /// @param now  by which the limits are judged: all input that had arrived
-  /// then
-  ///   was handled.
+  /// @param now  by which the limits are judged. All input that had arrived
+  ///   by then was handled.
   void CloseExpired(TimePoint now);
 
   EventLoop& m_loop;
--- a/packages/serving/include/bambooquay/serving/prompt_quarantine.h
+++ b/packages/serving/include/bambooquay/serving/prompt_quarantine.h
@@ -179,9 +179,8 @@
   /// Tells a crash, and what is known of the same one, each other's parts: the
   /// calls that broke in it may have none in common.
   void ShareParts(Crash& crash);
-  /// @returns the parts under quarantine that may be taken for the cause
-  /// instead
-  ///   of a part with this many crashes: they have more, and no companion.
+  /// @returns the parts under quarantine that may be the cause instead of a
+  ///   part with this many crashes: they have more, and no companion.
   [[nodiscard]] Culprits FindCulprits(std::size_t crashes) const;
   [[nodiscard]] static bool HasCulprit(const std::vector<PromptPartId>& parts,
                                        const Culprits& culprits);
@@ -192,8 +191,7 @@
   void DropExplained();
   /// Clears the part of all crashes until a surviving call began.
   void Clear(PromptPartId id, Part& part, const Survival& survival);
-  /// @returns whether the crashes of a part are enough, and calls with it have
-  /// had
+  /// @returns whether the crashes of a part are enough, and calls with it had
   ///   the time to survive.
   [[nodiscard]] bool IsConvicted(const Part& part) const;
   /// Puts the part under quarantine if the evidence is sufficient.
