--- a/packages/runtime/include/bambooquay/runtime/http_server.h
+++ b/packages/runtime/include/bambooquay/runtime/http_server.h
@@ -169,6 +169,9 @@
   /// Accepts connections that wait for it, as far as there is room.
   void AcceptWaiting();
   void Remove(HttpServerConnection& connection);
+  /// @param action  may remove its connection.
+  void ForEachConnection(
+      const std::function<void(HttpServerConnection&)>& action);
   /// Accepts connections as long as there is room for another one.
   void UpdateListener();
   /// Lets connections give way until there is room for another one.
--- a/packages/runtime/src/http_server.cc
+++ b/packages/runtime/src/http_server.cc
@@ -147,10 +147,17 @@
 }
 
 void HttpServer::CloseIdleConnections(Duration min_rest) {
+  ForEachConnection([min_rest](HttpServerConnection& connection) {
+    connection.CloseIfIdle(min_rest);
+  });
+}
+
+void HttpServer::ForEachConnection(
+    const std::function<void(HttpServerConnection&)>& action) {
   for (auto it = m_connections.begin(); it != m_connections.end();) {
     // The connection may remove itself from the list.
     const auto current = it++;
-    (*current)->CloseIfIdle(min_rest);
+    action(**current);
   }
 }
 
@@ -238,11 +245,9 @@
   m_sweep_delay =
       std::max(now - m_last_sweep_at - kSweepPeriod, Duration::zero());
   m_last_sweep_at = now;
-  for (auto it = m_connections.begin(); it != m_connections.end();) {
-    // The connection may remove itself from the list.
-    const auto current = it++;
-    (*current)->CloseIfExpired(now);
-  }
+  ForEachConnection([now](HttpServerConnection& connection) {
+    connection.CloseIfExpired(now);
+  });
   MakeRoom();
 }
 
