Show that sound requests are kept away beside a part that crashes servers (review case 6)

Case 6 was found when the entry deadly_parts of KNOWN-RED.txt was tried at other rates. 15 requests with a part that crashes servers come within 1.5 s, then 2.5 a second: the first part, which sound requests share, is put under quarantine as well, and no sound request is served from then on.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -8,4 +8,4 @@
 [ -x "$program" ] || { echo "run review/build-2.sh first"; exit 2; }
 directory=$(mktemp -d) || exit 2
 trap 'rm -rf "$directory"' EXIT
-"$program" many-parts "$root/target/programs" "$directory" "$PWD/record.txt"
+"$program" long-ids "$root/target/programs" "$directory" "$PWD/record.txt"
--- a/review/harness-2/deadly_part_case.cc
+++ b/review/harness-2/deadly_part_case.cc
@@ -1,10 +1,18 @@
 // Plays requests with a part that crashes servers, beside sound requests, and
-// checks how many of them reach servers once the system should know the part:
+// checks one of two rules. How many of them reach servers once the system
+// should know the part:
 //
 //   BUDGET. More than three requests with a part that crashes servers, new ones
 //   or repeats, reach servers, sent by machines in touch later than
 //   stabilityWindowMs after the fifth crash.
 //
+// And whether sound requests go on being served:
+//
+//   LOST. From 2 x stabilityWindowMs after the fifth crash, while such requests
+//   still come, sound requests of their route with the same key or first part
+//   begin at the first attempt less than half as often as outside unplanned
+//   disruption (20 or more of each).
+//
 // Exits with 1 if the rule is broken, with 0 if it holds, and with 2 if the
 // case cannot run. Without the disruption the same requests are sent, and the
 // part crashes no server.
@@ -18,6 +26,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "small_fleet.h"
@@ -33,6 +42,8 @@
 constexpr std::ptrdiff_t kMaxLateArrivals = 3;
 constexpr Duration kStep = milliseconds(50);
 constexpr int kStepsPerSecond = 20;
+// No round starts later than this, so that the last one ends in time.
+constexpr double kMaxStartS = 85.0;
 constexpr int kExitBroken = 1;
 constexpr int kExitCannotRun = 2;
 
@@ -52,9 +63,33 @@
   int parts_after = 0;
   /// When all entries are killed; 0 if they are not.
   int kill_at_s = 0;
+  int servers = 18;
+  /// Time of sound requests only, at the start.
+  int calm_s = 0;
+  /// Steps at the start in which the deadly part comes more often, and how
+  /// often.
+  int burst_steps = 0;
+  int burst_interval_steps = 1;
+  /// Entries that sound requests come to; the deadly part comes to all.
+  int sound_entries = SmallFleet::kEntries;
+  /// Whether to check LOST instead of BUDGET.
+  bool checks_sound = false;
+  /// How often the scenario is played, each time with a new fleet, unless the
+  /// rule is broken before.
+  int rounds = 1;
 };
 
 constexpr Scenario kScenarios[] = {
+    {.name = "outage",
+     .length_s = 14,
+     .deadly_interval_steps = 8,
+     .servers = 12,
+     .calm_s = 3,
+     .burst_steps = 30,
+     .burst_interval_steps = 2,
+     .sound_entries = 4,
+     .checks_sound = true,
+     .rounds = 5},
     {.name = "plain"},
     {.name = "long-ids", .id_digits = 32},
     {.name = "many-parts", .parts_before = 17, .parts_after = 1},
@@ -103,11 +138,11 @@
  public:
   DeadlyPartCase(const Scenario& scenario, bool has_trouble,
                  const std::string& programs, const std::string& directory,
-                 const std::string& record_path)
+                 Record& record)
       : m_scenario(scenario),
         m_has_trouble(has_trouble),
-        m_record(record_path),
-        m_fleet(m_loop, m_record, programs, directory) {}
+        m_record(record),
+        m_fleet(m_loop, m_record, programs, directory, scenario.servers) {}
 
   int Run() {
     if (!m_fleet.Start()) {
@@ -122,8 +157,8 @@
       Play(step);
       m_fleet.Wait(kStep);
     }
-    m_fleet.Wait(seconds(5));
-    return Judge();
+    m_fleet.Wait(m_scenario.checks_sound ? seconds(1) : seconds(5));
+    return m_scenario.checks_sound ? JudgeSound() : Judge();
   }
 
  private:
@@ -143,7 +178,11 @@
     }
     // Sound requests at 20 a second.
     Send(false);
-    if (step % m_scenario.deadly_interval_steps == 0) {
+    const int since = step - m_scenario.calm_s * kStepsPerSecond;
+    const int interval = since < m_scenario.burst_steps
+                             ? m_scenario.burst_interval_steps
+                             : m_scenario.deadly_interval_steps;
+    if (since >= 0 && since % interval == 0) {
       for (int i = 0; i < m_scenario.deadly_at_once; ++i) {
         Send(true);
       }
@@ -151,12 +190,55 @@
   }
 
   void Send(bool is_deadly) {
-    ++m_sent;
     // Each third sound request may run only once.
-    m_requests.push_back(
-        m_fleet.Send({static_cast<int>(m_sent % SmallFleet::kEntries) + 1,
-                      Prompt(m_scenario, m_sent, is_deadly), is_deadly,
-                      is_deadly || m_sent % 3 != 0}));
+    const int entries =
+        is_deadly ? SmallFleet::kEntries : m_scenario.sound_entries;
+    unsigned& count = is_deadly ? m_sent_deadly : m_sent;
+    m_requests.push_back(m_fleet.Send(
+        {static_cast<int>(count++ % static_cast<unsigned>(entries)) + 1,
+         Prompt(m_scenario, m_sent + m_sent_deadly, is_deadly), is_deadly,
+         is_deadly || m_sent % 3 != 0}));
+  }
+
+  int JudgeSound() {
+    const auto& crashes = m_fleet.crashes();
+    if (crashes.empty()) {
+      m_record.Tell("no crash: the rule holds");
+      return 0;
+    }
+    const double from = crashes[std::min(kCrashesToLearn, crashes.size()) - 1] +
+                        2 * kStabilityWindowS;
+    double last_deadly = 0.0;
+    for (const auto& sent : m_requests) {
+      last_deadly = sent->is_deadly ? sent->sent_at : last_deadly;
+    }
+    // Requests of the route of the deadly ones.
+    const auto count = [&](double begin, double end) {
+      int sent_count = 0;
+      int begun_count = 0;
+      for (const auto& sent : m_requests) {
+        if (!sent->is_deadly && sent->is_resumable && sent->sent_at >= begin &&
+            sent->sent_at < end) {
+          ++sent_count;
+          begun_count += m_fleet.arrived().contains(sent->id) ? 1 : 0;
+        }
+      }
+      return std::pair(sent_count, begun_count);
+    };
+    const auto [calm, calm_begun] = count(0.0, crashes.front() - 1.0);
+    const auto [late, late_begun] = count(from, last_deadly);
+    m_record.Tell("sound requests of the route that reached a server: " +
+                  std::to_string(calm_begun) + " of " + std::to_string(calm) +
+                  " in calm, " + std::to_string(late_begun) + " of " +
+                  std::to_string(late) + " from 6 s after the fifth crash");
+    constexpr int kMinRequests = 20;
+    if (calm < kMinRequests || late < kMinRequests) {
+      m_record.Tell("too few requests to judge");
+      return kExitCannotRun;
+    }
+    const bool is_broken = late_begun * calm * 2 < calm_begun * late;
+    m_record.Tell(is_broken ? "LOST is broken" : "LOST holds");
+    return is_broken ? kExitBroken : 0;
   }
 
   int Judge() {
@@ -202,9 +284,10 @@
   const Scenario& m_scenario;
   const bool m_has_trouble;
   EventLoop m_loop;
-  Record m_record;
+  Record& m_record;
   SmallFleet m_fleet;
   unsigned m_sent = 0;
+  unsigned m_sent_deadly = 0;
   std::vector<std::shared_ptr<ClientRequest>> m_requests;
   /// From when on entries that were started again are in touch.
   std::optional<double> m_in_touch_from;
@@ -224,9 +307,18 @@
   const char* trouble = std::getenv("TROUBLE");
   const bool has_trouble = trouble == nullptr || std::string(trouble) != "0";
   try {
-    DeadlyPartCase played(*scenario, has_trouble, arguments[1], arguments[2],
-                          arguments[3]);
-    return played.Run();
+    Record record(arguments[3]);
+    int result = 0;
+    for (int round = 1; round <= scenario->rounds && result == 0; ++round) {
+      if (record.Seconds() > kMaxStartS) {
+        break;
+      }
+      record.Tell("round " + std::to_string(round));
+      DeadlyPartCase played(*scenario, has_trouble, arguments[1], arguments[2],
+                            record);
+      result = played.Run();
+    }
+    return result;
   } catch (const std::exception& error) {
     std::cerr << error.what() << '\n';
     return kExitCannotRun;
--- a/review/harness-2/small_fleet.cc
+++ b/review/harness-2/small_fleet.cc
@@ -427,11 +427,12 @@
 }
 
 SmallFleet::SmallFleet(EventLoop& loop, Record& record, std::string programs,
-                       std::string directory)
+                       std::string directory, int server_count)
     : m_loop(loop),
       m_record(record),
       m_programs(std::move(programs)),
       m_directory(std::move(directory)),
+      m_server_count(server_count),
       m_network("127." + std::to_string(20 + getpid() % 200) + "."),
       m_store(loop),
       m_client(loop,
@@ -539,12 +540,13 @@
     return false;
   }
   m_store.Put("op", "config", Configuration());
-  for (int i = 1; i <= kServers; ++i) {
+  for (int i = 1; i <= m_server_count; ++i) {
     m_servers.push_back(std::make_unique<ServerStandin>(
         m_loop, m_store, m_record, std::to_string(i), Host(2, i),
         "zone-" + std::to_string(i % 3),
         ServerStandin::Events{
-            [this](const std::string& /*id*/, bool deadly) {
+            [this](const std::string& id, bool deadly) {
+              m_arrived.insert(id);
               if (deadly) {
                 m_deadly_arrivals.push_back(m_record.Seconds());
               }
@@ -590,15 +592,17 @@
   int served = 0;
   while (m_loop.clock().Now() < end) {
     bool all_served = true;
+    std::vector<std::shared_ptr<ClientRequest>> sent;
     for (int i = 1; i <= kEntries; ++i) {
-      if (!IsReady(i)) {
-        all_served = false;
-        continue;
-      }
-      const auto sent =
-          Send({i, "5c1e07a2:800,91bd3f06:410,e4402b7d:250", false, true});
-      m_loop.RunUntil([&] { return sent->ended; }, seconds(5));
-      all_served = all_served && sent->complete && sent->status == 200;
+      all_served = IsReady(i) && all_served;
+    }
+    for (int i = 1; i <= kEntries && all_served; ++i) {
+      sent.push_back(
+          Send({i, "5c1e07a2:800,91bd3f06:410,e4402b7d:250", false, true}));
+    }
+    for (const auto& request : sent) {
+      m_loop.RunUntil([&] { return request->ended; }, seconds(5));
+      all_served = all_served && request->complete && request->status == 200;
     }
     served = all_served ? served + 1 : 0;
     if (served >= 2) {
@@ -614,6 +618,7 @@
   std::array<char, 24> id{};
   std::snprintf(id.data(), id.size(), "9c41d07b%08zx", m_requests.size() + 1);
   sent->id = id.data();
+  sent->sent_at = m_record.Seconds();
   sent->is_deadly = sending.is_deadly;
   sent->is_resumable = sending.is_resumable;
   sent->record = &m_record;
--- a/review/harness-2/small_fleet.h
+++ b/review/harness-2/small_fleet.h
@@ -160,6 +160,7 @@
   void OnEnd(HttpOutcome outcome) override;
 
   std::string id;
+  double sent_at = 0.0;
   bool is_deadly = false;
   /// Whether the request may run again.
   bool is_resumable = false;
@@ -183,12 +184,11 @@
 class SmallFleet {
  public:
   static constexpr int kEntries = 5;
-  static constexpr int kServers = 18;
 
   /// @param programs  the directory of the project's programs.
   /// @param directory  for settings and logs.
   SmallFleet(EventLoop& loop, Record& record, std::string programs,
-             std::string directory);
+             std::string directory, int server_count);
 
   /// Starts everything and waits until each entry serves.
   /// @returns whether it does.
@@ -204,6 +204,10 @@
   [[nodiscard]] const std::vector<double>& deadly_arrivals() const noexcept {
     return m_deadly_arrivals;
   }
+  /// @returns the ids of the requests that have reached a server.
+  [[nodiscard]] const std::set<std::string>& arrived() const noexcept {
+    return m_arrived;
+  }
   [[nodiscard]] const std::vector<double>& crashes() const noexcept {
     return m_crashes;
   }
@@ -221,7 +225,9 @@
   Record& m_record;
   const std::string m_programs;
   const std::string m_directory;
+  const int m_server_count;
   std::string m_network;
+  std::set<std::string> m_arrived;
   std::vector<double> m_deadly_arrivals;
   std::vector<double> m_crashes;
   StoreStandin m_store;
