--- a/review/harness-2/small_fleet.h
+++ b/review/harness-2/small_fleet.h
@@ -215,6 +215,9 @@
 
  private:
   [[nodiscard]] std::string Host(int group, int index) const;
+  /// Finds addresses that no other fleet uses.
+  /// @returns whether there are any.
+  [[nodiscard]] bool ChooseNetwork();
   [[nodiscard]] Json Configuration() const;
   void StartEntry(int index);
   void StartAgent(int index);
