A response whose status line is not one of HTTP/1.x is broken

What callers saw: a server in trouble answered with the status 000, and the entry passed that on as the answer, with the server's seal.

Cause: nothing looked at the status line between http-parser and the call. http-parser takes any number up to 999, of any number of digits, for a status, any version, blanks in front of the status, empty lines in front of the line and control bytes in the reason phrase. HttpClient is the one reader of answers (of servers, agents, engines, the store and peers), so it is the same for all.

Ruled out: the check in HandleHeadersComplete by http-parser's own fields. It knows the number, not its digits, nor what stands around it.

Change: StatusLine collects the first line as it arrived and checks it by RFC 9112, section 4. A status outside of 100 to 599 is invalid (RFC 9110, section 15). A response that fails the check is broken before the call hears of its head: the caller gets 502, or the call is repeated where it may be. A line without a reason phrase and one of HTTP/1.0 stay valid.

--- a/packages/runtime/src/http_client_connection.cc
+++ b/packages/runtime/src/http_client_connection.cc
@@ -96,6 +96,7 @@
   m_is_skipping_response = false;
   m_is_paused = false;
   m_discarded_bytes = 0;
+  m_status_line.Clear();
   m_headers.Clear();
 
   std::string head = request.method + " " + request.target + " HTTP/1.1\r\n";
@@ -288,12 +289,19 @@
     const std::size_t parsed =
         http_parser_execute(&m_parser, &ParserSettings(), bytes, length);
     const http_errno error = HTTP_PARSER_ERRNO(&m_parser);
+    m_status_line.Append({bytes, parsed});
     evbuffer_drain(input, parsed);
     const bool is_interim = m_parser.status_code / 100 == 1;
     if (is_interim || m_is_skipping_response) {
       m_discarded_bytes += parsed;
     }
-    if (m_head_complete && !had_head && !is_interim) {
+    const bool has_new_head = m_head_complete && !had_head;
+    if (has_new_head && !m_status_line.IsValid()) {
+      m_failed = true;
+      End(HttpOutcome::kBroken);
+      return;
+    }
+    if (has_new_head && !is_interim) {
       const HttpHeaders headers = m_headers.headers();
       const ResponseMatch match = m_observer->Match(headers);
       if (match == ResponseMatch::kUnidentified && m_had_response) {
@@ -327,6 +335,7 @@
         m_message_complete = false;
         m_head_complete = false;
         m_is_skipping_response = false;
+        m_status_line.Clear();
         continue;
       }
       if (DeliverBody()) {
--- a/packages/runtime/src/http_client_connection.h
+++ b/packages/runtime/src/http_client_connection.h
@@ -7,6 +7,7 @@
 
 #include "bambooquay/runtime/http_client.h"
 #include "http_framing.h"
+#include "status_line.h"
 
 namespace bambooquay {
 
@@ -64,6 +65,8 @@
   HttpClient* m_client;
   bufferevent* m_stream;
   http_parser m_parser{};
+  /// Of the response that is being parsed.
+  StatusLine m_status_line;
   HeaderCollector m_headers;
   std::string m_body;
   HttpObserver* m_observer = nullptr;
--- a/packages/runtime/tests/http_client_test.cc
+++ b/packages/runtime/tests/http_client_test.cc
@@ -9,6 +9,7 @@
 #include <array>
 #include <boost/test/unit_test.hpp>
 #include <cerrno>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -88,6 +89,31 @@
   };
 }
 
+/// Checks that `response` is not delivered, be it the first one on its
+/// connection, a later one, or one behind an interim response.
+void ExpectBroken(const std::string& response) {
+  const auto expect_broken = [&](ClientAndServer& fixture) {
+    RecordingObserver observer;
+    BOOST_TEST((fixture.Run(observer) == HttpOutcome::kBroken), response);
+    BOOST_TEST(observer.status == 0, response);
+    BOOST_TEST(fixture.server.connection_count() == 1U);
+  };
+  ClientAndServer first(AlwaysRespond(response));
+  expect_broken(first);
+
+  int request_count = 0;
+  ClientAndServer later([&](const std::string& /*request*/) {
+    return ScriptedResponse{request_count++ == 0 ? Ok("sound") : response};
+  });
+  RecordingObserver sound;
+  BOOST_TEST((later.Run(sound) == HttpOutcome::kComplete));
+  expect_broken(later);
+
+  ClientAndServer behind_interim(
+      AlwaysRespond("HTTP/1.1 103 Early Hints\r\n\r\n" + response));
+  expect_broken(behind_interim);
+}
+
 /// A listening socket that accepts nothing by itself, as that of a process that
 /// stands still.
 class StandingServer {
@@ -259,6 +285,58 @@
   BOOST_TEST(observer.status == 0);
 }
 
+BOOST_AUTO_TEST_CASE(a_response_with_a_malformed_status_line_is_broken) {
+  for (const std::string status_line : {
+           "HTTP/1.1 000 OK",
+           "HTTP/1.1 099 OK",
+           "HTTP/1.1 0 OK",
+           "HTTP/1.1 20 OK",
+           "HTTP/1.1 0200 OK",
+           "HTTP/1.1 600 OK",
+           "HTTP/1.1 999 OK",
+           "HTTP/1.1 2000 OK",
+           "HTTP/1.1 -200 OK",
+           "HTTP/1.1  200 OK",
+           "HTTP/1.1\t200 OK",
+           "HTTP/1.1 200OK",
+           "HTTP/1.1 200\tOK",
+           "HTTP/1.1 OK",
+           "HTTP/1.1",
+           "HTTP/0.9 200 OK",
+           "HTTP/2.0 200 OK",
+           "HTTP/1.10 200 OK",
+           "http/1.1 200 OK",
+           " HTTP/1.1 200 OK",
+           "\r\nHTTP/1.1 200 OK",
+           "HTTP/1.1 200 O\x01K",
+           "HTTP/1.1 200 O\x7fK",
+           // The client never asks for another protocol.
+           "HTTP/1.1 101 Switching Protocols",
+       }) {
+    ExpectBroken(status_line +
+                 "\r\nConnection: Upgrade\r\nUpgrade: x\r\n"
+                 "Content-Length: 1\r\n\r\na");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(unusual_but_valid_status_lines_are_accepted) {
+  for (const auto& [status_line, status] : std::map<std::string, int>{
+           {"HTTP/1.1 200 OK", 200},
+           {"HTTP/1.0 200 OK", 200},
+           {"HTTP/1.1 200 ", 200},
+           {"HTTP/1.1 200", 200},
+           {"HTTP/1.1 418 I'm a\tteapot", 418},
+           {"HTTP/1.1 599 \xc3\xa9", 599},
+       }) {
+    ClientAndServer fixture(
+        AlwaysRespond(status_line + "\r\nContent-Length: 1\r\n\r\na"));
+    RecordingObserver observer;
+    BOOST_TEST((fixture.Run(observer) == HttpOutcome::kComplete), status_line);
+    BOOST_TEST(observer.status == status);
+    BOOST_TEST(observer.body == "a");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_response_with_two_content_lengths_is_broken) {
   ClientAndServer fixture(
       AlwaysRespond("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n"
