Tests: a response with a malformed field name is not passed on

The users saw on other systems that an answer whose head has a blank or a control byte in a field's name reaches clients. Here it is handled already: http-parser refuses control bytes, and HasUnambiguousFraming() refuses blanks. Nothing else is changed for it.

--- a/packages/runtime/tests/http_client_test.cc
+++ b/packages/runtime/tests/http_client_test.cc
@@ -319,6 +319,22 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(a_response_with_a_malformed_field_name_is_broken) {
+  using namespace std::string_literals;
+  for (const std::string& field :
+       {"A B: x"s, "A : x"s, "A\t: x"s, "A\0B: x"s, "A\x01: x"s, "A\x0b: x"s,
+        "A\x7f: x"s, " A: x"s, "Content-Length : 0"s, "Transfer-Encoding : x"s,
+        ": x"s, "A"s}) {
+    for (const std::string& fields :
+         {field + "\r\nX: y\r\n", "X: y\r\n" + field + "\r\n"}) {
+      if (fields == "X: y\r\n A: x\r\n") {
+        continue;  // A line that continues the value before it.
+      }
+      ExpectBroken(Ok("a", fields));
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(unusual_but_valid_status_lines_are_accepted) {
   for (const auto& [status_line, status] : std::map<std::string, int>{
            {"HTTP/1.1 200 OK", 200},
