An end of input beside an error does not complete a response

What callers saw: a server answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written. The client got that part as a complete answer.

Cause: the first operation that fails takes the socket's error with it. On a kept connection the write comes before the read in the same turn of the loop. It meets the reset, and the read then finds an end of input, as after an orderly close. Both reach HandleEvent() in one call, which looked at the end of input first and ended the call as complete. The same in another order: after a pause of the loop the read times out and the write meets the reset in one turn. The call went on after the timeout, the error was dropped, and the next read found an end of input; on new connections too.

Ruled out: a new connection without a pause, where the read comes first and reports the error; a response that arrives together with the reset (both pass before).

Change: an end of input completes a response without a length only if no operation on the connection has failed, and an error is never taken for a timeout. A server that ends its response in order while the upload goes on is still whole, on new and kept connections (tests). If that end and a reset are noticed in the same turn, they can't be told from a reset alone: the response is broken.

--- a/packages/runtime/src/http_client_connection.cc
+++ b/packages/runtime/src/http_client_connection.cc
@@ -216,8 +216,10 @@
     connection->m_connected = true;
     return;
   }
-  if ((events & BEV_EVENT_TIMEOUT) != 0 &&
-      connection->ResumeAfterTimeout(events)) {
+  // The events of one turn of the loop come together.
+  const bool has_error = (events & BEV_EVENT_ERROR) != 0;
+  const bool has_timed_out = (events & BEV_EVENT_TIMEOUT) != 0 && !has_error;
+  if (has_timed_out && connection->ResumeAfterTimeout(events)) {
     return;
   }
   const bool is_idle = connection->m_observer == nullptr;
@@ -232,11 +234,13 @@
     connection->End(HttpOutcome::kNotSent);
     return;
   }
-  if ((events & BEV_EVENT_TIMEOUT) != 0) {
+  if (has_timed_out) {
     connection->End(HttpOutcome::kTimedOut);
     return;
   }
-  if ((events & BEV_EVENT_EOF) != 0) {
+  // The first failed operation takes the socket's error with it: after a write
+  // that met a reset, reading finds an end of input as after an orderly close.
+  if ((events & BEV_EVENT_EOF) != 0 && !has_error) {
     const std::shared_ptr<bool> alive = connection->m_alive;
     connection->Parse();
     if (!*alive || connection->m_observer == nullptr) {
--- a/packages/runtime/tests/http_client_test.cc
+++ b/packages/runtime/tests/http_client_test.cc
@@ -14,6 +14,7 @@
 #include <optional>
 #include <string>
 
+#include "support/plain_server.h"
 #include "support/scripted_peer.h"
 
 namespace bambooquay {
@@ -21,6 +22,8 @@
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
+using testing::HoldUp;
+using testing::PlainServer;
 using testing::ScriptedResponse;
 using testing::ScriptedServer;
 
@@ -114,6 +117,60 @@
   expect_broken(behind_interim);
 }
 
+/// An upload to a server that responds while the request is being written, and
+/// then acts between two turns of the client's loop.
+struct UploadCall {
+  /// @param is_reused  whether the connection has carried a call before.
+  explicit UploadCall(bool is_reused, Duration idle_timeout = kTestTimeout) {
+    if (is_reused) {
+      RecordingObserver first;
+      const auto call = client.Start(server.endpoint(), {}, kTestTimeout,
+                                     ConnectionReuse::kAllowed, first);
+      BOOST_REQUIRE(
+          loop.RunUntil([&] { return server.HasRequest(); }, kTestTimeout));
+      server.Send(Ok("first"));
+      BOOST_REQUIRE(loop.RunUntil([&] { return first.outcome.has_value(); },
+                                  kTestTimeout));
+    }
+    const std::size_t received = server.Received().size();
+    HttpRequest request;
+    request.method = "POST";
+    request.target = "/";
+    request.body = std::string(kUploadBytes, 'x');
+    m_call = client.Start(server.endpoint(), request, idle_timeout,
+                          ConnectionReuse::kAllowed, observer);
+    BOOST_REQUIRE(loop.RunUntil(
+        [&] { return server.Received().size() > received; }, kTestTimeout));
+    BOOST_TEST(client.opened_connection_count() == 1U);
+  }
+
+  /// Waits until the client has read the beginning of the response.
+  void Respond(const std::string& head, const std::string& body) {
+    server.Send(head + body);
+    BOOST_REQUIRE(
+        loop.RunUntil([&] { return observer.body == body; }, kTestTimeout));
+  }
+  HttpOutcome WaitForEnd() {
+    BOOST_REQUIRE(loop.RunUntil([&] { return observer.outcome.has_value(); },
+                                kTestTimeout));
+    return *observer.outcome;
+  }
+
+  // More than the system's buffers hold.
+  static constexpr std::size_t kUploadBytes = std::size_t{16} << 20;
+
+  EventLoop loop;
+  PlainServer server;
+  HttpClient client{loop, {}};
+  RecordingObserver observer;
+
+ private:
+  std::unique_ptr<HttpCall> m_call;
+};
+
+const std::string kUnframedHeads[] = {"HTTP/1.1 200 OK\r\n\r\n",
+                                      "HTTP/1.0 200 OK\r\n\r\n"};
+
 /// A listening socket that accepts nothing by itself, as that of a process that
 /// stands still.
 class StandingServer {
@@ -278,6 +335,64 @@
   BOOST_TEST((fixture.Run(observer) == HttpOutcome::kBroken));
 }
 
+// The write meets the reset before the read, which then finds an end of input.
+BOOST_AUTO_TEST_CASE(a_reset_of_an_upload_breaks_a_response_without_length) {
+  for (const std::string& head : kUnframedHeads) {
+    for (const bool is_reused : {false, true}) {
+      for (const bool is_abortive : {false, true}) {
+        UploadCall call(is_reused);
+        call.Respond(head, "part");
+        if (is_abortive) {
+          call.server.Reset();
+        } else {
+          // Part of the upload was not received.
+          call.server.Close();
+        }
+        BOOST_TEST((call.WaitForEnd() == HttpOutcome::kBroken));
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_response_and_the_reset_of_its_upload_arrive_together) {
+  for (const std::string& head : kUnframedHeads) {
+    for (const bool is_reused : {false, true}) {
+      UploadCall call(is_reused);
+      call.server.Send(head + "part");
+      call.server.Reset();
+      BOOST_TEST((call.WaitForEnd() == HttpOutcome::kBroken));
+    }
+  }
+}
+
+// After a pause of the loop, the read times out and the write fails at once.
+BOOST_AUTO_TEST_CASE(a_timeout_does_not_hide_the_reset_of_an_upload) {
+  for (const bool is_reused : {false, true}) {
+    UploadCall call(is_reused, milliseconds(300));
+    call.Respond(kUnframedHeads[0], "part");
+    call.loop.RunUntil([] { return false; }, milliseconds(200));
+    const std::size_t received = call.server.Received().size();
+    BOOST_REQUIRE(call.loop.RunUntil(
+        [&] { return call.server.Received().size() > received; },
+        kTestTimeout));
+    call.server.Reset();
+    HoldUp(milliseconds(200));
+    BOOST_TEST((call.WaitForEnd() == HttpOutcome::kBroken));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(an_orderly_end_completes_a_response_to_an_upload) {
+  for (const std::string& head : kUnframedHeads) {
+    for (const bool is_reused : {false, true}) {
+      UploadCall call(is_reused);
+      call.Respond(head, "whole");
+      call.server.EndOutput();
+      BOOST_TEST((call.WaitForEnd() == HttpOutcome::kComplete));
+      BOOST_TEST(call.observer.body == "whole");
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_response_that_is_not_http_is_broken) {
   ClientAndServer fixture(AlwaysRespond("SSH-2.0-x\r\n"));
   RecordingObserver observer;
--- a/testing/support/plain_server.h
+++ b/testing/support/plain_server.h
@@ -69,7 +69,15 @@
                        MSG_NOSIGNAL | MSG_DONTWAIT) ==
                   static_cast<ssize_t>(bytes.size()));
   }
-  /// Closes the newest connection.
+  /// Ends the output on the newest connection, which still receives.
+  void EndOutput() const { shutdown(m_connection, SHUT_WR); }
+  /// Closes the newest connection with a reset.
+  void Reset() {
+    const linger reset{1, 0};
+    setsockopt(m_connection, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    Close();
+  }
+  /// Closes the newest connection. Input that was not received resets it.
   void Close() {
     if (m_connection >= 0) {
       close(m_connection);
