A streamed response that is written already ends its connection at once

What callers saw: an HTTP/1.0 caller of a streamed response, and one that sends HEAD with Connection: close, waited for the end of the connection for the whole idle limit (60 s) if all of the response had been written before it ended, as with each stream whose last event precedes its end.

Cause: the end of such a response adds no bytes, and the connection waited for a write callback to shut it down. None runs if nothing is left to be written.

Change: a response that ends with an empty output shuts its connection down.

--- a/packages/runtime/src/http_server_connection.cc
+++ b/packages/runtime/src/http_server_connection.cc
@@ -523,6 +523,10 @@
   if (!m_keep_alive) {
     evbuffer_drain(input, evbuffer_get_length(input));
     SetState(State::kFlushing);
+    if (evbuffer_get_length(output()) == 0) {
+      // No further write notifies the connection of that.
+      Linger();
+    }
     return;
   }
   SetState(State::kIdle);
--- a/packages/runtime/tests/http_server_test.cc
+++ b/packages/runtime/tests/http_server_test.cc
@@ -129,6 +129,52 @@
   return limits;
 }
 
+// More than the system's buffers hold.
+constexpr std::size_t kLongBody = 20'000'000;
+
+/// A response to an HTTP/1.0 caller that only the end of its connection ends.
+struct UnframedStream {
+  /// Writes the head and `part`, which is not the end of the response.
+  explicit UnframedStream(std::string part, const HttpServerLimits& limits = {})
+      : body(std::move(part)),
+        server(std::make_unique<HttpServer>(
+            loop, limits, [this](std::shared_ptr<HttpExchange> new_exchange) {
+              exchange = std::move(new_exchange);
+              exchange->StartStream(200, {});
+              exchange->SendPart(body, nullptr);
+            })) {
+    BOOST_REQUIRE(server->Listen({"127.0.0.1", 0}));
+    caller =
+        std::make_unique<PlainCaller>(Endpoint{"127.0.0.1", server->port()});
+    caller->Send("GET / HTTP/1.0\r\n\r\n");
+    BOOST_REQUIRE(
+        loop.RunUntil([&] { return exchange != nullptr; }, kTestTimeout));
+  }
+
+  void WaitForBody() {
+    BOOST_REQUIRE(loop.RunUntil([&] { return HasWholeBody(); }, kTestTimeout));
+  }
+  [[nodiscard]] bool HasWholeBody() {
+    return caller->Received().ends_with(body);
+  }
+  /// @returns how the connection ends for the caller.
+  [[nodiscard]] std::string WaitForEnd() {
+    const bool has_ended = loop.RunUntil(
+        [&] {
+          static_cast<void>(caller->Received());
+          return caller->closed();
+        },
+        kTestTimeout);
+    return !has_ended ? "open" : caller->was_reset() ? "reset" : "orderly";
+  }
+
+  EventLoop loop;
+  std::string body;
+  std::shared_ptr<HttpExchange> exchange;
+  std::unique_ptr<HttpServer> server;
+  std::unique_ptr<PlainCaller> caller;
+};
+
 std::string PostOf(std::size_t length, std::size_t sent) {
   return "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(length) +
          "\r\n\r\n" + std::string(sent, 'x');
@@ -675,6 +721,41 @@
   BOOST_TEST(received > kBodyBytes);
 }
 
+// HTTP/1.0 has no chunks: the end of the connection ends a streamed response.
+BOOST_AUTO_TEST_CASE(a_streamed_response_is_complete_for_an_http_1_0_caller) {
+  for (const bool is_received : {false, true}) {
+    for (const std::size_t size : {std::size_t{4}, kLongBody}) {
+      UnframedStream test(std::string(size, 'x'));
+      if (is_received) {
+        test.WaitForBody();
+      }
+      test.exchange->EndStream();
+      BOOST_TEST(test.WaitForEnd() == "orderly");
+      BOOST_TEST(test.HasWholeBody());
+    }
+  }
+}
+
+// Nothing is left to be written as the response ends.
+BOOST_AUTO_TEST_CASE(a_streamed_response_to_head_ends_with_its_connection) {
+  TestServer test;
+  PlainCaller caller(test.endpoint);
+  caller.Send("HEAD / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+  BOOST_REQUIRE(test.loop.RunUntil([&] { return !test.exchanges.empty(); },
+                                   kTestTimeout));
+  test.exchanges.front()->StartStream(200, {});
+  BOOST_REQUIRE(test.loop.RunUntil(
+      [&] { return caller.Received().ends_with("\r\n\r\n"); }, kTestTimeout));
+  test.exchanges.front()->EndStream();
+  BOOST_TEST(test.loop.RunUntil(
+      [&] {
+        static_cast<void>(caller.Received());
+        return caller.closed();
+      },
+      milliseconds(500)));
+  BOOST_TEST(!caller.was_reset());
+}
+
 BOOST_AUTO_TEST_CASE(a_body_in_progress_keeps_the_limit_that_it_began_under) {
   for (const bool is_chunked : {false, true}) {
     const ChangedLimits limits = MakeChangedLimits();
--- a/testing/support/plain_caller.h
+++ b/testing/support/plain_caller.h
@@ -55,6 +55,7 @@
            0) {
       m_received.append(bytes.data(), static_cast<std::size_t>(length));
     }
+    m_was_reset = m_was_reset || (length < 0 && errno == ECONNRESET);
     m_closed = m_closed || length == 0 || (errno != EAGAIN && errno != EINTR);
     return m_received;
   }
@@ -68,11 +69,14 @@
   }
   /// @returns whether the server has closed the connection, as of Received().
   [[nodiscard]] bool closed() const { return m_closed; }
+  /// @returns whether that was a reset, which no complete response ends with.
+  [[nodiscard]] bool was_reset() const { return m_was_reset; }
 
  private:
   int m_socket;
   std::string m_received;
   bool m_closed = false;
+  bool m_was_reset = false;
 };
 
 }  // namespace bambooquay::testing
