A response to HTTP/1.0 that ends early is reset

What callers saw: an answer that an entry had begun to relay to an HTTP/1.0 caller and then cut off ended with an orderly close, so that it looked whole.

Cause: HTTP/1.0 has no chunks, so a streamed response has nothing but the end of its connection to say that it is complete. The server closed the connection in the same way for each end.

Ruled out: a reset in AbortResponse() alone. The idle limit, limits on memory and the end of the process close the connection without it.

Change: from the head of such a response on, closing the socket resets the connection, whoever closes it. Once all is written, the option is taken back and the connection is shut down in order. HTTP/1.1 is as before: a missing last chunk says that the response is cut.

--- a/packages/runtime/src/http_client_connection.cc
+++ b/packages/runtime/src/http_client_connection.cc
@@ -61,7 +61,7 @@
   if (m_awaits_response) {
     // Withdraws the request if it has not been delivered: after an orderly
     // close it would still be sent once the path to the peer is back.
-    ResetOnClose(bufferevent_getfd(m_stream));
+    SetResetOnClose(bufferevent_getfd(m_stream), true);
   }
   bufferevent_free(m_stream);
 }
--- a/packages/runtime/src/http_framing.cc
+++ b/packages/runtime/src/http_framing.cc
@@ -128,9 +128,9 @@
   }
 }
 
-void ResetOnClose(int socket) noexcept {
-  const linger reset{1, 0};
-  setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+void SetResetOnClose(int socket, bool resets) noexcept {
+  const linger option{resets ? 1 : 0, 0};
+  setsockopt(socket, SOL_SOCKET, SO_LINGER, &option, sizeof(option));
 }
 
 }  // namespace bambooquay
--- a/packages/runtime/src/http_framing.h
+++ b/packages/runtime/src/http_framing.h
@@ -79,7 +79,8 @@
 ///   unacknowledged for this long; zero keeps the system's default.
 void SetSocketOptions(int socket, Duration tcp_user_timeout) noexcept;
 
-/// Makes the close of `socket` reset its connection and drop unsent bytes.
-void ResetOnClose(int socket) noexcept;
+/// Sets whether the close of `socket`, also by the end of the process, resets
+/// its connection and drops unsent bytes.
+void SetResetOnClose(int socket, bool resets) noexcept;
 
 }  // namespace bambooquay
--- a/packages/runtime/src/http_server_connection.cc
+++ b/packages/runtime/src/http_server_connection.cc
@@ -487,6 +487,8 @@
                                            const HttpHeaders& headers) {
   if (!m_chunked) {
     m_keep_alive = false;
+    // Only an orderly close says that the response is complete.
+    SetResetOnClose(bufferevent_getfd(m_stream), true);
   }
   std::string head = MakeHead(status, headers);
   if (m_chunked) {
@@ -538,6 +540,9 @@
 }
 
 void HttpServerConnection::Linger() {
+  if (!m_chunked) {
+    SetResetOnClose(bufferevent_getfd(m_stream), false);
+  }
   shutdown(bufferevent_getfd(m_stream), SHUT_WR);
   SetState(State::kLingering);
 }
--- a/packages/runtime/tests/http_server_test.cc
+++ b/packages/runtime/tests/http_server_test.cc
@@ -736,6 +736,36 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(a_response_that_is_cut_is_reset_for_an_http_1_0_caller) {
+  UnframedStream aborted("part");
+  aborted.WaitForBody();
+  aborted.exchange->Abort();
+  BOOST_TEST(aborted.WaitForEnd() == "reset");
+
+  UnframedStream dropped("part");
+  dropped.WaitForBody();
+  dropped.exchange = nullptr;
+  BOOST_TEST(dropped.WaitForEnd() == "reset");
+
+  UnframedStream stopped("part");
+  stopped.WaitForBody();
+  stopped.server = nullptr;
+  BOOST_TEST(stopped.WaitForEnd() == "reset");
+
+  // The caller does not read, also after the end of the response.
+  for (const bool is_ended : {false, true}) {
+    UnframedStream idle(std::string(kLongBody, 'x'),
+                        WithIdleTimeout(milliseconds(300)));
+    if (is_ended) {
+      idle.exchange->EndStream();
+    }
+    BOOST_REQUIRE(idle.loop.RunUntil(
+        [&] { return idle.server->connection_count() == 0; }, kTestTimeout));
+    BOOST_TEST(idle.WaitForEnd() == "reset");
+    BOOST_TEST(!idle.HasWholeBody());
+  }
+}
+
 // Nothing is left to be written as the response ends.
 BOOST_AUTO_TEST_CASE(a_streamed_response_to_head_ends_with_its_connection) {
   TestServer test;
