A response with a malformed line end in its framing is broken

Found while looking for the cause of the status 000 wherever answers are read.

What callers would see: a server in trouble sends a chunk that is longer than its size says, `3\r\nabcde0\r\n\r\n`. The caller gets `abc` as the whole body, with the server's seal. Not seen by the users.

Cause: as with the status line, nothing looked at what http-parser lets through. Debian's build of it is not a strict one. It skips, unseen, the byte behind the carriage return at the end of the head, of a chunk's size and of the trailers, and both bytes behind a chunk's data.

Ruled out: the faults that http-parser finds by itself: a line feed alone behind a chunk's data, a carriage return inside a field, a Content-Length that is folded, signed or a list. Line feeds alone at the ends of a head's lines stay valid.

Change: LineEndCheck sees each byte that is no part of a body: behind a carriage return it takes nothing but a line feed, and behind a chunk's data nothing but a carriage return. A response that fails is broken, and what arrived with the fault is not delivered.

Sound responses with chunk extensions, trailers, and carriage returns in the body are whole, split at each byte.

--- a/packages/runtime/src/http_client_connection.cc
+++ b/packages/runtime/src/http_client_connection.cc
@@ -91,13 +91,10 @@
   m_awaits_response = true;
   m_keep_alive = keep_alive;
   m_is_head_request = request.method == "HEAD";
-  m_head_complete = false;
-  m_message_complete = false;
-  m_is_skipping_response = false;
   m_is_paused = false;
   m_discarded_bytes = 0;
-  m_status_line.Clear();
   m_headers.Clear();
+  AwaitResponse();
 
   std::string head = request.method + " " + request.target + " HTTP/1.1\r\n";
   if (request.headers.Get("Host").empty()) {
@@ -128,6 +125,14 @@
   bufferevent_enable(m_stream, EV_READ | EV_WRITE);
 }
 
+void HttpClientConnection::AwaitResponse() {
+  m_head_complete = false;
+  m_message_complete = false;
+  m_is_skipping_response = false;
+  m_status_line.Clear();
+  m_line_ends.Clear();
+}
+
 void HttpClientConnection::SetPaused(bool paused) {
   m_is_paused = paused;
   if (paused) {
@@ -177,12 +182,7 @@
       return Self(parser).m_headers.OnValue({data, size}) ? 0 : -1;
     };
     settings.on_headers_complete = &HttpClientConnection::HandleHeadersComplete;
-    settings.on_body = [](http_parser* parser, const char* data, size_t size) {
-      if (!Self(parser).m_is_skipping_response) {
-        Self(parser).m_body.append(data, size);
-      }
-      return 0;
-    };
+    settings.on_body = &HttpClientConnection::HandleBody;
     settings.on_message_complete = [](http_parser* parser) {
       Self(parser).m_message_complete = true;
       http_parser_pause(parser, 1);
@@ -205,6 +205,18 @@
   return self.m_is_head_request ? 1 : 0;
 }
 
+int HttpClientConnection::HandleBody(http_parser* parser, const char* data,
+                                     size_t size) {
+  HttpClientConnection& self = Self(parser);
+  self.m_line_ends.OnFraming({self.m_unchecked, data});
+  self.m_line_ends.OnBody();
+  self.m_unchecked = data + size;
+  if (!self.m_is_skipping_response) {
+    self.m_body.append(data, size);
+  }
+  return 0;
+}
+
 void HttpClientConnection::HandleRead(bufferevent* /*stream*/, void* self) {
   static_cast<HttpClientConnection*>(self)->Parse();
 }
@@ -274,6 +286,28 @@
          ((events & BEV_EVENT_WRITING) == 0 || resume(EV_WRITE));
 }
 
+HttpClientConnection::ParsedInput HttpClientConnection::ParseInput(
+    evbuffer* input) {
+  const bool had_head = m_head_complete;
+  const std::size_t length = evbuffer_get_length(input);
+  const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(input, -1));
+  m_unchecked = bytes;
+  const std::size_t size =
+      http_parser_execute(&m_parser, &ParserSettings(), bytes, length);
+  m_line_ends.OnFraming({std::exchange(m_unchecked, nullptr), bytes + size});
+  m_status_line.Append({bytes, size});
+  const bool has_new_head = m_head_complete && !had_head;
+  // The parser stops before the last byte of the head.
+  const bool is_valid_head =
+      size < length && bytes[size] == '\n' && m_status_line.IsValid();
+  evbuffer_drain(input, size);
+  return {
+      .size = size,
+      .error = HTTP_PARSER_ERRNO(&m_parser),
+      .has_new_head = has_new_head,
+      .is_valid = m_line_ends.IsValid() && (!has_new_head || is_valid_head)};
+}
+
 void HttpClientConnection::Parse() {
   evbuffer* input = bufferevent_get_input(m_stream);
   if (m_observer == nullptr) {
@@ -286,26 +320,17 @@
   }
   const std::shared_ptr<bool> alive = m_alive;
   while (evbuffer_get_length(input) > 0) {
-    const bool had_head = m_head_complete;
-    const std::size_t length = evbuffer_get_length(input);
-    const auto* bytes =
-        reinterpret_cast<const char*>(evbuffer_pullup(input, -1));
-    const std::size_t parsed =
-        http_parser_execute(&m_parser, &ParserSettings(), bytes, length);
-    const http_errno error = HTTP_PARSER_ERRNO(&m_parser);
-    m_status_line.Append({bytes, parsed});
-    evbuffer_drain(input, parsed);
-    const bool is_interim = m_parser.status_code / 100 == 1;
-    if (is_interim || m_is_skipping_response) {
-      m_discarded_bytes += parsed;
-    }
-    const bool has_new_head = m_head_complete && !had_head;
-    if (has_new_head && !m_status_line.IsValid()) {
+    const ParsedInput parsed = ParseInput(input);
+    if (!parsed.is_valid) {
       m_failed = true;
       End(HttpOutcome::kBroken);
       return;
     }
-    if (has_new_head && !is_interim) {
+    const bool is_interim = m_parser.status_code / 100 == 1;
+    if (is_interim || m_is_skipping_response) {
+      m_discarded_bytes += parsed.size;
+    }
+    if (parsed.has_new_head && !is_interim) {
       const HttpHeaders headers = m_headers.headers();
       const ResponseMatch match = m_observer->Match(headers);
       if (match == ResponseMatch::kUnidentified && m_had_response) {
@@ -323,11 +348,11 @@
         }
       }
     }
-    if (error == HPE_PAUSED) {
+    if (parsed.error == HPE_PAUSED) {
       http_parser_pause(&m_parser, 0);
     }
     const bool is_endless = m_discarded_bytes > kMaxDiscardedBytes;
-    if (is_endless || (error != HPE_PAUSED && error != HPE_OK)) {
+    if (is_endless || (parsed.error != HPE_PAUSED && parsed.error != HPE_OK)) {
       m_failed = true;
       if (DeliverBody()) {
         End(HttpOutcome::kBroken);
@@ -336,10 +361,7 @@
     }
     if (m_message_complete) {
       if (is_interim || m_is_skipping_response) {
-        m_message_complete = false;
-        m_head_complete = false;
-        m_is_skipping_response = false;
-        m_status_line.Clear();
+        AwaitResponse();
         continue;
       }
       if (DeliverBody()) {
--- a/packages/runtime/src/http_client_connection.h
+++ b/packages/runtime/src/http_client_connection.h
@@ -7,6 +7,7 @@
 
 #include "bambooquay/runtime/http_client.h"
 #include "http_framing.h"
+#include "line_end_check.h"
 #include "status_line.h"
 
 namespace bambooquay {
@@ -43,10 +44,23 @@
   static void HandleRead(bufferevent* stream, void* self);
   static void HandleEvent(bufferevent* stream, short events, void* self);
   static int HandleHeadersComplete(http_parser* parser);
+  static int HandleBody(http_parser* parser, const char* data, size_t size);
   static const http_parser_settings& ParserSettings();
 
   void Connect();
+  /// Prepares for the next response, which may be an interim one.
+  void AwaitResponse();
   void Parse();
+  struct ParsedInput {
+    std::size_t size;
+    http_errno error;
+    bool has_new_head;
+    /// Whether the response passes the checks that http-parser leaves out.
+    bool is_valid;
+  };
+  /// Runs the parser on the input, up to the end of a head or of a message, and
+  /// removes what was parsed.
+  [[nodiscard]] ParsedInput ParseInput(evbuffer* input);
   /// After a pause of the event loop, timeouts run before what the socket is
   /// ready for.
   /// @returns whether the timed out reading or writing goes on.
@@ -67,6 +81,10 @@
   http_parser m_parser{};
   /// Of the response that is being parsed.
   StatusLine m_status_line;
+  LineEndCheck m_line_ends;
+  /// Where the bytes begin that are being parsed and not checked yet. Null
+  /// outside of the parser.
+  const char* m_unchecked = nullptr;
   HeaderCollector m_headers;
   std::string m_body;
   HttpObserver* m_observer = nullptr;
--- a/packages/runtime/tests/http_client_test.cc
+++ b/packages/runtime/tests/http_client_test.cc
@@ -117,6 +117,32 @@
   expect_broken(behind_interim);
 }
 
+/// @returns the body of a response whose first `size` bytes arrive before the
+///   others, or nothing if the response is broken.
+std::optional<std::string> ReceiveInParts(const std::string& response,
+                                          std::size_t size) {
+  EventLoop loop;
+  PlainServer server;
+  HttpClient client(loop, {});
+  RecordingObserver observer;
+  const auto call = client.Start(server.endpoint(), {}, kTestTimeout,
+                                 ConnectionReuse::kAllowed, observer);
+  BOOST_REQUIRE(
+      loop.RunUntil([&] { return server.HasRequest(); }, kTestTimeout));
+  server.Send(response.substr(0, size));
+  bool is_handled = false;
+  const auto handled = loop.AfterInput([&] { is_handled = true; });
+  BOOST_REQUIRE(loop.RunUntil([&] { return is_handled; }, kTestTimeout));
+  if (!observer.outcome.has_value()) {
+    server.Send(response.substr(size));
+  }
+  BOOST_REQUIRE(loop.RunUntil([&] { return observer.outcome.has_value(); },
+                              kTestTimeout));
+  return observer.outcome == HttpOutcome::kComplete
+             ? std::optional(observer.body)
+             : std::nullopt;
+}
+
 /// An upload to a server that responds while the request is being written, and
 /// then acts between two turns of the client's loop.
 struct UploadCall {
@@ -450,6 +476,46 @@
   }
 }
 
+// Each response is complete but for its line ends, and arrives in two parts.
+BOOST_AUTO_TEST_CASE(a_response_with_a_malformed_line_end_is_broken) {
+  for (const std::string response : {
+           "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\rZa",
+           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\rZ"
+           "3\r\nabc\r\n0\r\n\r\n",
+           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+           "3\r\nabcde0\r\n\r\n",
+           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+           "3\r\nabc\rZ0\r\n\r\n",
+           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+           "3\r\nabcZ\n0\r\n\r\n",
+           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+           "3\rZabc\r\n0\r\n\r\n",
+           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+           "3\r\nabc\r\n0\rZ\r\n",
+           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+           "3\r\nabc\r\n0\r\n\rZ",
+       }) {
+    for (std::size_t size = 1; size < response.size(); ++size) {
+      BOOST_TEST(!ReceiveInParts(response, size).has_value(), response);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_response_that_arrives_in_parts_is_complete) {
+  for (const std::string response : {
+           "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\na\rb",
+           "HTTP/1.1 200 OK\nContent-Length: 3\n\na\rb",
+           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+           "2;x=y\r\na\r\r\n1\r\nb\r\n0\r\n\r\n",
+           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+           "3\r\na\rb\r\n0\r\nA: b\r\n\r\n",
+       }) {
+    for (std::size_t size = 1; size < response.size(); ++size) {
+      BOOST_TEST((ReceiveInParts(response, size) == "a\rb"), response);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(unusual_but_valid_status_lines_are_accepted) {
   for (const auto& [status_line, status] : std::map<std::string, int>{
            {"HTTP/1.1 200 OK", 200},
