A response that has no body ends with its head

Found while looking for the same cause wherever answers are read.

What callers would see: a server in trouble sends an interim response (1xx) with a length and a body. The caller gets that body in front of the answer's own, with status 200 and the server's seal. A sound 204 or 304 that names a length, as a 304 may, is not delivered: the call waits for a body until its time limit. Not seen by the users.

Cause: responses with 1xx, 204 and 304 end with their head, whatever their fields say (RFC 9112, section 6.3). http-parser goes by the fields, and nothing told it otherwise. The body of an interim response was then kept as one of the call's.

Evidence, on the code before: on a whole path the caller gets "stray" in front of the server's body, on routes that may be repeated, on others and on streams. In the client's tests 34 checks fail: stray bytes in a response that counts as complete, calls with 204 and 304 that time out, and an interim response with a length alone that takes the first five bytes of the head behind it for its body.

Change: the parser is told that no body follows. Bytes that follow all the same are no status line, so the call is broken, or the connection isn't used again.

After: no failed check in http_client/* and in the cases of the whole path.

--- a/packages/runtime/src/http_client_connection.cc
+++ b/packages/runtime/src/http_client_connection.cc
@@ -35,6 +35,12 @@
   return *static_cast<HttpClientConnection*>(parser->data);
 }
 
+/// @returns whether responses with this status end with their head.
+bool HasNoBody(unsigned int status) {
+  return status / 100 == 1 || status == HTTP_STATUS_NO_CONTENT ||
+         status == HTTP_STATUS_NOT_MODIFIED;
+}
+
 }  // namespace
 
 HttpClientConnection::HttpClientConnection(EventLoop& loop,
@@ -202,7 +208,8 @@
   // Pauses the parser so that the observer receives the headers before the
   // body.
   http_parser_pause(parser, 1);
-  return self.m_is_head_request ? 1 : 0;
+  // Tells the parser that no body follows, whatever the fields say.
+  return self.m_is_head_request || HasNoBody(parser->status_code) ? 1 : 0;
 }
 
 int HttpClientConnection::HandleBody(http_parser* parser, const char* data,
--- a/packages/runtime/tests/http_client_test.cc
+++ b/packages/runtime/tests/http_client_test.cc
@@ -99,6 +99,7 @@
     RecordingObserver observer;
     BOOST_TEST((fixture.Run(observer) == HttpOutcome::kBroken), response);
     BOOST_TEST(observer.status == 0, response);
+    BOOST_TEST(observer.body.empty(), response);
     BOOST_TEST(fixture.server.connection_count() == 1U);
   };
   ClientAndServer first(AlwaysRespond(response));
@@ -343,6 +344,37 @@
   BOOST_TEST(observer.body == "final");
 }
 
+// A length is that of a body which is not sent (RFC 9112, section 6.3).
+BOOST_AUTO_TEST_CASE(a_response_that_has_no_body_ends_with_its_head) {
+  for (const std::string field :
+       {"", "Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n"}) {
+    for (const std::string status : {"204", "304"}) {
+      ClientAndServer fixture(
+          AlwaysRespond("HTTP/1.1 " + status + " X\r\n" + field + "\r\n"));
+      for (int i = 0; i < 2; ++i) {
+        RecordingObserver observer;
+        BOOST_TEST((fixture.Run(observer) == HttpOutcome::kComplete));
+        BOOST_TEST(std::to_string(observer.status) == status);
+        BOOST_TEST(observer.body.empty());
+      }
+      BOOST_TEST(fixture.server.connection_count() == 1U);
+    }
+    ClientAndServer fixture(
+        AlwaysRespond("HTTP/1.1 103 X\r\n" + field + "\r\n" + Ok("final")));
+    RecordingObserver observer;
+    BOOST_TEST((fixture.Run(observer) == HttpOutcome::kComplete));
+    BOOST_TEST(observer.body == "final");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_body_of_an_interim_response_gets_into_no_other) {
+  ExpectBroken("HTTP/1.1 103 X\r\nContent-Length: 5\r\n\r\nstray" + Ok("a"));
+  ExpectBroken(
+      "HTTP/1.1 103 X\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "5\r\nstray\r\n0\r\n\r\n" +
+      Ok("a"));
+}
+
 BOOST_AUTO_TEST_CASE(
     a_response_without_length_ends_when_the_connection_closes) {
   ClientAndServer fixture(
