Log why a response counts as malformed

A broken connection and a response that is no HTTP had the same line in the log, `attempt_failed reason=broken`. `response_malformed` now says which server, and which check failed.

--- a/packages/runtime/src/http_client_connection.cc
+++ b/packages/runtime/src/http_client_connection.cc
@@ -10,6 +10,7 @@
 #include <charconv>
 #include <utility>
 
+#include "bambooquay/runtime/log.h"
 #include "loop_time.h"
 #include "socket_address.h"
 #include "timeval.h"
@@ -305,14 +306,24 @@
   m_status_line.Append({bytes, size});
   const bool has_new_head = m_head_complete && !had_head;
   // The parser stops before the last byte of the head.
-  const bool is_valid_head =
-      size < length && bytes[size] == '\n' && m_status_line.IsValid();
+  const bool head_has_end = size < length && bytes[size] == '\n';
+  std::string_view failed_check;
+  if (has_new_head && !m_status_line.IsValid()) {
+    failed_check = "status_line";
+  } else if (!m_line_ends.IsValid() || (has_new_head && !head_has_end)) {
+    failed_check = "line_end";
+  }
   evbuffer_drain(input, size);
-  return {
-      .size = size,
-      .error = HTTP_PARSER_ERRNO(&m_parser),
-      .has_new_head = has_new_head,
-      .is_valid = m_line_ends.IsValid() && (!has_new_head || is_valid_head)};
+  return {.size = size,
+          .error = HTTP_PARSER_ERRNO(&m_parser),
+          .has_new_head = has_new_head,
+          .failed_check = failed_check};
+}
+
+void HttpClientConnection::ReportMalformed(std::string_view reason) const {
+  LogEvent(LogLevel::kInfo, "response_malformed")
+      .With("peer", m_endpoint.ToString())
+      .With("reason", reason);
 }
 
 void HttpClientConnection::Parse() {
@@ -328,7 +339,8 @@
   const std::shared_ptr<bool> alive = m_alive;
   while (evbuffer_get_length(input) > 0) {
     const ParsedInput parsed = ParseInput(input);
-    if (!parsed.is_valid) {
+    if (!parsed.failed_check.empty()) {
+      ReportMalformed(parsed.failed_check);
       m_failed = true;
       End(HttpOutcome::kBroken);
       return;
@@ -360,6 +372,8 @@
     }
     const bool is_endless = m_discarded_bytes > kMaxDiscardedBytes;
     if (is_endless || (parsed.error != HPE_PAUSED && parsed.error != HPE_OK)) {
+      ReportMalformed(is_endless ? "discarded_bytes"
+                                 : http_errno_name(parsed.error));
       m_failed = true;
       if (DeliverBody()) {
         End(HttpOutcome::kBroken);
--- a/packages/runtime/src/http_client_connection.h
+++ b/packages/runtime/src/http_client_connection.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "bambooquay/runtime/http_client.h"
 #include "http_framing.h"
@@ -55,12 +56,14 @@
     std::size_t size;
     http_errno error;
     bool has_new_head;
-    /// Whether the response passes the checks that http-parser leaves out.
-    bool is_valid;
+    /// The check that http-parser leaves out and the response fails, as used in
+    /// logs; empty if it passes all.
+    std::string_view failed_check;
   };
   /// Runs the parser on the input, up to the end of a head or of a message, and
   /// removes what was parsed.
   [[nodiscard]] ParsedInput ParseInput(evbuffer* input);
+  void ReportMalformed(std::string_view reason) const;
   /// After a pause of the event loop, timeouts run before what the socket is
   /// ready for.
   /// @returns whether the timed out reading or writing goes on.
