--- a/packages/runtime/src/http_server_connection.cc
+++ b/packages/runtime/src/http_server_connection.cc
@@ -541,6 +541,7 @@
 
 void HttpServerConnection::Linger() {
   if (!m_chunked) {
+    // The response is complete and written.
     SetResetOnClose(bufferevent_getfd(m_stream), false);
   }
   shutdown(bufferevent_getfd(m_stream), SHUT_WR);
--- a/testing/support/plain_caller.h
+++ b/testing/support/plain_caller.h
@@ -69,6 +69,11 @@
   }
   /// @returns whether the server has closed the connection, as of Received().
   [[nodiscard]] bool closed() const { return m_closed; }
+  /// @returns whether the server has closed the connection by now.
+  [[nodiscard]] bool HasClosed() {
+    static_cast<void>(Received());
+    return m_closed;
+  }
   /// @returns whether that was a reset, which no complete response ends with.
   [[nodiscard]] bool was_reset() const { return m_was_reset; }
 
