Log that a listing of the store was discarded as older than the copy

The record of the configuration that was not in force has store_lost every 40 ms, with a response 5 to 7 ms after each call. Only the reading of the code tells that these were listings which the mirror discarded; the logs didn't. table_listing_older says so, with both versions. No logic is changed.

--- a/packages/serving/src/table_mirror.cc
+++ b/packages/serving/src/table_mirror.cc
@@ -51,6 +51,10 @@
   auto& page = std::get<TablePage>(result);
   // Discards a listing that is older than the copy, and lists again later.
   if (page.version < m_version) {
+    LogEvent(LogLevel::kWarning, "table_listing_older")
+        .With("table", m_settings.table)
+        .With("version", m_version)
+        .With("listed", page.version);
     RetryLater([this] { List(""); }, TableFailure::kUnavailable);
     return;
   }
