Follow the store when it returns from an older copy

Cause: versions were compared as if the store had one history. After a return from an older copy its versions are lower and are given out again. TableMirror discarded each listing with a lower version than its copy's and asked again after 30 to 60 ms, until the versions had passed the copy's; then rows with a reused version counted as known, and a watch from a version that exists again returned nothing of what was written before it. Entries handed such copies to each other by the same comparison.

Evidence: the users' record has store_lost every 40 ms with a response 5 to 7 ms old, which only this place logs; at 46:38.47 one agent's copy was at 217 while another agent listed 159.

Change: the store's responses name their era. A page of a later era replaces the copy by its values; one of an earlier era is not used. Rows that the returned store lacks, and deleted rows that it has again, are kept as they were for 4 s, in which their writers write them again: otherwise calls would go to data centres out of service and to servers that had left.

Ruled out: the configuration's own version, which only goes up in a process; the reads 3 s behind that the operators may cause, as they have the same era and are still discarded.

--- a/packages/duties/src/duty_lease.cc
+++ b/packages/duties/src/duty_lease.cc
@@ -252,7 +252,7 @@
   }
   const bool is_releasing = m_held.has_value() && m_held->is_releasing;
   m_held = written;
-  m_held->version = std::get<TablePage>(result).version;
+  m_held->version = std::get<TablePage>(result).position.version;
   m_held->is_releasing = is_releasing;
   if (m_check_from.has_value() && written.confirmed_at >= *m_check_from) {
     m_check_from.reset();
--- a/packages/duties/src/usage_reporter.cc
+++ b/packages/duties/src/usage_reporter.cc
@@ -255,7 +255,7 @@
           return;
         }
         if (const auto* page = std::get_if<TablePage>(&result)) {
-          m_row_version = page->version;
+          m_row_version = page->position.version;
           m_settled = settled;
           LogIncomplete(settled.through, usage);
         } else if (const auto* conflict = std::get_if<TableConflict>(&result)) {
--- a/packages/duties/tests/simulated_store.h
+++ b/packages/duties/tests/simulated_store.h
@@ -50,7 +50,7 @@
  public:
   [[nodiscard]] TablePage Page(const std::string& table) const {
     TablePage page;
-    page.version = version;
+    page.position.version = version;
     for (const auto& [key, row] : rows) {
       if (key.first == table) {
         page.rows.push_back(row);
@@ -73,7 +73,7 @@
                                     false};
     }
     TablePage page;
-    page.version = version;
+    page.position.version = version;
     return page;
   }
 
@@ -99,7 +99,7 @@
     Call<TableResult>(
         [this, table] { return TableResult(m_store.Page(table)); }, done);
   }
-  void Watch(const std::string& /*table*/, std::uint64_t /*after*/,
+  void Watch(const std::string& /*table*/, StorePosition /*after*/,
              Duration /*wait*/,
              std::function<void(TableResult)> /*done*/) override {}
   void Write(const TableWrite& write,
--- a/packages/serving/include/bambooquay/serving/fleet_table.h
+++ b/packages/serving/include/bambooquay/serving/fleet_table.h
@@ -2,6 +2,7 @@
 // changes, and written conditionally.
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -21,10 +22,24 @@
   bool deleted = false;
 };
 
-/// Rows as they are at one version of the store.
+/// Counts the store's returns from an older copy of its data. What was written
+/// after that copy is lost, and its versions are given out again.
+struct StoreEra {
+  std::uint64_t number = 0;
+  friend auto operator<=>(const StoreEra&, const StoreEra&) = default;
+};
+
+/// A point in the store's history. Versions of two eras can't be compared.
+struct StorePosition {
+  StoreEra era;
+  std::uint64_t version = 0;
+  friend auto operator<=>(const StorePosition&, const StorePosition&) = default;
+};
+
+/// Rows as they are at one point in the store's history.
 struct TablePage {
   std::vector<TableRow> rows;
-  std::uint64_t version = 0;
+  StorePosition position;
   bool has_more = false;
   /// Time on the store's steady clock, since an unspecified epoch.
   std::chrono::milliseconds store_time{};
@@ -65,9 +80,10 @@
   /// Lists the rows of `table` whose keys are not less than `first_key`.
   virtual void List(const std::string& table, const std::string& first_key,
                     std::function<void(TableResult)> done) = 0;
-  /// Returns the rows changed after version `after`. Waits up to `wait` for
-  /// the first change.
-  virtual void Watch(const std::string& table, std::uint64_t after,
+  /// Returns the rows changed after `after`. Waits up to `wait` for the first
+  /// change. If the page is of another era, its rows are those changed after a
+  /// version that has nothing to do with `after`.
+  virtual void Watch(const std::string& table, StorePosition after,
                      Duration wait, std::function<void(TableResult)> done) = 0;
   virtual void Write(const TableWrite& write,
                      std::function<void(TableWriteResult)> done) = 0;
--- a/packages/serving/include/bambooquay/serving/shared_table.h
+++ b/packages/serving/include/bambooquay/serving/shared_table.h
@@ -44,7 +44,7 @@
 
   void List(const std::string& table, const std::string& first_key,
             std::function<void(TableResult)> done) override;
-  void Watch(const std::string& table, std::uint64_t after, Duration wait,
+  void Watch(const std::string& table, StorePosition after, Duration wait,
              std::function<void(TableResult)> done) override;
   void Write(const TableWrite& write,
              std::function<void(TableWriteResult)> done) override;
--- a/packages/serving/include/bambooquay/serving/table_mirror.h
+++ b/packages/serving/include/bambooquay/serving/table_mirror.h
@@ -30,6 +30,11 @@
 /// A local copy of a table. If the store has dropped the changes since the
 /// copy's version, the table is listed again. While the store is unreachable
 /// the copy stays, and is updated from the fallback if there is one.
+///
+/// If the store has returned from an older copy of its data, the table is
+/// listed anew, and values that have changed apply at once. Rows that the store
+/// has lost, and deletions that it has lost, are kept for some seconds, in
+/// which their writers write them again.
 class TableMirror {
  public:
   /// Called for each row that was added, changed or deleted.
@@ -59,11 +64,13 @@
   void SetFallback(FleetTable& fallback) { m_fallback = &fallback; }
   /// @returns all rows of the copy as one page.
   [[nodiscard]] TablePage Snapshot() const;
-  /// @returns whether ChangesSince() can tell the changes after `version`.
-  [[nodiscard]] bool HasChangesSince(std::uint64_t version) const noexcept {
-    return m_complete && version >= m_history_start;
+  /// @returns whether ChangesSince() can tell the changes after `position`.
+  [[nodiscard]] bool HasChangesSince(StorePosition position) const noexcept {
+    return m_complete && position.era == m_position.era &&
+           position.version >= m_history_start;
   }
-  /// @returns the rows that were changed or deleted after `version`.
+  /// @returns the rows that were changed or deleted after `version` of the
+  ///   copy's era.
   [[nodiscard]] TablePage ChangesSince(std::uint64_t version) const;
   [[nodiscard]] const std::string& table() const noexcept {
     return m_settings.table;
@@ -81,8 +88,11 @@
   }
   /// @returns whether the last call to the store failed.
   [[nodiscard]] bool is_store_lost() const noexcept { return m_failures > 0; }
-  [[nodiscard]] std::uint64_t version() const noexcept { return m_version; }
-  /// @returns the version of the newest change that the copy has had.
+  [[nodiscard]] StorePosition position() const noexcept { return m_position; }
+  /// @returns how often the store has returned from an older copy.
+  [[nodiscard]] int return_count() const noexcept { return m_return_count; }
+  /// @returns the version of the newest change that the copy has had in its
+  ///   era.
   [[nodiscard]] std::uint64_t last_change() const noexcept {
     return m_last_change;
   }
@@ -105,7 +115,12 @@
   /// Applies the response to a watch.
   void ApplyChanges(const TablePage& page);
   void ApplyListing();
+  /// Compares the copy with the first listing of a new era.
+  void BeginEra();
+  /// Applies what has not been written again since the store's return.
+  void ApplyUnconfirmedRows();
   void Apply(const TableRow& row);
+  void RecordDeletion(const std::string& key);
   void NotifyUpdated() const;
   void RetryLater(std::function<void()> retry, TableFailure failure);
   void HandleStoreResponse();
@@ -127,10 +142,18 @@
   std::uint64_t m_history_start = 0;
   /// Rows of a listing in progress.
   std::map<std::string, TableRow> m_listed;
-  /// Version of the first page of that listing.
-  std::optional<std::uint64_t> m_list_version;
-  std::uint64_t m_version = 0;
+  /// Position of the first page of that listing.
+  std::optional<StorePosition> m_list_position;
+  StorePosition m_position;
   std::uint64_t m_last_change = 0;
+  /// Rows by which the copy and a store that has returned differ until they are
+  /// written again: those that the store lacks, as deleted rows, and those that
+  /// it has again though they were deleted.
+  std::map<std::string, TableRow> m_unconfirmed;
+  std::unique_ptr<Timer> m_confirm_timer;
+  /// When rows were deleted, as far as a copy of the store may still have them.
+  std::map<std::string, TimePoint> m_deleted_at;
+  int m_return_count = 0;
   bool m_complete = false;
   bool m_use_short_pause = false;
   /// Whether `m_next_timer` ends a pause between watches; if not, it is for a
--- a/packages/serving/include/bambooquay/serving/table_relay.h
+++ b/packages/serving/include/bambooquay/serving/table_relay.h
@@ -32,7 +32,7 @@
             std::function<void(TableResult)> done) override;
   /// The peer waits for a change for a second at most, so that a peer that has
   /// stopped is noticed soon.
-  void Watch(const std::string& table, std::uint64_t after, Duration wait,
+  void Watch(const std::string& table, StorePosition after, Duration wait,
              std::function<void(TableResult)> done) override;
   void Write(const TableWrite& write,
              std::function<void(TableWriteResult)> done) override;
@@ -59,7 +59,7 @@
   /// A request that waits for the next change.
   struct PendingWatch {
     const TableMirror* mirror = nullptr;
-    std::uint64_t after = 0;
+    StorePosition after;
     std::shared_ptr<HttpExchange> exchange;
     TimePoint expires_at{};
   };
@@ -67,7 +67,7 @@
   struct EncodedChanges {
     const TableMirror* mirror = nullptr;
     std::uint64_t after = 0;
-    std::uint64_t version = 0;
+    StorePosition position;
     std::string body;
   };
 
--- a/packages/serving/src/model_load_limiter.cc
+++ b/packages/serving/src/model_load_limiter.cc
@@ -72,7 +72,8 @@
 }
 
 void ModelLoadLimiter::ApplyPage(const TablePage& page) {
-  m_store_version = std::max(m_store_version.value_or(0), page.version);
+  m_store_version =
+      std::max(m_store_version.value_or(0), page.position.version);
   m_store_time = page.store_time;
   m_store_time_read_at = m_loop.clock().Now();
   const auto row = std::ranges::find(page.rows, kRowKey, &TableRow::key);
@@ -120,7 +121,7 @@
   m_table.Write(write, [this, requested, limit, attempts, records,
                         done = std::move(done)](TableWriteResult result) {
     if (const auto* page = std::get_if<TablePage>(&result)) {
-      m_row_version = page->version;
+      m_row_version = page->position.version;
       m_records = records;
       m_store_time = page->store_time;
       m_store_time_read_at = m_loop.clock().Now();
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -246,6 +246,9 @@
                : to_double(m_active_configuration->configuration.version);
   });
   for (const TableMirror* mirror : m_mirrors) {
+    metrics.RegisterGauge(
+        "store_returns{table=\"" + mirror->table() + "\"}",
+        [mirror, to_double] { return to_double(mirror->return_count()); });
     metrics.RegisterGauge(
         "store_answer_age_seconds{table=\"" + mirror->table() + "\"}",
         [this, mirror] {
--- a/packages/serving/src/serving_entry_tables.cc
+++ b/packages/serving/src/serving_entry_tables.cc
@@ -134,7 +134,7 @@
         const EntryStatus& status = item.second.status;
         return !m_peers.IsSilent(item.second) &&
                (status.configuration > active_version ||
-                status.operators_version > m_operator_rows.version());
+                status.operators_version > m_operator_rows.position().version);
       });
   if (!behind) {
     m_behind_since.reset();
@@ -144,7 +144,7 @@
     m_behind_since = now;
     LogEvent(LogLevel::kWarning, "operators_rows_outdated")
         .With("configuration", active_version)
-        .With("version", m_operator_rows.version());
+        .With("version", m_operator_rows.position().version);
     m_operator_rows.WatchNow();
     m_operator_rows.ListFromFallback();
     m_upstream_rows.ListFromFallback();
--- a/packages/serving/src/shared_table.cc
+++ b/packages/serving/src/shared_table.cc
@@ -57,7 +57,7 @@
   }
 }
 
-void SharedTable::Watch(const std::string& table, std::uint64_t after,
+void SharedTable::Watch(const std::string& table, StorePosition after,
                         Duration wait, std::function<void(TableResult)> done) {
   if (UsesReader()) {
     m_reader.Watch(table, after, wait, AvoidAfterFailure(std::move(done)));
--- a/packages/serving/src/table_relay.cc
+++ b/packages/serving/src/table_relay.cc
@@ -20,7 +20,29 @@
 constexpr Duration kExpiryCheckPeriod = std::chrono::milliseconds(100);
 constexpr int kHistoryGoneStatus = 410;
 const std::string kPathPrefix = "/tables/";
-const std::string kAfterField = "?after=";
+const std::string kEraField = "?era=";
+const std::string kAfterField = "&after=";
+
+/// @returns the position that the target of a watch names; nothing if there is
+///   none.
+std::optional<StorePosition> ReadPosition(const std::string& target) {
+  const auto era = target.find(kEraField);
+  const auto after = target.find(kAfterField);
+  if (era == std::string::npos || after == std::string::npos || after < era) {
+    return std::nullopt;
+  }
+  StorePosition position;
+  const char* const text = target.data();
+  const char* const era_end = text + after;
+  const char* const end = text + target.size();
+  const bool is_read =
+      std::from_chars(text + era + kEraField.size(), era_end,
+                      position.era.number)
+              .ptr == era_end &&
+      std::from_chars(era_end + kAfterField.size(), end, position.version)
+              .ptr == end;
+  return is_read ? std::optional(position) : std::nullopt;
+}
 
 }  // namespace
 
@@ -35,7 +57,9 @@
     }
   }
   const std::vector<std::uint8_t> bytes =
-      Json::to_cbor({{"version", page.version}, {"rows", std::move(rows)}});
+      Json::to_cbor({{"era", page.position.era.number},
+                     {"version", page.position.version},
+                     {"rows", std::move(rows)}});
   return std::string(bytes.begin(), bytes.end());
 }
 
@@ -43,7 +67,8 @@
   try {
     const Json json = Json::from_cbor(body.begin(), body.end());
     TablePage page;
-    page.version = json.at("version");
+    page.position.era.number = json.at("era");
+    page.position.version = json.at("version");
     for (const Json& item : json.at("rows")) {
       // A deleted row has no value.
       TableRow row{"", item.at(0), "", item.at(1), item.size() < 3};
@@ -102,10 +127,11 @@
   Fetch(kPathPrefix + table, kPeerTimeout, std::move(done));
 }
 
-void PeerTable::Watch(const std::string& table, std::uint64_t after,
+void PeerTable::Watch(const std::string& table, StorePosition after,
                       Duration /*wait*/,
                       std::function<void(TableResult)> done) {
-  Fetch(kPathPrefix + table + kAfterField + std::to_string(after),
+  Fetch(kPathPrefix + table + kEraField + std::to_string(after.era.number) +
+            kAfterField + std::to_string(after.version),
         kMaxPeerWatch + kPeerTimeout, std::move(done));
 }
 
@@ -136,19 +162,19 @@
     exchange->Respond(ToCode(HttpStatus::kNotFound), {}, "");
     return;
   }
-  const auto after_field = target.find(kAfterField);
-  if (after_field == std::string::npos) {
+  if (target.find('?') == std::string::npos) {
     exchange->Respond(ToCode(HttpStatus::kOk), {},
                       EncodePage((*mirror)->Snapshot()));
     return;
   }
-  PendingWatch watch{*mirror, 0, exchange,
-                     m_loop.clock().Now() + kMaxPeerWatch};
-  const char* digits = target.data() + after_field + kAfterField.size();
-  const char* end = target.data() + target.size();
-  if (std::from_chars(digits, end, watch.after).ptr != end) {
+  const auto after = ReadPosition(target);
+  if (!after.has_value()) {
     exchange->Respond(ToCode(HttpStatus::kBadRequest), {}, "");
-  } else if (!TryAnswer(watch)) {
+    return;
+  }
+  PendingWatch watch{*mirror, *after, exchange,
+                     m_loop.clock().Now() + kMaxPeerWatch};
+  if (!TryAnswer(watch)) {
     m_watches.push_back(std::move(watch));
   }
 }
@@ -167,10 +193,10 @@
     exchange.Respond(ToCode(HttpStatus::kServiceUnavailable), {}, "");
   } else if (!mirror.HasChangesSince(watch.after)) {
     exchange.Respond(kHistoryGoneStatus, {}, "");
-  } else if (mirror.version() > watch.after ||
+  } else if (mirror.position() > watch.after ||
              m_loop.clock().Now() >= watch.expires_at) {
     exchange.Respond(ToCode(HttpStatus::kOk), {},
-                     EncodeChanges(mirror, watch.after));
+                     EncodeChanges(mirror, watch.after.version));
   } else {
     return false;
   }
@@ -180,8 +206,8 @@
 const std::string& TableRelay::EncodeChanges(const TableMirror& mirror,
                                              std::uint64_t after) {
   if (m_encoded.mirror != &mirror || m_encoded.after != after ||
-      m_encoded.version != mirror.version()) {
-    m_encoded = {&mirror, after, mirror.version(),
+      m_encoded.position != mirror.position()) {
+    m_encoded = {&mirror, after, mirror.position(),
                  EncodePage(mirror.ChangesSince(after))};
   }
   return m_encoded.body;
--- a/packages/serving/tests/table_test.cc
+++ b/packages/serving/tests/table_test.cc
@@ -107,6 +107,94 @@
   BOOST_TEST(fixture.seen.contains("a"));
 }
 
+BOOST_AUTO_TEST_CASE(a_store_that_returns_from_an_older_copy_is_followed) {
+  MirrorFixture fixture;
+  fixture.table.Put("t", "a", "1");
+  fixture.mirror.Start();
+  BOOST_TEST(fixture.RunUntil([&] { return fixture.mirror.is_complete(); }));
+  const std::uint64_t copied = fixture.table.version;
+  fixture.table.Put("t", "a", "2");
+  fixture.table.Put("t", "a", "3");
+  BOOST_TEST(fixture.RunUntil([&] { return fixture.seen["a"] == "3"; }));
+  fixture.table.ReturnFrom(copied);
+  BOOST_TEST(fixture.RunUntil([&] { return fixture.seen["a"] == "1"; }));
+  fixture.table.Put("t", "a", "4");
+  BOOST_TEST(fixture.RunUntil([&] { return fixture.seen["a"] == "4"; }));
+  BOOST_TEST(fixture.mirror.return_count() == 1);
+}
+
+// The copy learns of the return when the store has its version again.
+BOOST_AUTO_TEST_CASE(changes_with_reused_versions_are_noticed) {
+  MirrorFixture fixture(std::chrono::hours(1));
+  fixture.table.Put("t", "a", "1");
+  const std::uint64_t copied = fixture.table.version;
+  fixture.table.Put("t", "b", "lost");
+  fixture.table.Put("t", "c", "lost");
+  fixture.mirror.Start();
+  BOOST_TEST(fixture.RunUntil([&] { return fixture.mirror.is_complete(); }));
+  fixture.table.Put("t", "c", "lost again");
+  BOOST_TEST(
+      fixture.RunUntil([&] { return fixture.seen["c"] == "lost again"; }));
+  fixture.table.ReturnFrom(copied);
+  for (const char* key : {"b", "c", "d", "e"}) {
+    fixture.table.Put("t", key, "new");
+  }
+  BOOST_TEST(fixture.table.version > fixture.mirror.position().version);
+  fixture.mirror.WatchNow();
+  const std::map<std::string, std::string> expected = {
+      {"a", "1"}, {"b", "new"}, {"c", "new"}, {"d", "new"}, {"e", "new"}};
+  BOOST_TEST(fixture.RunUntil([&] { return fixture.seen == expected; }));
+}
+
+BOOST_AUTO_TEST_CASE(what_a_return_has_lost_holds_until_it_is_written_again) {
+  MirrorFixture fixture;
+  fixture.table.Put("t", "deleted", "1");
+  fixture.table.Put("t", "deleted anew", "1");
+  fixture.mirror.Start();
+  BOOST_TEST(fixture.RunUntil([&] { return fixture.mirror.is_complete(); }));
+  const std::uint64_t copied = fixture.table.version;
+  fixture.table.Delete("t", "deleted");
+  fixture.table.Delete("t", "deleted anew");
+  fixture.table.Put("t", "added", "1");
+  fixture.table.Put("t", "added anew", "1");
+  const std::map<std::string, std::string> before = {{"added", "1"},
+                                                     {"added anew", "1"}};
+  BOOST_TEST(fixture.RunUntil([&] { return fixture.seen == before; }));
+  fixture.table.ReturnFrom(copied);
+  BOOST_TEST(
+      fixture.RunUntil([&] { return fixture.mirror.return_count() == 1; }));
+  BOOST_TEST(fixture.seen == before);
+  fixture.table.Delete("t", "deleted anew");
+  fixture.table.Put("t", "added anew", "1");
+  fixture.loop.RunUntil([] { return false; }, milliseconds(200));
+  BOOST_TEST(fixture.seen == before);
+  // What isn't written again is as the store has it.
+  const std::map<std::string, std::string> after = {{"added anew", "1"},
+                                                    {"deleted", "1"}};
+  BOOST_TEST(fixture.RunUntil([&] { return fixture.seen == after; }));
+}
+
+BOOST_AUTO_TEST_CASE(a_copy_of_an_earlier_era_is_not_taken_from_a_peer) {
+  MirrorFixture fixture;
+  FakeTable peer(fixture.loop);
+  fixture.mirror.SetFallback(peer);
+  fixture.table.Put("t", "a", "new");
+  fixture.table.era.number = 2;
+  fixture.mirror.Start();
+  BOOST_TEST(fixture.RunUntil([&] { return fixture.mirror.is_complete(); }));
+  peer.version = 50;
+  peer.Put("t", "a", "lost");
+  fixture.mirror.ListFromFallback();
+  fixture.loop.RunUntil([] { return false; }, milliseconds(50));
+  BOOST_TEST(fixture.seen["a"] == "new");
+  // One of a later era is, though its version is lower.
+  peer.era.number = 3;
+  peer.version = 4;
+  peer.Put("t", "a", "newer");
+  fixture.mirror.ListFromFallback();
+  BOOST_TEST(fixture.RunUntil([&] { return fixture.seen["a"] == "newer"; }));
+}
+
 BOOST_AUTO_TEST_CASE(
     a_mirror_uses_the_fallback_while_the_store_is_unreachable) {
   MirrorFixture fixture;
@@ -200,11 +288,11 @@
 
 BOOST_AUTO_TEST_CASE(a_relayed_page_round_trips) {
   TablePage page;
-  page.version = 77;
+  page.position = {{3}, 77};
   page.rows = {{"", "key", std::string("\0\xff bytes", 8), 70, false}};
   const auto decoded = DecodePage(EncodePage(page));
   BOOST_REQUIRE(decoded.has_value());
-  BOOST_TEST(decoded->version == 77U);
+  BOOST_TEST((decoded->position == page.position));
   BOOST_TEST(decoded->rows[0].value == page.rows[0].value);
   BOOST_TEST(!DecodePage("no page").has_value());
   BOOST_TEST(!DecodePage("").has_value());
@@ -329,6 +417,21 @@
   }));
 }
 
+BOOST_AUTO_TEST_CASE(an_entry_behind_a_reader_follows_a_return_of_the_store) {
+  SharingFixture fixture;
+  const std::uint64_t copied = fixture.store.version;
+  fixture.store.Put("t", "a", "2");
+  fixture.store.Put("t", "b", "2");
+  BOOST_TEST(fixture.RunUntil([&] { return fixture.seen.contains("b"); }));
+  fixture.store.ReturnFrom(copied);
+  for (const char* value : {"3", "4", "5"}) {
+    fixture.store.Put("t", "a", value);
+  }
+  BOOST_TEST(fixture.RunUntil([&] { return fixture.seen["a"] == "5"; }));
+  BOOST_TEST(fixture.seen["b"] == "2");
+  BOOST_TEST(fixture.RunUntil([&] { return !fixture.seen.contains("b"); }));
+}
+
 // The store turns the reader away and serves the others.
 BOOST_AUTO_TEST_CASE(the_store_is_read_directly_when_the_reader_lost_it) {
   SharingFixture fixture;
--- a/testing/support/fake_table.h
+++ b/testing/support/fake_table.h
@@ -35,14 +35,14 @@
       TablePage page = Page(table);
       if (stale_list_responses > 0) {
         --stale_list_responses;
-        page.version = 1;
+        page.position.version = 1;
         page.rows.clear();
       }
       done(std::move(page));
     });
   }
 
-  void Watch(const std::string& table, std::uint64_t after, Duration wait,
+  void Watch(const std::string& table, StorePosition after, Duration wait,
              std::function<void(TableResult)> done) override {
     ++watch_count;
     std::erase_if(m_watches, [](const PendingWatch& watch) {
@@ -50,7 +50,7 @@
     });
     PendingWatch& watch = m_watches.emplace_back();
     watch.table = table;
-    watch.after = after;
+    watch.after = after.version;
     watch.done = std::move(done);
     watch.is_lost = is_silent;
     watch.timer = m_loop.After(watch.is_lost ? wait + kAnswerLimit : wait,
@@ -104,6 +104,26 @@
     m_changes.push_back({table, key, "", ++version, true});
     NotifyWatches();
   }
+  /// Returns from a copy that has the changes up to `copied_version`. Watches
+  /// that wait fail.
+  void ReturnFrom(std::uint64_t copied_version) {
+    std::erase_if(m_changes, [&](const TableRow& row) {
+      return row.version > copied_version;
+    });
+    m_rows.clear();
+    std::ranges::for_each(m_changes, [this](const TableRow& row) {
+      if (row.deleted) {
+        m_rows.erase({row.table, row.key});
+      } else {
+        m_rows[{row.table, row.key}] = row;
+      }
+    });
+    ++era.number;
+    version = copied_version;
+    is_down = true;
+    NotifyWatches();
+    is_down = false;
+  }
   /// Discards all recorded changes. Watches from an earlier version fail with
   /// kHistoryGone.
   void DiscardHistory() {
@@ -122,8 +142,9 @@
   bool lose_responses = false;
   /// How many of the next lists have version 1 and no rows.
   int stale_list_responses = 0;
-  int list_count = 0;                   ///< Calls of List so far.
-  int watch_count = 0;                  ///< Calls of Watch so far.
+  int list_count = 0;   ///< Calls of List so far.
+  int watch_count = 0;  ///< Calls of Watch so far.
+  StoreEra era{1};
   std::uint64_t version = 10;           ///< Version of the newest change.
   std::chrono::milliseconds now{1000};  ///< The store's time.
 
@@ -138,7 +159,7 @@
 
   [[nodiscard]] TablePage Page(const std::string& table) const {
     TablePage page;
-    page.version = version;
+    page.position = {era, version};
     page.store_time = now;
     for (const auto& [key, row] : m_rows) {
       if (key.first == table) {
@@ -165,9 +186,9 @@
     TableResult result = TableFailure::kUnavailable;
     if (!is_down && !watch.is_lost) {
       TablePage page;
-      page.version = version;
+      page.position = {era, version};
       page.rows = ChangesAfter(watch.table, watch.after);
-      if (watch.after < m_oldest_watchable_version) {
+      if (watch.after < m_oldest_watchable_version || watch.after > version) {
         result = TableFailure::kHistoryGone;
       } else if (is_over || !page.rows.empty()) {
         result = std::move(page);
