Permits to load a model outlive a return of the store

What callers would see: models that are loaded nowhere, for good. If the store returns from a copy without the row of the load records, an agent that knew the row expects its old version; each write conflicts, the conflict names no row, and the old version stays. Every attempt of every agent ends so until the agents start anew.

Cause: ModelLoadLimiter kept the version of a row that is no longer listed.

Change: a missing row has the version 0. The records that the store has lost and this agent knows still count, so that the rate holds.

The test fails before: the first permit after the return isn't granted.

--- a/packages/serving/include/bambooquay/serving/model_load_limiter.h
+++ b/packages/serving/include/bambooquay/serving/model_load_limiter.h
@@ -28,6 +28,9 @@
   std::chrono::milliseconds started_at{};  ///< On the store's clock.
   ModelName model;
   UpstreamId engine;
+
+  friend bool operator==(const ModelLoadRecord&,
+                         const ModelLoadRecord&) = default;
 };
 
 [[nodiscard]] std::string EncodeLoadRecords(
@@ -55,9 +58,9 @@
                const LoadRateLimit& limit, std::function<void(bool)> done);
   /// @returns whether a call of Acquire() has not completed yet.
   [[nodiscard]] bool pending() const noexcept { return m_pending; }
-  /// @returns the store's version when it was last read, if it ever was.
-  [[nodiscard]] std::optional<std::uint64_t> store_version() const noexcept {
-    return m_store_version;
+  /// @returns the store's position when it was last read, if it ever was.
+  [[nodiscard]] std::optional<StorePosition> store_position() const noexcept {
+    return m_position;
   }
   /// Reads the records from the store.
   ///
@@ -73,7 +76,7 @@
   EventLoop& m_loop;
   FleetTable& m_table;
   bool m_pending = false;
-  std::optional<std::uint64_t> m_store_version;
+  std::optional<StorePosition> m_position;
   std::uint64_t m_row_version = 0;
   std::vector<ModelLoadRecord> m_records;
   /// Time on the store's clock in its last response, and the local time at
--- a/packages/serving/src/model_load_limiter.cc
+++ b/packages/serving/src/model_load_limiter.cc
@@ -3,6 +3,7 @@
 #include "bambooquay/serving/model_load_limiter.h"
 
 #include <algorithm>
+#include <iterator>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -72,15 +73,26 @@
 }
 
 void ModelLoadLimiter::ApplyPage(const TablePage& page) {
-  m_store_version =
-      std::max(m_store_version.value_or(0), page.position.version);
+  const bool has_returned =
+      m_position.has_value() && page.position.era > m_position->era;
+  m_position = std::max(m_position.value_or(page.position), page.position);
   m_store_time = page.store_time;
   m_store_time_read_at = m_loop.clock().Now();
   const auto row = std::ranges::find(page.rows, kRowKey, &TableRow::key);
-  if (row != page.rows.end()) {
-    m_row_version = row->version;
-    m_records = DecodeLoadRecords(row->value);
+  const bool is_listed = row != page.rows.end();
+  m_row_version = is_listed ? row->version : 0;
+  std::vector<ModelLoadRecord> listed;
+  if (is_listed) {
+    listed = DecodeLoadRecords(row->value);
   }
+  if (has_returned) {
+    // Loads whose records the store has lost still count.
+    std::erase_if(m_records, [&](const ModelLoadRecord& record) {
+      return std::ranges::find(listed, record) != listed.end();
+    });
+    std::ranges::move(m_records, std::back_inserter(listed));
+  }
+  m_records = std::move(listed);
 }
 
 std::chrono::milliseconds ModelLoadLimiter::EstimatedStoreTime() const {
@@ -121,6 +133,7 @@
   m_table.Write(write, [this, requested, limit, attempts, records,
                         done = std::move(done)](TableWriteResult result) {
     if (const auto* page = std::get_if<TablePage>(&result)) {
+      m_position = page->position;
       m_row_version = page->position.version;
       m_records = records;
       m_store_time = page->store_time;
--- a/packages/serving/src/serving_agent_orders.cc
+++ b/packages/serving/src/serving_agent_orders.cc
@@ -48,7 +48,7 @@
   m_load_limiter.Refresh([this](bool answered) {
     m_fencing_token_pending = false;
     if (answered) {
-      m_fencing_token = *m_load_limiter.store_version() + 1;
+      m_fencing_token = m_load_limiter.store_position()->version + 1;
       LogEvent(LogLevel::kInfo, "fence_acquired")
           .With("token", m_fencing_token);
       return;
--- a/packages/serving/tests/table_test.cc
+++ b/packages/serving/tests/table_test.cc
@@ -340,6 +340,26 @@
   BOOST_TEST(granted >= 3);
 }
 
+BOOST_AUTO_TEST_CASE(a_return_of_the_store_neither_ends_nor_doubles_loads) {
+  EventLoop loop;
+  FakeTable table(loop);
+  // Two loads in the time of the test.
+  const LoadRateLimit limit{0.4, std::chrono::seconds(5)};
+  ModelLoadLimiter limiter(loop, table);
+  const auto acquire = [&] {
+    std::optional<bool> granted;
+    limiter.Acquire(ModelName("m"), UpstreamId("e"), limit,
+                    [&](bool acquired) { granted = acquired; });
+    BOOST_REQUIRE(loop.RunUntil([&] { return granted.has_value(); }, kTimeout));
+    return *granted;
+  };
+  const std::uint64_t copied = table.version;
+  BOOST_TEST(acquire());
+  table.ReturnFrom(copied);
+  BOOST_TEST(acquire());
+  BOOST_TEST(!acquire());
+}
+
 /// An entry that reads the store for its data centre, and another one.
 struct SharingFixture {
   SharingFixture()
