Fencing tokens rise across a return of the store

What the operators would see: orders to one server with a lower fencing token after a higher one (ONE), where servers don't check tokens: the agent of that server was started again after the store had returned from an older copy.

Cause: the token is the store's version at the agent's start plus one, and versions go back with a return.

Change: the token is made of era and version. In a store that names no era it is what it was.

Found by looking for the same cause elsewhere, not seen by the users.

--- a/packages/serving/src/serving_agent_orders.cc
+++ b/packages/serving/src/serving_agent_orders.cc
@@ -24,6 +24,13 @@
 // Number of consecutive refusals after which a warning is logged. They take
 // more than a second, so the cause is one that retries do not resolve.
 constexpr int kStuckAfterRefusedOrders = 30;
+// More versions than the store gives out in one era. Tokens of a million eras
+// remain exact as JSON numbers.
+constexpr std::uint64_t kVersionsPerEra = std::uint64_t{1} << 32;
+
+std::uint64_t FencingTokenAt(const StorePosition& position) noexcept {
+  return position.era.number * kVersionsPerEra + position.version + 1;
+}
 
 const char* OperationName(OrderKind kind) noexcept {
   return kind == OrderKind::kLoad ? "load" : "unload";
@@ -42,13 +49,13 @@
   if (m_fencing_token_pending) {
     return;
   }
-  // The store's version never decreases, so the token of a later start is never
+  // The store's position never decreases, so the token of a later start is never
   // lower.
   m_fencing_token_pending = true;
   m_load_limiter.Refresh([this](bool answered) {
     m_fencing_token_pending = false;
     if (answered) {
-      m_fencing_token = m_load_limiter.store_position()->version + 1;
+      m_fencing_token = FencingTokenAt(*m_load_limiter.store_position());
       LogEvent(LogLevel::kInfo, "fence_acquired")
           .With("token", m_fencing_token);
       return;
