A response has events of one software version only

When an upstream broke off, the entry let another one continue the stream, of whatever version.

Cause: the version in an upstream's row was read nowhere.

From a stream's first event on, its call asks for upstreams of that version only, at each place that chooses one (UpstreamSet::IsEligible). A call whose version has no usable upstream waits and ends as one without any upstream.

--- a/packages/core/include/bambooquay/core/ids.h
+++ b/packages/core/include/bambooquay/core/ids.h
@@ -40,6 +40,9 @@
 using UpstreamId = Identifier<struct UpstreamTag>;
 using InstanceId = Identifier<struct InstanceTag>;
 using ServiceName = Identifier<struct ServiceTag>;
+/// Version of the software that upstreams run, not of their models. Versions
+/// have no order, and what two of them write does not fit together.
+using SoftwareVersion = Identifier<struct SoftwareVersionTag>;
 using ModelName = Identifier<struct ModelTag>;
 using AdapterName = Identifier<struct AdapterTag>;
 /// Identifies one attempt of a request, unique within the fleet: 128 random
--- a/packages/serving/include/bambooquay/serving/forwarded_call.h
+++ b/packages/serving/include/bambooquay/serving/forwarded_call.h
@@ -271,6 +271,8 @@
   void RecordEventTime();
   /// Counts this request as begun, once.
   void CountRun();
+  /// Lets the call go on only at the software version of this attempt.
+  void KeepSoftwareVersion();
   /// Records what the first event of an attempt says about its upstream.
   void RecordFirstEvent();
   /// Logs the outcome and updates the metrics.
@@ -360,6 +362,8 @@
   int m_attempt_events = 0;
   /// The run of the current attempt's upstream.
   UpstreamRun m_attempt_run;
+  /// Its software version when the attempt was sent.
+  SoftwareVersion m_attempt_version;
   /// When RecordLasting() last recorded it, from the first event on.
   Duration m_lasting_reported{};
   /// What keeps the current attempt at its silent upstream, if it was logged.
--- a/packages/serving/include/bambooquay/serving/upstream_record.h
+++ b/packages/serving/include/bambooquay/serving/upstream_record.h
@@ -15,6 +15,8 @@
 struct UpstreamRecord {
   UpstreamId id;
   ServiceName service;
+  /// Empty if it names none.
+  SoftwareVersion software_version;
   Endpoint address;
   DataCentreId data_centre;
   int slots = 1;
--- a/packages/serving/include/bambooquay/serving/upstream_set.h
+++ b/packages/serving/include/bambooquay/serving/upstream_set.h
@@ -55,6 +55,8 @@
   /// The upstream for which a permit was granted to this call.
   std::optional<UpstreamId> permitted;
   std::set<UpstreamId> excluded;  ///< Upstreams that were tried already.
+  /// The only one that may serve the call: that which began its stream.
+  std::optional<SoftwareVersion> software_version;
 };
 
 /// Why no upstream was chosen.
@@ -395,6 +397,10 @@
   [[nodiscard]] bool IsLimitedByPermits(const Upstream& upstream) const;
   /// @returns whether a permit is needed and none is expected yet.
   [[nodiscard]] bool IsPermitDenied(const Upstream& upstream) const;
+  /// @returns whether the upstream belongs to the query's service, runs its
+  ///   software version if it names one, and may get calls.
+  [[nodiscard]] bool IsEligible(const Upstream& upstream,
+                                const PickQuery& query) const;
   /// @returns whether the upstream has what the query asks for and may get
   ///   calls.
   [[nodiscard]] bool CanServe(const Upstream& upstream,
--- a/packages/serving/src/forwarded_call.cc
+++ b/packages/serving/src/forwarded_call.cc
@@ -380,6 +380,7 @@
   m_status = 0;
   m_attempt_begun_at.reset();
   m_attempt_events = 0;
+  m_attempt_version = upstream->record.software_version;
   m_attempt_run = m_context.upstreams.FindRun(id).value_or(UpstreamRun{id, 0});
   m_attempt_first_event.reset();
   m_attempt_sent_at = m_context.loop.clock().Now();
--- a/packages/serving/src/forwarded_response.cc
+++ b/packages/serving/src/forwarded_response.cc
@@ -222,6 +222,7 @@
     if (!events.empty()) {
       CountRun();
       if (m_attempt_events++ == 0) {
+        KeepSoftwareVersion();
         RecordFirstEvent();
       } else {
         RecordLasting();
@@ -267,6 +268,12 @@
   m_context.runs->CountRun(m_organisation->name);
 }
 
+void ForwardedCall::KeepSoftwareVersion() {
+  if (!m_query.software_version.has_value()) {
+    m_query.software_version = m_attempt_version;
+  }
+}
+
 void ForwardedCall::RecordFirstEvent() {
   if (m_attempt_begun_at.has_value()) {
     m_context.quarantine.RecordSurvival(m_call.prompt, *m_attempt_begun_at);
--- a/packages/serving/src/upstream_choice.cc
+++ b/packages/serving/src/upstream_choice.cc
@@ -67,6 +67,15 @@
 
 }  // namespace
 
+bool UpstreamSet::IsEligible(const Upstream& upstream,
+                             const PickQuery& query) const {
+  const UpstreamRecord& record = upstream.record;
+  return record.service == query.service &&
+         (!query.software_version.has_value() ||
+          record.software_version == *query.software_version) &&
+         IsUsable(upstream);
+}
+
 bool UpstreamSet::IsKnownMissing(const Upstream& upstream,
                                  const std::string& key) const {
   const auto found = upstream.missing_until.find(key);
@@ -194,7 +203,7 @@
   PickCounts counts;
   std::vector<Candidate> candidates;
   for (auto& [id, upstream] : m_upstreams) {
-    if (upstream.record.service != query.service || !IsUsable(upstream)) {
+    if (!IsEligible(upstream, query)) {
       continue;
     }
     ++counts.usable;
@@ -328,8 +337,8 @@
   std::optional<AdapterHost> best;
   const std::string key = AdapterKey(query.model, query.adapter);
   for (const auto& [id, upstream] : m_upstreams) {
-    if (upstream.record.service != query.service || !IsUsable(upstream) ||
-        query.excluded.contains(id) || upstream.avoid_until > m_clock.Now() ||
+    if (!IsEligible(upstream, query) || query.excluded.contains(id) ||
+        upstream.avoid_until > m_clock.Now() ||
         FindSignOfLife(upstream) == SignOfLife::kNone ||
         IsTurnedAway(upstream) || IsPermitDenied(upstream) ||
         !HasModel(upstream, query.model) ||
@@ -367,7 +376,7 @@
 
 bool UpstreamSet::CanServe(const Upstream& upstream,
                            const PickQuery& query) const {
-  return upstream.record.service == query.service && IsUsable(upstream) &&
+  return IsEligible(upstream, query) &&
          !query.excluded.contains(upstream.record.id) &&
          (query.model.empty() || HasModel(upstream, query.model)) &&
          (query.adapter.empty() ||
