Streams that callers take up go on at the software version that began them

Cause: nothing that outlives a call knew at which version a stream began, so a request with Last-Event-Id went to any upstream of the service.

Change: StreamOrigins remembers the version of each stream by the request that brought its first event, which callers name in Resumes. While one version serves a service, and has for a minute, an unknown stream may go on there. While several do, entries tell each other of the streams in progress in their statuses, and the entry that plans placement keeps the list in one row of the store, four times a second, which entries read when they start. A stream that nobody knows is refused at once as not run.

Weighed: a version chosen by a hash of the request, which needs nothing stored, but leaves no choice by load and breaks with each change of placement; a row for each entry, or a look at the store for each stream taken up, which cost calls in proportion to the fleet; agents, which know the runs of their engines, but lose power with them.

--- a/packages/peers/include/bambooquay/peers/status_messages.h
+++ b/packages/peers/include/bambooquay/peers/status_messages.h
@@ -79,6 +79,21 @@
   Duration age{};  ///< Age of the response at the time of sending.
 };
 
+/// Identifies a stream by the request that brought its first event.
+struct StreamKey {
+  std::uint64_t value = 0;
+  friend auto operator<=>(const StreamKey&, const StreamKey&) = default;
+};
+
+/// A software version of a service, and streams that it began.
+struct StreamVersionReport {
+  ServiceName service;
+  SoftwareVersion version;
+  /// Time since an upstream of this version was last listed.
+  Duration listed_age{};
+  std::vector<StreamKey> streams;
+};
+
 /// Sent by each entry to the other entries.
 struct EntryStatus {
   bool leaving = false;  ///< Whether the entry is draining before it stops.
@@ -90,6 +105,8 @@
   Duration uptime{};
   PromptPartReports prompt_parts;
   std::vector<CallLimitReport> call_limits;
+  /// Of services that have several software versions.
+  std::vector<StreamVersionReport> stream_versions;
   DataCentreId data_centre;  ///< Empty if the sender does not say.
   /// Tokens spent since the entry started. An organisation whose total has not
   /// changed since the last messages may be omitted.
--- a/packages/peers/src/status_messages.cc
+++ b/packages/peers/src/status_messages.cc
@@ -175,9 +175,43 @@
   return to;
 }
 
+void Write(status::EntryStatus::Builder to,
+           const std::vector<StreamVersionReport>& from) {
+  auto versions = to.initStreamVersions(static_cast<unsigned>(from.size()));
+  unsigned index = 0;
+  for (const StreamVersionReport& item : from) {
+    auto out = versions[index++];
+    out.setService(item.service.value().c_str());
+    out.setVersion(item.version.value().c_str());
+    out.setListedAgeMs(ToMs(item.listed_age));
+    auto streams = out.initStreams(static_cast<unsigned>(item.streams.size()));
+    unsigned position = 0;
+    for (const StreamKey stream : item.streams) {
+      streams.set(position++, stream.value);
+    }
+  }
+}
+
+std::vector<StreamVersionReport> ReadStreamVersions(
+    status::EntryStatus::Reader from) {
+  std::vector<StreamVersionReport> to;
+  for (const auto item : from.getStreamVersions()) {
+    StreamVersionReport report;
+    report.service = ServiceName(ToString(item.getService()));
+    report.version = SoftwareVersion(ToString(item.getVersion()));
+    report.listed_age = std::chrono::milliseconds(item.getListedAgeMs());
+    for (const std::uint64_t stream : item.getStreams()) {
+      report.streams.push_back({stream});
+    }
+    to.push_back(std::move(report));
+  }
+  return to;
+}
+
 void Write(status::EntryStatus::Builder to, const EntryStatus& from) {
   Write(to, from.prompt_parts);
   Write(to, from.call_limits);
+  Write(to, from.stream_versions);
   to.setLeaving(from.leaving);
   to.setConfiguration(from.configuration);
   to.setOperatorsVersion(from.operators_version);
@@ -209,6 +243,7 @@
   to.operators_version = from.getOperatorsVersion();
   to.prompt_parts = ReadPromptParts(from);
   to.call_limits = ReadCallLimits(from);
+  to.stream_versions = ReadStreamVersions(from);
   to.uptime = FromSeconds(from.getUptimeSeconds());
   to.data_centre = DataCentreId(ToString(from.getDataCentre()));
   for (const auto item : from.getSpending()) {
--- a/packages/peers/status.capnp
+++ b/packages/peers/status.capnp
@@ -62,6 +62,14 @@
   ageMs @3 :UInt32;     # age of the response at the time of sending
 }
 
+# A software version of a service that has several.
+struct StreamVersion {
+  service @0 :Text;
+  version @1 :Text;
+  listedAgeMs @2 :UInt32;   # since an upstream of this version was last listed
+  streams @3 :List(UInt64);  # begun by it, and in progress at the sender
+}
+
 # Sent by each entry to the other entries.
 struct EntryStatus {
   leaving @0 :Bool;          # the entry is draining before it stops
@@ -77,6 +85,7 @@
   partSurvivals @8 :List(PartSurvival);
   partQuarantines @9 :List(PartQuarantine);
   callLimits @10 :List(CallLimit);
+  streamVersions @11 :List(StreamVersion);
 }
 
 # Sent by each entry to each agent. `models` is valid only if `planned` is set,
--- a/packages/serving/include/bambooquay/serving/call_codec.h
+++ b/packages/serving/include/bambooquay/serving/call_codec.h
@@ -41,7 +41,11 @@
   /// In order. The last part is specific to this request, the ones before it
   /// may be shared with others.
   std::vector<PromptPart> prompt;
+  /// Not empty if the caller takes up a stream that broke off.
   std::string last_event_id;
+  /// The request that brought the first event of that stream; empty if the
+  /// caller does not say.
+  RequestId resumed_request;
 };
 
 /// Headers that one attempt adds to the caller's request for the upstream.
--- a/packages/serving/include/bambooquay/serving/forwarded_call.h
+++ b/packages/serving/include/bambooquay/serving/forwarded_call.h
@@ -27,6 +27,7 @@
 #include "bambooquay/serving/retry_budget.h"
 #include "bambooquay/serving/route_table.h"
 #include "bambooquay/serving/stall_policy.h"
+#include "bambooquay/serving/stream_origins.h"
 #include "bambooquay/serving/upstream_set.h"
 
 namespace bambooquay {
@@ -130,6 +131,7 @@
   AgentClient& agents;
   DemandSink& demand;
   PromptQuarantine& quarantine;
+  StreamOrigins& stream_origins;
   /// For the bytes of responses that are not sent to their callers yet.
   BufferBudget& response_buffers;
   std::function<RetryBudget&(const ServiceName&)> retry_budget_for;
@@ -271,6 +273,12 @@
   void RecordEventTime();
   /// Counts this request as begun, once.
   void CountRun();
+  /// @returns the key of the stream that the call begins or takes up.
+  [[nodiscard]] StreamKey OwnStreamKey() const;
+  /// Finds the software version of a stream that the caller takes up, or
+  /// refuses the call.
+  /// @returns whether the call may go on.
+  [[nodiscard]] bool FindStreamOrigin();
   /// Lets the call go on only at the software version of this attempt.
   void KeepSoftwareVersion();
   /// Records what the first event of an attempt says about its upstream.
--- a/packages/serving/include/bambooquay/serving/peer_exchange.h
+++ b/packages/serving/include/bambooquay/serving/peer_exchange.h
@@ -63,6 +63,11 @@
       std::function<void(const std::vector<CallLimitReport>&)> handler) {
     m_on_call_limits = std::move(handler);
   }
+  /// Sets the handler for what another entry reports of software versions.
+  void OnStreamVersions(
+      std::function<void(const std::vector<StreamVersionReport>&)> handler) {
+    m_on_stream_versions = std::move(handler);
+  }
   void OnEngineStatus(EngineStatusHandler handler) {
     m_on_engine_status = std::move(handler);
   }
@@ -185,6 +190,8 @@
   std::function<void()> m_on_peer_found;
   std::function<void(const PromptPartReports&)> m_on_prompt_parts;
   std::function<void(const std::vector<CallLimitReport>&)> m_on_call_limits;
+  std::function<void(const std::vector<StreamVersionReport>&)>
+      m_on_stream_versions;
   EngineStatusHandler m_on_engine_status;
   std::function<void(const StatusMessage&)> m_on_duty_message;
   /// Ordered by id, because the live entry with the lowest id plans placement.
--- a/packages/serving/include/bambooquay/serving/serving_entry.h
+++ b/packages/serving/include/bambooquay/serving/serving_entry.h
@@ -24,6 +24,7 @@
 #include "bambooquay/serving/peer_exchange.h"
 #include "bambooquay/serving/serving_settings.h"
 #include "bambooquay/serving/shared_table.h"
+#include "bambooquay/serving/stream_origin_table.h"
 #include "bambooquay/serving/table_mirror.h"
 #include "bambooquay/serving/table_relay.h"
 
@@ -118,6 +119,8 @@
   /// Records by how much the event loop is late.
   void ObserveLoopDelay();
   void Plan();
+  /// Records which software versions are listed.
+  void NoteVersions();
   /// @returns whether the entry drains and takes no more calls.
   [[nodiscard]] bool RefusesCalls() const;
   /// Ends draining once all calls have ended or the drain limit is near.
@@ -138,6 +141,7 @@
   UpstreamSet m_upstreams;
   FleetAllowance m_allowance;
   PromptQuarantine m_quarantine;
+  StreamOrigins m_stream_origins;
   DemandMeter m_demand;
   FleetPlanner m_planner;
   BufferBudget m_response_buffers;
@@ -161,6 +165,7 @@
   /// itself.
   SharedTable m_shared_table;
   TableRelay m_table_relay;
+  StreamOriginTable m_stream_origin_table;
   ExpiryGrace m_expiry_grace;
   TableMirror m_operator_rows;
   TableMirror m_upstream_rows;
@@ -185,6 +190,7 @@
   std::unique_ptr<Timer> m_drain_timer;
   std::unique_ptr<Timer> m_tick_timer;
   std::unique_ptr<Timer> m_plan_timer;
+  std::unique_ptr<Timer> m_version_timer;
   /// Plans ahead of m_plan_timer, after the first report of an engine.
   std::unique_ptr<Timer> m_early_plan_timer;
   std::unique_ptr<Timer> m_register_timer;
--- a/packages/serving/src/forwarded_call.cc
+++ b/packages/serving/src/forwarded_call.cc
@@ -90,7 +90,7 @@
            kRetryAfter);
     return;
   }
-  if (!PassQuarantine() || !SpendAllowance()) {
+  if (!FindStreamOrigin() || !PassQuarantine() || !SpendAllowance()) {
     return;
   }
   BuildQuery();
@@ -118,6 +118,26 @@
   return true;
 }
 
+StreamKey ForwardedCall::OwnStreamKey() const {
+  const bool is_taken_up =
+      !m_call.last_event_id.empty() && !m_call.resumed_request.empty();
+  return MakeStreamKey(is_taken_up ? m_call.resumed_request : m_call.id);
+}
+
+bool ForwardedCall::FindStreamOrigin() {
+  if (m_route->kind != CallKind::kStream || m_call.last_event_id.empty()) {
+    return true;
+  }
+  m_query.software_version =
+      m_context.stream_origins.Find(m_service->name, OwnStreamKey());
+  if (!m_query.software_version.has_value()) {
+    Refuse(ToCode(HttpStatus::kServiceUnavailable), "stream_origin_unknown",
+           kRetryAfter);
+    return false;
+  }
+  return true;
+}
+
 bool ForwardedCall::PassQuarantine() {
   const PromptVerdict verdict = m_context.quarantine.Judge(m_call.prompt);
   m_is_trial = verdict == PromptVerdict::kTrial;
@@ -541,6 +561,7 @@
   m_stall_timer = nullptr;
   m_wait_timer = nullptr;
   ReleaseRoom(false);
+  m_context.stream_origins.RecordEnd(OwnStreamKey());
   RecordOutcome(outcome, reason);
   if (m_may_have_run && !m_has_begun && m_context.runs != nullptr) {
     m_context.runs->CountUnknownRun();
--- a/packages/serving/src/forwarded_response.cc
+++ b/packages/serving/src/forwarded_response.cc
@@ -272,6 +272,10 @@
   if (!m_query.software_version.has_value()) {
     m_query.software_version = m_attempt_version;
   }
+  if (m_route->repeatable()) {
+    m_context.stream_origins.Record(OwnStreamKey(), m_service->name,
+                                    *m_query.software_version);
+  }
 }
 
 void ForwardedCall::RecordFirstEvent() {
--- a/packages/serving/src/peer_exchange.cc
+++ b/packages/serving/src/peer_exchange.cc
@@ -506,6 +506,9 @@
   if (m_on_call_limits) {
     m_on_call_limits(status.call_limits);
   }
+  if (m_on_stream_versions) {
+    m_on_stream_versions(status.stream_versions);
+  }
   const std::string incarnation =
       IncarnationKey(message.sender, message.incarnation);
   const bool started_earlier =
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -43,6 +43,7 @@
 // A later tick is logged.
 constexpr Duration kNotableLoopDelay = milliseconds(200);
 constexpr Duration kPlanPeriod = milliseconds(300);
+constexpr Duration kVersionPeriod = std::chrono::seconds(1);
 // Delay of the planning after an engine's first report. The first reports of
 // other engines often follow within some milliseconds.
 constexpr Duration kEarlyPlanDelay = milliseconds(40);
@@ -115,6 +116,7 @@
                   }),
       m_allowance(deps.loop.input_clock()),
       m_quarantine(deps.loop.clock()),
+      m_stream_origins(deps.loop.clock()),
       m_demand(deps.loop.clock()),
       m_planner(deps.loop.clock(), m_upstreams),
       m_response_buffers(kMaxResponseBytes),
@@ -130,6 +132,7 @@
                 m_peers,
                 m_demand,
                 m_quarantine,
+                m_stream_origins,
                 m_response_buffers,
                 [this](const ServiceName& service) -> RetryBudget& {
                   return RetryBudgetFor(service);
@@ -141,6 +144,8 @@
       m_shared_table(deps.loop.clock(), deps.table, m_reader_table,
                      [this] { return TableReader().has_value(); }),
       m_table_relay(deps.loop),
+      m_stream_origin_table(deps.loop, deps.table, m_stream_origins,
+                            [this] { return m_peers.IsPlanner(); }),
       m_expiry_grace(deps.loop.clock()),
       m_operator_rows(deps.loop, deps.table, deps.random,
                       {deps.document_codec.OperatorTableName(), kWatchTime,
@@ -203,6 +208,10 @@
   m_peers.OnCallLimits([this](const std::vector<CallLimitReport>& reports) {
     m_upstreams.notices().Merge(reports);
   });
+  m_peers.OnStreamVersions(
+      [this](const std::vector<StreamVersionReport>& reports) {
+        m_stream_origins.Merge(reports);
+      });
   m_quarantine.SetTrialChooser([this](PromptPartId part, std::uint64_t turn) {
     return MakesTrial(part, turn);
   });
@@ -327,10 +336,13 @@
   for (TableMirror* mirror : m_mirrors) {
     mirror->Start();
   }
+  m_stream_origin_table.Start();
   RegisterMember();
   m_last_tick_at = m_deps.loop.clock().Now();
   m_tick_timer = m_deps.loop.Every(kTickPeriod, [this] { Tick(); });
   m_plan_timer = m_deps.loop.Every(kPlanPeriod, [this] { Plan(); });
+  m_version_timer =
+      m_deps.loop.Every(kVersionPeriod, [this] { NoteVersions(); });
   return true;
 }
 
@@ -473,6 +485,7 @@
   status.operators_version = m_operator_rows.last_change();
   status.prompt_parts = m_quarantine.MakeReports();
   status.call_limits = m_upstreams.notices().MakeReports();
+  status.stream_versions = m_stream_origins.MakeReports();
   status.spent = m_allowance.SpentByOrganisation();
   // Leaves out totals that have not changed for a while: all peers have them.
   std::erase_if(status.spent, [this](const auto& item) {
@@ -542,6 +555,17 @@
   return demand;
 }
 
+void ServingEntry::NoteVersions() {
+  std::ranges::for_each(m_upstreams.all(), [this](const auto& item) {
+    const Upstream& upstream = item.second;
+    if (upstream.listed) {
+      m_stream_origins.NoteVersion(upstream.record.service,
+                                   upstream.record.software_version);
+    }
+  });
+  m_stream_origins.RemoveExpired();
+}
+
 void ServingEntry::Plan() {
   m_early_plan_timer = nullptr;
   PlacementTargets targets;
--- a/packages/serving/src/serving_entry_tables.cc
+++ b/packages/serving/src/serving_entry_tables.cc
@@ -105,6 +105,7 @@
         .With("cold_ms", record.cold_remaining / milliseconds(1));
   }
   m_upstreams.Put(record);
+  m_stream_origins.NoteVersion(record.service, record.software_version);
   // The agent of a new engine reports only once it knows of this entry; until
   // then the engine can neither be used nor get a target.
   const Upstream* listed = m_upstreams.Find(id);
--- /dev/null
+++ b/packages/serving/tests/stream_origins_test.cc
@@ -0,0 +1,131 @@
+// Tests of which software version a stream may go on at.
+#include "bambooquay/serving/stream_origins.h"
+
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+
+#include "bambooquay/serving/stream_origin_table.h"
+#include "support/fake_table.h"
+
+namespace bambooquay {
+namespace {
+
+using std::chrono::seconds;
+
+const ServiceName kService("s");
+const SoftwareVersion kOld("v1");
+const SoftwareVersion kNew("v1.1");
+const StreamKey kStream = MakeStreamKey(RequestId("a"));
+const StreamKey kOtherStream = MakeStreamKey(RequestId("b"));
+
+struct OriginsFixture {
+  OriginsFixture() {
+    origins.NoteVersion(kService, kOld);
+    origins.SetLoaded();
+  }
+
+  ManualClock clock;
+  StreamOrigins origins{clock};
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(stream_origins)
+
+BOOST_AUTO_TEST_CASE(unknown_streams_go_on_only_while_one_version_serves) {
+  OriginsFixture fixture;
+  BOOST_TEST((fixture.origins.Find(kService, kStream) == kOld));
+  BOOST_TEST(fixture.origins.MakeReports().empty());
+  fixture.origins.NoteVersion(kService, kNew);
+  BOOST_TEST(!fixture.origins.Find(kService, kStream).has_value());
+  // Streams of the old version may be taken up for a while after it has left.
+  for (int i = 0; i < 59; ++i) {
+    fixture.clock.Advance(seconds(1));
+    fixture.origins.NoteVersion(kService, kNew);
+    fixture.origins.RemoveExpired();
+    BOOST_TEST(!fixture.origins.Find(kService, kStream).has_value());
+  }
+  fixture.clock.Advance(seconds(1));
+  fixture.origins.RemoveExpired();
+  BOOST_TEST((fixture.origins.Find(kService, kStream) == kNew));
+}
+
+BOOST_AUTO_TEST_CASE(nothing_is_known_before_the_earlier_versions_are_read) {
+  const ManualClock clock;
+  StreamOrigins origins(clock);
+  origins.NoteVersion(kService, kNew);
+  BOOST_TEST(!origins.Find(kService, kStream).has_value());
+  origins.Record(kOtherStream, kService, kNew);
+  BOOST_TEST((origins.Find(kService, kOtherStream) == kNew));
+}
+
+BOOST_AUTO_TEST_CASE(other_entries_learn_of_streams_in_progress) {
+  OriginsFixture fixture;
+  fixture.origins.Record(kStream, kService, kOld);
+  fixture.origins.Record(kOtherStream, kService, kNew);
+  fixture.origins.RecordEnd(kOtherStream);
+  EntryStatus status;
+  status.stream_versions = fixture.origins.MakeReports();
+  const auto message =
+      DecodeStatus(EncodeStatus({InstanceId("entry-1"), 1, status}));
+  BOOST_REQUIRE(message.has_value());
+  OriginsFixture other;
+  other.origins.Merge(std::get<EntryStatus>(message->body).stream_versions);
+  BOOST_TEST((other.origins.Find(kService, kStream) == kOld));
+  BOOST_TEST(!other.origins.Find(kService, kOtherStream).has_value());
+  // A stream is reported again only after a while, and so is what was heard of
+  // others.
+  const auto reports = fixture.origins.MakeReports();
+  BOOST_REQUIRE(reports.size() == 2U);
+  BOOST_TEST(reports[0].streams.empty());
+  BOOST_TEST(other.origins.MakeReports()[0].streams.empty());
+  fixture.clock.Advance(seconds(1));
+  BOOST_TEST(fixture.origins.MakeReports()[0].streams.size() == 1U);
+}
+
+// The age of a version that has left doesn't begin anew at each entry.
+BOOST_AUTO_TEST_CASE(entries_do_not_keep_a_version_alive_for_each_other) {
+  OriginsFixture fixture;
+  OriginsFixture other;
+  fixture.origins.NoteVersion(kService, kNew);
+  for (int i = 0; i < 62; ++i) {
+    fixture.origins.Merge(other.origins.MakeReports());
+    other.origins.Merge(fixture.origins.MakeReports());
+    fixture.clock.Advance(seconds(1));
+    other.clock.Advance(seconds(1));
+    fixture.origins.NoteVersion(kService, kNew);
+    other.origins.NoteVersion(kService, kNew);
+    fixture.origins.RemoveExpired();
+    other.origins.RemoveExpired();
+  }
+  BOOST_TEST((fixture.origins.Find(kService, kStream) == kNew));
+  BOOST_TEST((other.origins.Find(kService, kStream) == kNew));
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_that_starts_reads_the_streams_from_the_store) {
+  OriginsFixture before;
+  before.origins.Record(kStream, kService, kOld);
+  before.origins.Record(kOtherStream, kService, kNew);
+  EventLoop loop;
+  testing::FakeTable table(loop);
+  StreamOriginTable writer(loop, table, before.origins, [] { return true; });
+  writer.Start();
+  const std::uint64_t version = table.version;
+  BOOST_REQUIRE(
+      loop.RunUntil([&] { return table.version > version; }, seconds(5)));
+  const ManualClock clock;
+  StreamOrigins after(clock);
+  after.NoteVersion(kService, kNew);
+  StreamOriginTable reader(loop, table, after, [] { return false; });
+  reader.Start();
+  BOOST_REQUIRE(loop.RunUntil(
+      [&] { return after.Find(kService, kStream).has_value(); }, seconds(5)));
+  BOOST_TEST((after.Find(kService, kStream) == kOld));
+  BOOST_TEST((after.Find(kService, kOtherStream) == kNew));
+  BOOST_TEST(!after.Find(kService, MakeStreamKey(RequestId("c"))).has_value());
+  BOOST_TEST(!DecodeStreamVersions("no row").has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace bambooquay
