An entry registers again when a return of the store has lost its row

What operators would see: an entry that starts later finds fewer others by the store's list; in the entries' logs nothing. An entry wrote its row once, at its start, and a return of the store from an older copy loses it.

Change: the entry registers again when its own row is gone. Nobody deletes it otherwise.

The test fails before: the row is not back within 20 s. Found by looking for the same cause elsewhere, not seen by the users.

--- a/packages/serving/src/serving_entry_tables.cc
+++ b/packages/serving/src/serving_entry_tables.cc
@@ -116,6 +116,9 @@
 
 void ServingEntry::HandleMemberRow(const TableRow& row) {
   const InstanceId id(row.key);
+  if (row.deleted && id == m_settings.id) {
+    RegisterMember();
+  }
   const auto address = ParseEndpoint(row.value);
   if (row.deleted || !address.has_value()) {
     m_peers.RemovePeer(id);
