--- a/packages/serving/src/serving_agent_orders.cc
+++ b/packages/serving/src/serving_agent_orders.cc
@@ -49,8 +49,8 @@
   if (m_fencing_token_pending) {
     return;
   }
-  // The store's position never decreases, so the token of a later start is never
-  // lower.
+  // The store's position never decreases, so the token of a later start is
+  // never lower.
   m_fencing_token_pending = true;
   m_load_limiter.Refresh([this](bool answered) {
     m_fencing_token_pending = false;
