A call that is refused doesn't end another's stream

A request that takes a stream up and is refused marked the stream as ended at this entry, also where its first request still runs, so that it was not reported any more.

--- a/packages/serving/src/forwarded_call.cc
+++ b/packages/serving/src/forwarded_call.cc
@@ -561,7 +561,9 @@
   m_stall_timer = nullptr;
   m_wait_timer = nullptr;
   ReleaseRoom(false);
-  m_context.stream_origins.RecordEnd(OwnStreamKey());
+  if (m_first_event.has_value()) {
+    m_context.stream_origins.RecordEnd(OwnStreamKey());
+  }
   RecordOutcome(outcome, reason);
   if (m_may_have_run && !m_has_begun && m_context.runs != nullptr) {
     m_context.runs->CountUnknownRun();
