A watch from an earlier era hides no changes

What callers would see: a configuration that is not in force until the next change of the table. A copy takes the new era from a peer while its own watch, sent in the earlier era, still waits at the store. That watch returns what changed after a version that means nothing in the new era, and the copy took it for all changes.

Change: a watch remembers its era, and the table is listed if it isn't the copy's.

The test fails before: the mirror doesn't list, and a row stays unseen. Found in the review of the fix, not seen.

--- a/packages/serving/include/bambooquay/serving/table_mirror.h
+++ b/packages/serving/include/bambooquay/serving/table_mirror.h
@@ -111,7 +111,12 @@
   void List(const std::string& first_key);
   void HandleList(TableResult result);
   void Watch();
-  void HandleWatch(TableResult result);
+  /// @param watched  the era from which the changes were asked for.
+  void HandleWatch(StoreEra watched, TableResult result);
+  /// @returns whether the response to a watch has all changes that the copy
+  ///   lacks: those of another era start at a version of no meaning here.
+  [[nodiscard]] bool HasAllChanges(StoreEra watched,
+                                   const TablePage& page) const;
   /// Applies the response to a watch.
   void ApplyChanges(const TablePage& page);
   void ApplyListing();
--- a/packages/serving/src/table_mirror.cc
+++ b/packages/serving/src/table_mirror.cc
@@ -252,12 +252,13 @@
   const Duration wait =
       m_failures > 0 ? Duration::zero() : m_settings.max_watch_time;
   m_table.Watch(m_settings.table, m_position, wait,
-                [this, number = ++m_watch_count](TableResult result) {
+                [this, number = ++m_watch_count,
+                 era = m_position.era](TableResult result) {
                   if (number == m_watch_count) {
-                    HandleWatch(std::move(result));
+                    HandleWatch(era, std::move(result));
                   } else if (const auto* page = std::get_if<TablePage>(&result);
                              page != nullptr && (m_watching || m_pausing) &&
-                             page->position.era == m_position.era) {
+                             HasAllChanges(era, *page)) {
                     // A late response to a watch that was replaced.
                     ApplyChanges(*page);
                   }
@@ -275,7 +276,11 @@
   NotifyUpdated();
 }
 
-void TableMirror::HandleWatch(TableResult result) {
+bool TableMirror::HasAllChanges(StoreEra watched, const TablePage& page) const {
+  return page.position.era == watched && page.position.era == m_position.era;
+}
+
+void TableMirror::HandleWatch(StoreEra watched, TableResult result) {
   m_watching = false;
   if (const auto* failure = std::get_if<TableFailure>(&result)) {
     if (*failure == TableFailure::kHistoryGone) {
@@ -290,7 +295,7 @@
   }
   HandleStoreResponse();
   const auto& page = std::get<TablePage>(result);
-  if (page.position.era != m_position.era) {
+  if (!HasAllChanges(watched, page)) {
     List("");
     return;
   }
--- a/packages/serving/tests/table_test.cc
+++ b/packages/serving/tests/table_test.cc
@@ -5,6 +5,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,25 @@
 // Longer than any test.
 constexpr Duration kLongWatch = std::chrono::hours(1);
 
+/// A table whose responses the test gives.
+struct ScriptedTable final : FleetTable {
+  void List(const std::string& /*table*/, const std::string& /*first_key*/,
+            std::function<void(TableResult)> done) override {
+    list_done = std::move(done);
+  }
+  void Watch(const std::string& /*table*/, StorePosition /*after*/,
+             Duration /*wait*/,
+             std::function<void(TableResult)> done) override {
+    list_done = nullptr;
+    watch_done = std::move(done);
+  }
+  void Write(const TableWrite& /*write*/,
+             std::function<void(TableWriteResult)> /*done*/) override {}
+
+  std::function<void(TableResult)> list_done;
+  std::function<void(TableResult)> watch_done;
+};
+
 /// A mirror of table "t", and the rows that its handler was called with.
 struct MirrorFixture {
   explicit MirrorFixture(Duration pause = Duration::zero(),
@@ -195,6 +215,33 @@
   BOOST_TEST(fixture.RunUntil([&] { return fixture.seen["a"] == "newer"; }));
 }
 
+// The watch was sent before the copy of a peer came, and asks for changes after
+// a version of the earlier era.
+BOOST_AUTO_TEST_CASE(a_watch_from_an_earlier_era_hides_no_changes) {
+  EventLoop loop;
+  SeededRandom random{5};
+  ScriptedTable table;
+  FakeTable peer(loop);
+  std::set<std::string> seen;
+  TableMirror mirror(loop, table, random, {"t", kLongWatch, {}, {}},
+                     [&](const TableRow& row) { seen.insert(row.key); });
+  mirror.SetFallback(peer);
+  mirror.Start();
+  table.list_done(TablePage{{}, {{1}, 40}});
+  peer.era.number = 2;
+  peer.version = 20;
+  peer.Put("t", "a", "1");
+  mirror.ListFromFallback();
+  BOOST_TEST(loop.RunUntil([&] { return seen.contains("a"); }, kTimeout));
+  const TableRow first{"t", "b", "2", 31, false};
+  const TableRow second{"t", "c", "3", 51, false};
+  table.watch_done(TablePage{{second}, {{2}, 51}});
+  BOOST_REQUIRE(table.list_done);
+  table.list_done(TablePage{{first, second}, {{2}, 51}});
+  BOOST_TEST(seen.contains("b"));
+  BOOST_TEST(seen.contains("c"));
+}
+
 BOOST_AUTO_TEST_CASE(
     a_mirror_uses_the_fallback_while_the_store_is_unreachable) {
   MirrorFixture fixture;
