Log which crashes count against which part of prompts, trials and expired evidence

Operators of a system with a part that crashes servers could not tell from the logs why its requests were still sent: no line said which crashes counted, that evidence had become too old, or that an entry made a trial. Part ids are logged as callers write them, in hexadecimal. No logic changes.

--- a/packages/serving/include/bambooquay/serving/prompt_quarantine.h
+++ b/packages/serving/include/bambooquay/serving/prompt_quarantine.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -176,6 +177,9 @@
   void AddCrash(const Crash& report);
   /// Adds what another report says of a crash that is known.
   static void Amend(Crash& known, const Crash& report);
+  /// Logs a crash with the evidence against the part that it is most likely by,
+  /// once for each run of an upstream.
+  void LogCrash(const Crash& crash);
   /// Tells a crash, and what is known of the same one, each other's parts: the
   /// calls that broke in it may have none in common.
   void ShareParts(Crash& crash);
@@ -234,6 +238,8 @@
   Parts m_parts;
   /// Crashes that this entry has seen and still reports.
   std::vector<OwnCrash> m_own_crashes;
+  /// The last runs whose crash was logged.
+  std::deque<std::uint64_t> m_logged_runs;
 };
 
 }  // namespace bambooquay
--- a/packages/serving/src/prompt_quarantine.cc
+++ b/packages/serving/src/prompt_quarantine.cc
@@ -2,9 +2,12 @@
 #include "bambooquay/serving/prompt_quarantine.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/container_hash/hash.hpp>
+#include <charconv>
 #include <iterator>
 #include <span>
+#include <string>
 #include <utility>
 
 #include "bambooquay/runtime/log.h"
@@ -50,6 +53,7 @@
 constexpr std::size_t kMaxReportedSurvivals = 64;
 constexpr std::size_t kMaxPartsPerPrompt = 16;
 constexpr std::size_t kMaxPartsPerCrash = 64;
+constexpr std::size_t kMaxLoggedRuns = 64;
 
 /// @returns the parts that other prompts may have too: all but the last one.
 std::span<const PromptPart> SharedParts(const std::vector<PromptPart>& prompt) {
@@ -70,6 +74,15 @@
   return number;
 }
 
+/// @returns the id as callers write it.
+std::string ToText(PromptPartId id) {
+  std::array<char, 16> digits{};
+  const auto written =
+      std::to_chars(digits.data(), digits.data() + digits.size(),
+                    static_cast<std::uint64_t>(id), 16);
+  return {digits.data(), written.ptr};
+}
+
 bool Contains(const std::vector<PromptPartId>& parts, PromptPartId id) {
   return std::ranges::find(parts, id) != parts.end();
 }
@@ -127,7 +140,7 @@
       Evaluate(found->first, found->second);
     }
   }
-  std::vector<Quarantine*> trials;
+  std::vector<std::pair<PromptPartId, Quarantine*>> trials;
   for (const PromptPart& item : SharedParts(prompt)) {
     const auto found = m_parts.find(item.id);
     if (found == m_parts.end() || !found->second.quarantine.has_value()) {
@@ -137,11 +150,18 @@
     if (!IsTrialDue(item.id, quarantine, prompt)) {
       return PromptVerdict::kQuarantined;
     }
-    trials.push_back(&quarantine);
+    trials.emplace_back(item.id, &quarantine);
   }
-  std::ranges::for_each(trials, [this](Quarantine* quarantine) {
+  for (const auto& [id, quarantine] : trials) {
     quarantine->trial_started_at = m_clock.Now();
-  });
+    LogEvent(LogLevel::kInfo, "prompt_trial_started")
+        .With("part", ToText(id))
+        .With("round", quarantine->round)
+        .With("reason", HasCompanions(quarantine->companions, prompt)
+                            ? "expired"
+                            : "companion")
+        .With("companions", quarantine->companions.size());
+  }
   return trials.empty() ? PromptVerdict::kAllowed : PromptVerdict::kTrial;
 }
 
@@ -359,6 +379,7 @@
       part.crashes.erase(part.crashes.begin());
     }
   }
+  LogCrash(crash);
   // Parts are compared with each other, so each must have the crash first.
   for (const PromptPartId id : report.parts) {
     const auto found = m_parts.find(id);
@@ -368,6 +389,37 @@
   }
 }
 
+void PromptQuarantine::LogCrash(const Crash& crash) {
+  const bool is_known = std::ranges::find(m_logged_runs, crash.upstream_run) !=
+                        m_logged_runs.end();
+  if (is_known) {
+    return;
+  }
+  m_logged_runs.push_back(crash.upstream_run);
+  if (m_logged_runs.size() > kMaxLoggedRuns) {
+    m_logged_runs.pop_front();
+  }
+  PromptPartId suspect{};
+  int moments = 0;
+  std::size_t runs = 0;
+  for (const PromptPartId id : crash.parts) {
+    const Part* part = Find(id);
+    if (part != nullptr && part->crashes.size() > runs) {
+      suspect = id;
+      runs = part->crashes.size();
+      moments = CountCrashes(*part);
+    }
+  }
+  LogEvent(LogLevel::kInfo, "prompt_crash_recorded")
+      .With("run", crash.upstream_run)
+      .With("own", crash.is_own ? "yes" : "no")
+      .With("certain", crash.is_certain ? "yes" : "no")
+      .With("parts", crash.parts.size())
+      .With("most_suspect", ToText(suspect))
+      .With("runs", runs)
+      .With("moments", moments);
+}
+
 bool PromptQuarantine::IsConvicted(const Part& part) const {
   const TimePoint now = m_clock.Now();
   int count = 0;
@@ -397,9 +449,16 @@
 
 void PromptQuarantine::Evaluate(PromptPartId id, Part& part) {
   const TimePoint now = m_clock.Now();
-  std::erase_if(part.crashes, [&](const Crash& crash) {
-    return now - crash.crashed_at > kEvidenceLifetime;
-  });
+  const std::size_t expired =
+      std::erase_if(part.crashes, [&](const Crash& crash) {
+        return now - crash.crashed_at > kEvidenceLifetime;
+      });
+  if (expired > 0) {
+    LogEvent(LogLevel::kInfo, "prompt_evidence_expired")
+        .With("part", ToText(id))
+        .With("expired", expired)
+        .With("runs", part.crashes.size());
+  }
   if (part.crashes.empty()) {
     return;
   }
@@ -485,7 +544,7 @@
     quarantine.until = m_clock.Now() + kFirstQuarantine * (1 << doublings);
   }
   LogEvent(LogLevel::kWarning, "prompt_part_quarantined")
-      .With("part", static_cast<std::uint64_t>(id))
+      .With("part", ToText(id))
       .With("round", quarantine.round)
       .With("crashes", part.crashes.size())
       .With("companions", quarantine.companions.size())
@@ -529,7 +588,7 @@
   }
   DropExplained();
   LogEvent(LogLevel::kInfo, "prompt_part_cleared")
-      .With("part", static_cast<std::uint64_t>(id));
+      .With("part", ToText(id));
 }
 
 void PromptQuarantine::Update() {
