Failing tests: crashes of one moment, and rare ones, convict no part of a prompt

Three tests that fail on each run: six requests with the part at one moment every 5 to 8 s go on reaching engines; three crashes by single requests 50 s apart are never counted together. Two more keep what must stay: a loss of many or of all engines convicts no part.

--- a/packages/serving/tests/crash_forms_test.cc
+++ b/packages/serving/tests/crash_forms_test.cc
@@ -37,6 +37,9 @@
   int broken_percent = 0;
   /// At 8 s, this many engines end at once.
   int lost_engines = 0;
+  /// Deadly calls come this many at the same moment, at all entries by turns.
+  int deadly_at_once = 1;
+  Duration burst_interval{};
 };
 
 /// Five entries and 18 engines; 17 streams a second begin with the same part.
@@ -56,7 +59,14 @@
     for (int step = 0; step < kSteps; ++step) {
       m_clock.Advance(kStep);
       if (Below(100) < 17) {
-        Arrive();
+        Arrive(Below(100) < m_trouble.deadly_percent,
+               static_cast<std::size_t>(Below(kEntries)));
+      }
+      if (m_trouble.deadly_at_once > 1 &&
+          step % (m_trouble.burst_interval / kStep) == 100) {
+        for (int i = 0; i < m_trouble.deadly_at_once; ++i) {
+          Arrive(true, static_cast<std::size_t>(i % kEntries));
+        }
       }
       if (step == kSteps / 3) {
         for (std::size_t i = 0; i < Lost(); ++i) {
@@ -130,9 +140,8 @@
     return UpstreamRun{id, found.listed_run};
   }
 
-  void Arrive() {
+  void Arrive(bool is_deadly, std::size_t entry) {
     const TimePoint now = m_clock.Now();
-    const bool is_deadly = Below(100) < m_trouble.deadly_percent;
     const auto topic = 10 + static_cast<std::uint64_t>(Below(20));
     Prompt prompt = {{PromptPartId{kBeginning}, 100.0}};
     if (is_deadly) {
@@ -140,7 +149,6 @@
     }
     prompt.push_back({PromptPartId{topic}, 100.0});
     prompt.push_back({PromptPartId{++m_last_part}, 100.0});
-    const auto entry = static_cast<std::size_t>(Below(kEntries));
     const bool is_refused =
         m_entries[entry]->Judge(prompt) == PromptVerdict::kQuarantined;
     sound_calls += is_deadly ? 0 : 1;
@@ -326,6 +334,19 @@
   CheckDeadly(CrashForm::kAfterEvents, 500);
 }
 
+RC_BOOST_PROP(few_deadly_calls_arrive_that_come_at_one_moment, ()) {
+  const auto form = *rc::gen::element(CrashForm::kBeforeHead,
+                                      CrashForm::kAfterHead);
+  Simulation simulation(*rc::gen::arbitrary<std::uint32_t>(),
+                        {.form = form,
+                         .max_listing_lag_ms = 500,
+                         .deadly_at_once = *rc::gen::inRange(5, 8),
+                         .burst_interval = seconds(*rc::gen::inRange(5, 9))});
+  simulation.Run();
+  RC_ASSERT(simulation.late_deadly_calls <= 3);
+  RC_ASSERT(simulation.sound_refused * 20 <= simulation.sound_calls);
+}
+
 RC_BOOST_PROP(connections_that_break_make_no_quarantine, ()) {
   CheckSound({.broken_percent = 30});
 }
--- a/packages/serving/tests/prompt_quarantine_test.cc
+++ b/packages/serving/tests/prompt_quarantine_test.cc
@@ -56,6 +56,16 @@
       clock.Advance(milliseconds(300));
     }
   }
+  /// Calls that begin at the same moment, each at an engine of its own, and
+  /// take it with them.
+  void CrashAtOnce(const std::vector<Prompt>& prompts) {
+    const TimePoint begun_at = clock.Now();
+    clock.Advance(milliseconds(60));
+    for (const Prompt& prompt : prompts) {
+      clock.Advance(milliseconds(10));
+      quarantine.RecordCrash(prompt, ++run, begun_at);
+    }
+  }
   bool Allows(std::initializer_list<std::uint64_t> shared) {
     return quarantine.Judge(MakePrompt(shared)) == PromptVerdict::kAllowed;
   }
@@ -129,6 +139,52 @@
   BOOST_TEST(fixture.Allows({kNeighbour}));
 }
 
+BOOST_AUTO_TEST_CASE(crashes_of_one_moment_convict_the_part_of_all_of_them) {
+  Fixture fixture;
+  fixture.CrashAtOnce({MakePrompt({kBeginning, kDeadly, 10}),
+                       MakePrompt({kBeginning, kDeadly, 11}),
+                       MakePrompt({kBeginning, kDeadly, 12})});
+  fixture.Survive(MakePrompt({kBeginning, 10}));
+  fixture.clock.Advance(milliseconds(2500));
+  BOOST_TEST(fixture.Refuses({kBeginning, kDeadly, 13}));
+  BOOST_TEST(fixture.Allows({kBeginning, 11}));
+}
+
+// Calls with one part are on three of the engines that lose power.
+BOOST_AUTO_TEST_CASE(a_part_on_some_of_the_lost_engines_is_not_convicted) {
+  Fixture fixture;
+  std::vector<Prompt> prompts(3, MakePrompt({kBeginning, kNeighbour}));
+  for (std::uint64_t other = 10; other < 16; ++other) {
+    prompts.push_back(MakePrompt({kBeginning, other}));
+  }
+  fixture.CrashAtOnce(prompts);
+  fixture.Survive(MakePrompt({kBeginning, 10}));
+  fixture.clock.Advance(seconds(8));
+  BOOST_TEST(fixture.Allows({kBeginning, kNeighbour}));
+}
+
+// All engines lose power, and no call survives until they are back.
+BOOST_AUTO_TEST_CASE(the_loss_of_all_upstreams_convicts_no_common_part) {
+  Fixture fixture;
+  fixture.CrashAtOnce({MakePrompt({kBeginning, 10}),
+                       MakePrompt({kBeginning, 11}),
+                       MakePrompt({kBeginning, 12})});
+  fixture.clock.Advance(seconds(8));
+  BOOST_TEST(fixture.Allows({kBeginning, 13}));
+}
+
+BOOST_AUTO_TEST_CASE(crashes_that_come_rarely_convict_their_part) {
+  Fixture fixture;
+  for (std::uint64_t i = 0; i < 3; ++i) {
+    BOOST_TEST(fixture.Allows({kBeginning, kDeadly, 10 + i}));
+    fixture.Crash(MakePrompt({kBeginning, kDeadly, 10 + i}));
+    fixture.Survive(MakePrompt({kBeginning, 10 + i}));
+    fixture.clock.Advance(seconds(50));
+    fixture.quarantine.Update();
+  }
+  BOOST_TEST(fixture.Refuses({kBeginning, kDeadly, 13}));
+}
+
 BOOST_AUTO_TEST_CASE(prompts_with_one_of_two_suspect_parts_tell_them_apart) {
   Fixture fixture;
   fixture.CrashThrice({kDeadly, kNeighbour});
