Noise of broken calls doesn't displace what clears sound parts

Now a part keeps 8 crashes again, and the oldest part gives way; the runs that have ended remember their parts, so that a moment of more than 8 crashes counts whole.

--- a/packages/serving/include/bambooquay/serving/prompt_quarantine.h
+++ b/packages/serving/include/bambooquay/serving/prompt_quarantine.h
@@ -143,6 +143,12 @@
     /// When this entry learned of it.
     TimePoint recorded_at{};
   };
+  /// A run of an upstream that ended under calls that broke.
+  struct EndedRun {
+    TimePoint ended_at{};
+    CallProgress progress = kNoEvent;
+    std::vector<PromptPartId> parts;
+  };
   struct OwnCrash {
     Crash crash;
     TimePoint recorded_at{};
@@ -196,7 +202,7 @@
   void DropExplained();
   /// Clears the part of all crashes until a surviving call began.
   void Clear(PromptPartId id, Part& part, const Survival& survival);
-  /// Remembers when the run of an upstream ended.
+  /// Remembers that the run of an upstream has ended, and under which parts.
   void RecordEndedRun(const Crash& crash);
   /// @returns whether the times of a crash are those of the entry that saw it.
   [[nodiscard]] bool IsExact(const Crash& crash) const;
@@ -251,8 +257,8 @@
   RecentSurvivals m_recent_survivals{m_clock};
   /// Parts that were suspected lately.
   Parts m_parts;
-  /// When runs of upstreams have ended under calls that broke.
-  std::map<std::uint64_t, TimePoint> m_ended_runs;
+  /// Runs of upstreams that are known to have ended, by their numbers.
+  std::map<std::uint64_t, EndedRun> m_ended_runs;
   /// Crashes that this entry has seen and still reports.
   std::vector<OwnCrash> m_own_crashes;
   /// The last runs whose crash was logged.
--- a/packages/serving/src/prompt_quarantine.cc
+++ b/packages/serving/src/prompt_quarantine.cc
@@ -9,7 +9,6 @@
 #include <set>
 #include <span>
 #include <string>
-#include <tuple>
 #include <utility>
 
 #include "bambooquay/runtime/log.h"
@@ -62,7 +61,7 @@
 constexpr Duration kReportTime = seconds(2);
 // Bounds on memory and on the size of a report.
 constexpr std::size_t kMaxParts = 256;
-constexpr std::size_t kMaxCrashesPerPart = 16;
+constexpr std::size_t kMaxCrashesPerPart = 8;
 constexpr std::size_t kMaxEndedRuns = 256;
 constexpr std::size_t kMaxReports = 32;
 // Crashes of calls that are not suspected leave room for the others.
@@ -121,8 +120,8 @@
 PromptQuarantine::Part& PromptQuarantine::FindOrAdd(PromptPartId id) {
   if (!m_parts.contains(id) && m_parts.size() >= kMaxParts) {
     m_parts.erase(std::ranges::min_element(m_parts, {}, [](const auto& item) {
-      return std::tuple(item.second.quarantine.has_value(),
-                        item.second.crashes.size(), item.second.updated_at);
+      return std::pair(item.second.quarantine.has_value(),
+                       item.second.updated_at);
     }));
   }
   Part& part = m_parts[id];
@@ -442,12 +441,18 @@
   if (m_ended_runs.size() >= kMaxEndedRuns &&
       !m_ended_runs.contains(crash.upstream_run)) {
     m_ended_runs.erase(std::ranges::min_element(
-        m_ended_runs, {}, [](const auto& item) { return item.second; }));
+        m_ended_runs, {},
+        [](const auto& item) { return item.second.ended_at; }));
+  }
+  const auto [item, is_new] = m_ended_runs.try_emplace(
+      crash.upstream_run,
+      EndedRun{crash.crashed_at, crash.progress, crash.parts});
+  if (!is_new) {
+    EndedRun& known = item->second;
+    known.ended_at = std::min(known.ended_at, crash.crashed_at);
+    known.progress = LessAdvanced(known.progress, crash.progress);
+    AddParts(known.parts, crash.parts);
   }
-  TimePoint& ended_at =
-      m_ended_runs.try_emplace(crash.upstream_run, crash.crashed_at)
-          .first->second;
-  ended_at = std::min(ended_at, crash.crashed_at);
 }
 
 bool PromptQuarantine::IsExact(const Crash& crash) const {
@@ -457,28 +462,31 @@
 
 bool PromptQuarantine::IsConvictedByLosses(PromptPartId id,
                                            const Part& part) const {
-  std::vector<const Crash*> certain;
-  for (const Crash& crash : part.crashes) {
-    if (crash.is_certain && IsExact(crash)) {
-      certain.push_back(&crash);
-    }
-  }
-  if (certain.size() < kCrashesToQuarantine) {
+  if (std::ranges::count_if(part.crashes, &Crash::is_certain) <
+      kCrashesToQuarantine) {
     return false;
   }
-  const TimePoint enough_at = certain[kCrashesToQuarantine - 1]->crashed_at;
-  if (m_clock.Now() - enough_at < kMomentObservation) {
+  std::vector<const EndedRun*> ended;
+  for (const auto& [number, run] : m_ended_runs) {
+    if (Contains(run.parts, id) &&
+        !part.survivals.AnySince(run.ended_at, run.progress)) {
+      ended.push_back(&run);
+    }
+  }
+  if (ended.size() < kCrashesToQuarantine) {
     return false;
   }
-  const std::size_t losses =
-      CountLosses(certain.front()->crashed_at - kLossWindow,
-                  certain.back()->crashed_at + kLossWindow);
-  if (certain.size() * kLossesInAll < losses * kLossesExplained) {
+  std::ranges::sort(ended, {}, &EndedRun::ended_at);
+  const TimePoint enough_at = ended[kCrashesToQuarantine - 1]->ended_at;
+  const std::size_t losses = CountLosses(ended.front()->ended_at - kLossWindow,
+                                         ended.back()->ended_at + kLossWindow);
+  if (m_clock.Now() - enough_at < kMomentObservation ||
+      ended.size() * kLossesInAll < losses * kLossesExplained) {
     return false;
   }
   const CallProgress progress = FurthestProgress(part);
-  return std::ranges::any_of(certain, [&](const Crash* crash) {
-    return std::ranges::any_of(crash->parts, [&](PromptPartId neighbour) {
+  return std::ranges::any_of(ended, [&](const EndedRun* run) {
+    return std::ranges::any_of(run->parts, [&](PromptPartId neighbour) {
       return neighbour != id && HasSurvived(neighbour, enough_at, progress);
     });
   });
@@ -492,8 +500,8 @@
       runs.insert(run);
     }
   };
-  for (const auto& [run, ended_at] : m_ended_runs) {
-    add(run, ended_at);
+  for (const auto& [number, run] : m_ended_runs) {
+    add(number, run.ended_at);
   }
   for (const auto& [id, part] : m_parts) {
     std::ranges::for_each(part.crashes, [&](const Crash& crash) {
@@ -701,7 +709,7 @@
   }
   m_recent_survivals.RemoveExpired();
   std::erase_if(m_ended_runs, [&](const auto& item) {
-    return now - item.second > kEvidenceLifetime;
+    return now - item.second.ended_at > kEvidenceLifetime;
   });
   std::erase_if(m_parts, [&](const auto& item) {
     const Part& part = item.second;
