One entry of the fleet makes the trial that tells suspect parts apart

Callers saw: the more entries, the more servers were lost to one part, whenever its requests came beside other parts than before: each entry let one through.

Cause: IsTrialDue let a prompt without all companions of a suspect part through without asking whose turn it is, and a trial was known to its own entry only. The class: a decision that the fleet must take once, taken by each entry alone.

Change: one entry at a time, chosen by hash and turn, makes any trial, and its statuses tell the others when it began; they make none for 5 s. As the others hear of it, a turn takes 1 s instead of 5. PartQuarantine has trialAgeMs; entries without it send 0, no trial.

Evidence: one_call_of_the_fleet_tells_suspect_parts_apart failed before with 8 trials at 8 entries (old logic, new messages). a_trial_at_one_entry_is_known_to_the_others guards the shorter turns. The simulation of crash_forms chooses entries as the real ones do now.

--- a/packages/peers/include/bambooquay/peers/status_messages.h
+++ b/packages/peers/include/bambooquay/peers/status_messages.h
@@ -61,6 +61,9 @@
   std::vector<PromptPartId> companions;
   /// How far calls had come that broke in the crashes.
   CallProgress progress = kNoEvent;
+  /// Time since a trial began somewhere in the fleet; nothing if there was
+  /// none.
+  std::optional<Duration> trial_age;
 };
 
 /// What an entry knows of parts that crash engines.
--- a/packages/peers/src/status_messages.cc
+++ b/packages/peers/src/status_messages.cc
@@ -83,6 +83,11 @@
   return ms == 0 ? kNoEvent : CallProgress(std::chrono::milliseconds(ms - 1));
 }
 
+std::optional<Duration> ReadTrialAge(std::uint32_t ms) {
+  return ms == 0 ? std::nullopt
+                 : std::optional<Duration>(std::chrono::milliseconds(ms - 1));
+}
+
 void Write(status::EntryStatus::Builder to, const PromptPartReports& from) {
   auto crashes = to.initPartCrashes(static_cast<unsigned>(from.crashes.size()));
   unsigned index = 0;
@@ -119,6 +124,8 @@
         out.initCompanions(static_cast<unsigned>(item.companions.size())),
         item.companions);
     out.setProgressMs(ToProgressMs(item.progress));
+    out.setTrialAgeMs(item.trial_age.has_value() ? ToMs(*item.trial_age) + 1
+                                                 : 0);
   }
 }
 
@@ -140,7 +147,8 @@
     to.quarantines.push_back(
         {PromptPartId{item.getPart()}, static_cast<int>(item.getRound()),
          milliseconds(item.getLastCrashAgeMs()), milliseconds(item.getLeftMs()),
-         ReadParts(item.getCompanions()), ReadProgress(item.getProgressMs())});
+         ReadParts(item.getCompanions()), ReadProgress(item.getProgressMs()),
+         ReadTrialAge(item.getTrialAgeMs())});
   }
   return to;
 }
--- a/packages/peers/status.capnp
+++ b/packages/peers/status.capnp
@@ -51,6 +51,8 @@
   # Parts that may be the cause instead. Prompts without one of them are allowed.
   companions @4 :List(UInt64);
   progressMs @5 :UInt32;    # of its crashes, as in PartCrash
+  # Since a trial began at any entry, and 1; 0: there was none.
+  trialAgeMs @6 :UInt32;
 }
 
 # Calls per second that an upstream takes from all entries together, by one of
--- a/packages/serving/include/bambooquay/serving/prompt_quarantine.h
+++ b/packages/serving/include/bambooquay/serving/prompt_quarantine.h
@@ -47,7 +47,8 @@
 /// under a part that is kept away says nothing about other parts.
 ///
 /// Entries exchange what they have seen in their statuses, so that all of them
-/// decide alike. A quarantine ends when a call with the part survives: a trial,
+/// decide alike; one entry at a time may make a trial, and the others hear of
+/// it. A quarantine ends when a call with the part survives: a trial,
 /// or one that was on its way. A crash in a trial doubles its time.
 ///
 /// @code
@@ -59,8 +60,8 @@
 /// @endcode
 class PromptQuarantine {
  public:
-  /// Decides whether this entry makes the trial of a part whose quarantine has
-  /// expired. `turn` grows with time, so that the entry changes.
+  /// Decides whether this entry makes the next trial of a part. `turn` grows
+  /// with time, so that the entry changes.
   using TrialChooser =
       std::function<bool(PromptPartId part, std::uint64_t turn)>;
 
@@ -163,6 +164,7 @@
     /// Parts that may be the cause instead: each was in all prompts that count
     /// against this part, and has not been cleared.
     std::vector<PromptPartId> companions;
+    /// Of the last trial, at any entry.
     std::optional<TimePoint> trial_started_at;
   };
   struct Part {
--- a/packages/serving/src/prompt_quarantine.cc
+++ b/packages/serving/src/prompt_quarantine.cc
@@ -47,16 +47,16 @@
 // Parts that nothing speaks against any more are remembered for this long.
 constexpr Duration kClearedLifetime = seconds(60);
 constexpr Duration kFirstQuarantine = seconds(30);
-// Quarantines double up to 32 minutes.
 constexpr int kMaxDoublings = 6;
+constexpr Duration kMaxQuarantine = kFirstQuarantine * (1 << kMaxDoublings);
 // A quarantine that has expired is forgotten after this time, if no call came
 // that could be its trial.
 constexpr Duration kMaxTrialWait = std::chrono::minutes(10);
 // A trial whose call ends without an outcome is repeated after this time.
 constexpr Duration kTrialTimeout = seconds(5);
 // The entry that makes the trial changes after this time, as calls with the
-// part may not come to it.
-constexpr Duration kTrialTurn = seconds(5);
+// part may not come to it. The others hear of a trial sooner.
+constexpr Duration kTrialTurn = seconds(1);
 // Evidence is reported for this long, as single reports may be lost.
 constexpr Duration kReportTime = seconds(2);
 // Bounds on memory and on the size of a report.
@@ -197,14 +197,11 @@
       now - *quarantine.trial_started_at < kTrialTimeout) {
     return false;
   }
-  if (!HasCompanions(quarantine.companions, prompt)) {
-    return true;
-  }
-  if (now < quarantine.until) {
+  if (now < quarantine.until && HasCompanions(quarantine.companions, prompt)) {
     return false;
   }
-  const auto turn =
-      static_cast<std::uint64_t>((now - quarantine.until) / kTrialTurn);
+  const auto turn = static_cast<std::uint64_t>(
+      (now - quarantine.until + kMaxQuarantine) / kTrialTurn);
   return !m_makes_trial || m_makes_trial(id, turn);
 }
 
@@ -747,10 +744,13 @@
     }
     if (part.quarantine.has_value() &&
         reports.quarantines.size() < kMaxReports) {
+      const auto& trial = part.quarantine->trial_started_at;
+      const auto trial_age =
+          trial.has_value() ? std::optional(now - *trial) : std::nullopt;
       reports.quarantines.push_back(
           {id, part.quarantine->round, now - part.quarantine->last_crash_at,
            part.quarantine->until - now, part.quarantine->companions,
-           part.quarantine->progress});
+           part.quarantine->progress, trial_age});
     }
   }
   return reports;
@@ -782,6 +782,11 @@
                        reported.companions,
                        {}});
     }
+    if (part.quarantine.has_value() && reported.trial_age.has_value()) {
+      auto& trial = part.quarantine->trial_started_at;
+      trial =
+          std::max(trial.value_or(TimePoint::min()), now - *reported.trial_age);
+    }
   }
   for (const PartSurvival& survival : reports.survivals) {
     const auto found = m_parts.find(survival.part);
--- a/packages/serving/tests/crash_forms_test.cc
+++ b/packages/serving/tests/crash_forms_test.cc
@@ -52,6 +52,10 @@
       m_entries.push_back(std::make_unique<PromptQuarantine>(m_clock));
       m_entries.back()->SetRunFinder(
           [this](const UpstreamId& id) { return FindListedRun(id); });
+      m_entries.back()->SetTrialChooser(
+          [i](PromptPartId /*part*/, std::uint64_t turn) {
+            return static_cast<int>(turn % kEntries) == i;
+          });
     }
   }
 
--- a/packages/serving/tests/prompt_quarantine_test.cc
+++ b/packages/serving/tests/prompt_quarantine_test.cc
@@ -78,6 +78,56 @@
   std::uint64_t run = 0;
 };
 
+/// Entries that exchange what they know.
+struct Fleet {
+  explicit Fleet(std::size_t size) {
+    for (std::size_t i = 0; i < size; ++i) {
+      entries.push_back(std::make_unique<PromptQuarantine>(clock));
+      entries.back()->SetTrialChooser(
+          [i, size](PromptPartId /*part*/, std::uint64_t turn) {
+            return turn % size == i;
+          });
+    }
+  }
+  void Exchange() {
+    for (const auto& sender : entries) {
+      const PromptPartReports reports = sender->MakeReports();
+      for (const auto& receiver : entries) {
+        if (receiver != sender) {
+          receiver->Merge(reports);
+        }
+      }
+    }
+  }
+  void CrashThrice(std::initializer_list<std::uint64_t> shared) {
+    for (std::size_t i = 0; i < 3; ++i) {
+      const TimePoint begun_at = clock.Now();
+      clock.Advance(milliseconds(50));
+      entries[i % entries.size()]->RecordCrash(MakePrompt(shared), ++run,
+                                               begun_at);
+      Exchange();
+      clock.Advance(milliseconds(500));
+    }
+  }
+  /// A request at each entry at the same moment.
+  /// @returns the entries that let it through.
+  std::vector<std::size_t> JudgeAtAll(
+      std::initializer_list<std::uint64_t> shared) {
+    std::vector<std::size_t> allowed;
+    for (std::size_t i = 0; i < entries.size(); ++i) {
+      if (entries[i]->Judge(MakePrompt(shared)) !=
+          PromptVerdict::kQuarantined) {
+        allowed.push_back(i);
+      }
+    }
+    return allowed;
+  }
+
+  ManualClock clock;
+  std::vector<std::unique_ptr<PromptQuarantine>> entries;
+  std::uint64_t run = 0;
+};
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(prompt_quarantine)
@@ -264,6 +314,38 @@
   BOOST_TEST(fixture.Allows({kDeadly}));
 }
 
+BOOST_AUTO_TEST_CASE(one_call_of_the_fleet_tells_suspect_parts_apart) {
+  Fleet fleet(8);
+  fleet.CrashThrice({kBeginning, kDeadly});
+  std::size_t trials = 0;
+  for (std::uint64_t place = 10; place < 30; ++place) {
+    fleet.clock.Advance(milliseconds(700));
+    const TimePoint begun_at = fleet.clock.Now();
+    for (const std::size_t entry : fleet.JudgeAtAll({place, kDeadly})) {
+      ++trials;
+      fleet.entries[entry]->RecordCrash(MakePrompt({place, kDeadly}),
+                                        ++fleet.run, begun_at);
+    }
+    fleet.clock.Advance(milliseconds(100));
+    fleet.Exchange();
+  }
+  BOOST_TEST(trials == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_trial_at_one_entry_is_known_to_the_others) {
+  Fleet fleet(2);
+  fleet.CrashThrice({kDeadly});
+  fleet.clock.Advance(seconds(29));
+  std::size_t trials = 0;
+  // Calls that are stuck: the trial has no outcome while the turn changes.
+  for (int i = 0; i < 8; ++i) {
+    fleet.clock.Advance(milliseconds(500));
+    trials += fleet.JudgeAtAll({kDeadly}).size();
+    fleet.Exchange();
+  }
+  BOOST_TEST(trials == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(only_the_chosen_entry_makes_a_trial) {
   Fixture fixture;
   bool is_chosen = false;
@@ -327,7 +409,9 @@
                                       seconds(9),
                                       milliseconds(-4),
                                       {PromptPartId{2}},
-                                      milliseconds(80)}};
+                                      milliseconds(80),
+                                      milliseconds(0)},
+                                     {}};
   const auto message =
       DecodeStatus(EncodeStatus({InstanceId("entry-1"), 1, status}));
   BOOST_REQUIRE(message.has_value());
@@ -345,7 +429,9 @@
   BOOST_REQUIRE(reports.survivals.size() == 1U);
   BOOST_TEST((reports.survivals[0].begun_age == milliseconds(7)));
   BOOST_TEST((reports.survivals[0].lasted == kCompleteCall));
-  BOOST_REQUIRE(reports.quarantines.size() == 1U);
+  BOOST_REQUIRE(reports.quarantines.size() == 2U);
+  BOOST_TEST((reports.quarantines[0].trial_age == milliseconds(0)));
+  BOOST_TEST(!reports.quarantines[1].trial_age.has_value());
   BOOST_TEST(reports.quarantines[0].round == 2);
   BOOST_TEST((reports.quarantines[0].last_crash_age == seconds(9)));
   BOOST_TEST((reports.quarantines[0].time_left == milliseconds(-4)));
