An entry out of touch doesn't guess a stream's software version

Cause: StreamOrigins::Find gives an unknown stream the only version that is known, and nothing asked whether that knowledge is of the present.

Change: the entry says every 100 ms that the versions it knows are all that serve, while IsInTouch: it hears most of the other entries, or the store has responded on the list within 1 s, and 0.6 s have passed since it stood still. An unknown stream goes on only within 0.5 s of that; else it is refused as not run, as during a release. Known streams go on as before.

Evidence: an_entry_out_of_touch_does_not_guess_the_only_version fails with the old rule.

entries_do_not_keep_a_version_alive_for_each_other and the fixture call NoteCurrent, as a serving entry does.

--- a/packages/serving/include/bambooquay/serving/serving_entry.h
+++ b/packages/serving/include/bambooquay/serving/serving_entry.h
@@ -19,6 +19,7 @@
 #include "bambooquay/runtime/metrics.h"
 #include "bambooquay/serving/demand_meter.h"
 #include "bambooquay/serving/document_codec.h"
+#include "bambooquay/serving/fleet_contact.h"
 #include "bambooquay/serving/fleet_planner.h"
 #include "bambooquay/serving/forwarded_call.h"
 #include "bambooquay/serving/peer_exchange.h"
@@ -132,12 +133,15 @@
   [[nodiscard]] EntryStatus MakeStatus();
   /// @returns whether this entry tries a part of prompts again, the choice of
   ///   which all entries agree on without communication.
+  [[nodiscard]] FleetContact Contact() const;
   [[nodiscard]] bool MakesTrial(PromptPartId part, std::uint64_t turn) const;
 
   ServingSettings m_settings;
   ServingEntryDeps m_deps;
   TimePoint m_started_at;
   TimePoint m_last_tick_at;
+  /// When the event loop last ran on after it had stood still.
+  std::optional<TimePoint> m_paused_until;
   UpstreamSet m_upstreams;
   FleetAllowance m_allowance;
   PromptQuarantine m_quarantine;
--- a/packages/serving/include/bambooquay/serving/stream_origins.h
+++ b/packages/serving/include/bambooquay/serving/stream_origins.h
@@ -25,12 +25,14 @@
 /// stream that is not known must not go on: its version is a guess.
 ///
 /// Invariant: Find() never returns a version that did not begin the stream, as
-/// long as each version has been noted before it began one.
+/// long as each version has been noted before it began one, or before the last
+/// call of NoteCurrent() after that.
 ///
 /// @code
 /// StreamOrigins origins(clock);
 /// origins.NoteVersion(service, version);
 /// origins.SetLoaded();
+/// origins.NoteCurrent();  // again and again, while that is so
 /// origins.Record(MakeStreamKey(call.id), service, version);
 /// if (const auto version = origins.Find(service, key)) { ... }
 /// @endcode
@@ -43,6 +45,8 @@
   /// Records that what earlier processes knew has been merged. Before that the
   /// versions of the recent past are not known.
   void SetLoaded() noexcept { m_is_loaded = true; }
+  /// Records that all versions that serve now have been noted.
+  void NoteCurrent() { m_current_at = m_clock.Now(); }
   /// Records that an upstream of that version has sent the first event of a
   /// stream, or goes on with it, to this entry.
   void Record(StreamKey stream, const ServiceName& service,
@@ -85,6 +89,7 @@
 
   const Clock& m_clock;
   bool m_is_loaded = false;
+  std::optional<TimePoint> m_current_at;
   std::map<ServiceName, ListedAt> m_versions;
   std::unordered_map<std::uint64_t, Stream> m_streams;
 };
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -516,9 +516,22 @@
   if (delay > kNotableLoopDelay) {
     LogEvent(LogLevel::kInfo, "loop_delayed")
         .With("delay_ms", delay / milliseconds(1));
+    m_paused_until = now;
   }
 }
 
+FleetContact ServingEntry::Contact() const {
+  const TimePoint now = m_deps.loop.clock().Now();
+  const auto age = [now](const std::optional<TimePoint>& time) {
+    return time.has_value() ? std::optional(now - *time) : std::nullopt;
+  };
+  const auto heard = std::ranges::count_if(
+      m_peers.peers(),
+      [this](const auto& item) { return !m_peers.IsSilent(item.second); });
+  return {m_peers.peers().size(), static_cast<std::size_t>(heard),
+          age(m_upstream_rows.last_response_at()), age(m_paused_until)};
+}
+
 void ServingEntry::Tick() {
   ObserveLoopDelay();
   UpdateWatchTimes();
@@ -532,6 +545,9 @@
   }
   m_upstreams.Tick();
   m_quarantine.Update();
+  if (IsInTouch(Contact())) {
+    m_stream_origins.NoteCurrent();
+  }
   const std::vector<InstanceId> members = m_peers.Members();
   std::ranges::for_each(m_budgets, [this](auto& item) {
     item.second.SetEntryCount(m_peers.known_count());
--- a/packages/serving/tests/stream_origins_test.cc
+++ b/packages/serving/tests/stream_origins_test.cc
@@ -4,12 +4,14 @@
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 
+#include "bambooquay/serving/fleet_contact.h"
 #include "bambooquay/serving/stream_origin_table.h"
 #include "support/fake_table.h"
 
 namespace bambooquay {
 namespace {
 
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 const ServiceName kService("s");
@@ -22,6 +24,7 @@
   OriginsFixture() {
     origins.NoteVersion(kService, kOld);
     origins.SetLoaded();
+    origins.NoteCurrent();
   }
 
   ManualClock clock;
@@ -47,9 +50,37 @@
   }
   fixture.clock.Advance(seconds(1));
   fixture.origins.RemoveExpired();
+  fixture.origins.NoteCurrent();
   BOOST_TEST((fixture.origins.Find(kService, kStream) == kNew));
 }
 
+BOOST_AUTO_TEST_CASE(an_entry_out_of_touch_does_not_guess_the_only_version) {
+  OriginsFixture fixture;
+  fixture.origins.Record(kOtherStream, kService, kOld);
+  fixture.clock.Advance(seconds(2));
+  BOOST_TEST(!fixture.origins.Find(kService, kStream).has_value());
+  BOOST_TEST((fixture.origins.Find(kService, kOtherStream) == kOld));
+  fixture.origins.NoteCurrent();
+  BOOST_TEST((fixture.origins.Find(kService, kStream) == kOld));
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_is_in_touch_with_most_others_or_the_store) {
+  BOOST_TEST(IsInTouch({}));
+  BOOST_TEST(!IsInTouch({.known_peers = 1}));
+  BOOST_TEST(IsInTouch({.known_peers = 2, .heard_peers = 1}));
+  // Two entries that are cut off together hear only each other.
+  BOOST_TEST(
+      !IsInTouch({.known_peers = 7, .heard_peers = 1, .list_age = seconds(3)}));
+  BOOST_TEST(IsInTouch({.known_peers = 7, .list_age = milliseconds(200)}));
+  // What waited in the sockets during a pause is not of the present.
+  BOOST_TEST(!IsInTouch({.known_peers = 2,
+                         .heard_peers = 2,
+                         .list_age = milliseconds(0),
+                         .since_pause = milliseconds(100)}));
+  BOOST_TEST(IsInTouch(
+      {.known_peers = 2, .heard_peers = 2, .since_pause = seconds(1)}));
+}
+
 BOOST_AUTO_TEST_CASE(nothing_is_known_before_the_earlier_versions_are_read) {
   const ManualClock clock;
   StreamOrigins origins(clock);
@@ -97,6 +128,8 @@
     other.origins.NoteVersion(kService, kNew);
     fixture.origins.RemoveExpired();
     other.origins.RemoveExpired();
+    fixture.origins.NoteCurrent();
+    other.origins.NoteCurrent();
   }
   BOOST_TEST((fixture.origins.Find(kService, kStream) == kNew));
   BOOST_TEST((other.origins.Find(kService, kStream) == kNew));
