A part of a prompt is suspected and kept away wherever it stands

Cause: the quarantine looked at the first 16 parts of a prompt only. The bound was one on memory, and stood where requests are judged.

Change: all shared parts are judged and may survive. The evidence of one crash is bounded by its 64 parts; of more, those come first that no call has survived in the last 15 s. A deadly part that sends events before the crash has no such preference among more than 64.

Evidence: a_part_far_behind_in_its_prompt_is_kept_away, with 17, 63 and 200 parts before it, failed for each and passes.

--- a/packages/serving/include/bambooquay/serving/prompt_quarantine.h
+++ b/packages/serving/include/bambooquay/serving/prompt_quarantine.h
@@ -179,6 +179,11 @@
   using Parts = std::map<PromptPartId, Part>;
   using Culprits = std::vector<std::pair<PromptPartId, const Part*>>;
 
+  /// @returns the shared parts of a prompt whose call broke; of very many,
+  /// those
+  ///   that no call has survived lately come first, and the rest is left out.
+  [[nodiscard]] std::vector<PromptPartId> SuspectParts(
+      const std::vector<PromptPart>& prompt) const;
   [[nodiscard]] const Part* Find(PromptPartId id) const;
   /// @returns the part, which is added if it is new.
   Part& FindOrAdd(PromptPartId id);
--- a/packages/serving/src/prompt_quarantine.cc
+++ b/packages/serving/src/prompt_quarantine.cc
@@ -67,21 +67,12 @@
 // Crashes of calls that are not suspected leave room for the others.
 constexpr std::size_t kMaxReportedRuns = kMaxReports / 2;
 constexpr std::size_t kMaxReportedSurvivals = 64;
-constexpr std::size_t kMaxPartsPerPrompt = 16;
 constexpr std::size_t kMaxPartsPerCrash = 64;
 constexpr std::size_t kMaxLoggedRuns = 64;
 
 /// @returns the parts that other prompts may have too: all but the last one.
 std::span<const PromptPart> SharedParts(const std::vector<PromptPart>& prompt) {
-  const std::size_t count = prompt.empty() ? 0 : prompt.size() - 1;
-  return std::span(prompt).first(std::min(count, kMaxPartsPerPrompt));
-}
-
-std::vector<PromptPartId> SharedPartIds(const std::vector<PromptPart>& prompt) {
-  std::vector<PromptPartId> parts;
-  std::ranges::transform(SharedParts(prompt), std::back_inserter(parts),
-                         &PromptPart::id);
-  return parts;
+  return std::span(prompt).first(prompt.empty() ? 0 : prompt.size() - 1);
 }
 
 std::uint64_t ToRunNumber(const UpstreamRun& run) {
@@ -145,6 +136,20 @@
   return count;
 }
 
+std::vector<PromptPartId> PromptQuarantine::SuspectParts(
+    const std::vector<PromptPart>& prompt) const {
+  std::vector<PromptPartId> parts;
+  std::ranges::transform(SharedParts(prompt), std::back_inserter(parts),
+                         &PromptPart::id);
+  if (parts.size() > kMaxPartsPerCrash) {
+    std::ranges::stable_partition(parts, [this](PromptPartId id) {
+      return m_recent_survivals.Find(id).all().empty();
+    });
+    parts.resize(kMaxPartsPerCrash);
+  }
+  return parts;
+}
+
 PromptVerdict PromptQuarantine::Judge(const std::vector<PromptPart>& prompt) {
   if (m_parts.empty()) {
     return PromptVerdict::kAllowed;
@@ -254,9 +259,9 @@
                                     bool has_begun,
                                     const CallProgress& progress) {
   m_broken_calls.Record(
-      {SharedPartIds(prompt), run, begun_at, m_clock.Now(), progress});
+      {SuspectParts(prompt), run, begun_at, m_clock.Now(), progress});
   if (has_begun && !progress.has_value() && !SharedParts(prompt).empty()) {
-    RecordCrash({SharedPartIds(prompt), ToRunNumber(run), begun_at,
+    RecordCrash({SuspectParts(prompt), ToRunNumber(run), begun_at,
                  m_clock.Now(), kNoEvent, false});
   }
 }
@@ -264,7 +269,7 @@
 void PromptQuarantine::RecordCrash(const std::vector<PromptPart>& prompt,
                                    std::uint64_t upstream_run,
                                    TimePoint begun_at) {
-  RecordCrash({SharedPartIds(prompt), upstream_run, begun_at, m_clock.Now()});
+  RecordCrash({SuspectParts(prompt), upstream_run, begun_at, m_clock.Now()});
 }
 
 void PromptQuarantine::RecordCrash(const Crash& crash) {
--- a/packages/serving/tests/prompt_quarantine_test.cc
+++ b/packages/serving/tests/prompt_quarantine_test.cc
@@ -156,6 +156,30 @@
   BOOST_TEST(fixture.Allows({kDeadly}));
 }
 
+BOOST_AUTO_TEST_CASE(a_part_far_behind_in_its_prompt_is_kept_away) {
+  for (const std::uint64_t before : {17, 63, 200}) {
+    Fixture fixture;
+    Prompt sound;
+    for (std::uint64_t i = 0; i < before; ++i) {
+      sound.push_back({PromptPartId{100 + i}, 10.0});
+    }
+    Prompt deadly = sound;
+    sound.push_back({PromptPartId{kNeighbour}, 10.0});
+    sound.push_back({PromptPartId{1'000}, 10.0});
+    deadly.push_back({PromptPartId{kDeadly}, 10.0});
+    deadly.push_back({PromptPartId{1'001}, 10.0});
+    fixture.Survive(sound);
+    for (int i = 0; i < 3; ++i) {
+      fixture.Crash(deadly);
+      fixture.Survive(sound);
+      fixture.clock.Advance(milliseconds(300));
+    }
+    BOOST_TEST(
+        (fixture.quarantine.Judge(deadly) == PromptVerdict::kQuarantined));
+    BOOST_TEST((fixture.quarantine.Judge(sound) == PromptVerdict::kAllowed));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_call_suspected_of_two_crashes_is_not_repeated) {
   Fixture fixture;
   fixture.Crash(MakePrompt({kDeadly}));
