--- a/packages/quarantine/tests/broken_calls_test.cc
+++ b/packages/quarantine/tests/broken_calls_test.cc
@@ -21,7 +21,7 @@
                   clock.Now(),
                   progress});
   }
-  std::optional<UpstreamRun> FindRun(const UpstreamId& id) const {
+  [[nodiscard]] std::optional<UpstreamRun> FindRun(const UpstreamId& id) const {
     const auto found = runs.find(id);
     return found == runs.end() ? std::nullopt
                                : std::optional<UpstreamRun>(found->second);
--- a/packages/serving/src/prompt_quarantine.cc
+++ b/packages/serving/src/prompt_quarantine.cc
@@ -142,7 +142,7 @@
   std::ranges::transform(SharedParts(prompt), std::back_inserter(parts),
                          &PromptPart::id);
   if (parts.size() > kMaxPartsPerCrash) {
-    std::ranges::stable_partition(parts, [this](PromptPartId id) {
+    std::stable_partition(parts.begin(), parts.end(), [this](PromptPartId id) {
       return m_recent_survivals.Find(id).all().empty();
     });
     parts.resize(kMaxPartsPerCrash);
