Quarantines of prompt parts outlast a loss of all entries

What callers saw: after a kill of all entries, requests with a part that had been kept away reached servers again, until the entries had learned of it a second time.

Cause: quarantines were in the memory of the entries only; one that starts learns of them from its peers, and from nobody if all start. Class: what the fleet knows outlasts each of its processes but not all of them.

Change: the quarantines are a row of the store, written by the planner when they change and every 10 s, and read by each entry at its start. Times are kept on the store's clock. What the list of streams in progress did already is now FleetRow, which both use; it refreshes the row, as a store that comes back from an older copy may have lost it.

Ruled out: to ask peers before serving, which helps no one if all have started. Crashes that have convicted no part yet are still forgotten.

--- a/packages/serving/include/bambooquay/serving/serving_entry.h
+++ b/packages/serving/include/bambooquay/serving/serving_entry.h
@@ -23,6 +23,7 @@
 #include "bambooquay/serving/fleet_planner.h"
 #include "bambooquay/serving/forwarded_call.h"
 #include "bambooquay/serving/peer_exchange.h"
+#include "bambooquay/serving/quarantine_table.h"
 #include "bambooquay/serving/serving_settings.h"
 #include "bambooquay/serving/shared_table.h"
 #include "bambooquay/serving/stream_origin_table.h"
@@ -171,6 +172,7 @@
   SharedTable m_shared_table;
   TableRelay m_table_relay;
   StreamOriginTable m_stream_origin_table;
+  QuarantineTable m_quarantine_table;
   ExpiryGrace m_expiry_grace;
   TableMirror m_operator_rows;
   TableMirror m_upstream_rows;
--- a/packages/serving/include/bambooquay/serving/stream_origin_table.h
+++ b/packages/serving/include/bambooquay/serving/stream_origin_table.h
@@ -2,14 +2,15 @@
 // entries that start.
 #pragma once
 
+#include <chrono>
 #include <functional>
-#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "bambooquay/runtime/event_loop.h"
+#include "bambooquay/serving/fleet_row.h"
 #include "bambooquay/serving/fleet_table.h"
 #include "bambooquay/serving/stream_origins.h"
 
@@ -22,36 +23,25 @@
 [[nodiscard]] std::optional<std::vector<StreamVersionReport>>
 DecodeStreamVersions(std::string_view value);
 
-/// One row of the store, written by one entry of the fleet and only while a
-/// service has several software versions, and read by each entry at its start.
-///
-/// Load it answers: all entries lose power at once, and callers take up their
-/// streams at those that start.
-class StreamOriginTable {
+/// Written only while a service has several software versions, so that callers
+/// can take up their streams at entries that start.
+class StreamOriginTable final : private FleetRowContent {
  public:
   /// @param is_writer  returns whether this entry is the one that writes.
   StreamOriginTable(EventLoop& loop, FleetTable& table, StreamOrigins& origins,
                     std::function<bool()> is_writer);
 
-  /// Reads the row, until that succeeds.
-  void Start();
+  void Start() { m_row.Start(); }
 
  private:
-  void Load();
-  void Update();
-  void Write(const std::string& value);
+  [[nodiscard]] std::string State() const override;
+  [[nodiscard]] std::string Encode(
+      std::chrono::milliseconds store_time) const override;
+  void Load(std::optional<std::string_view> value,
+            std::chrono::milliseconds store_time) override;
 
-  EventLoop& m_loop;
-  FleetTable& m_table;
   StreamOrigins& m_origins;
-  std::function<bool()> m_is_writer;
-  /// The value that was last written; empty if the row should not exist.
-  std::string m_written;
-  /// Whether the store may have the row, whoever wrote it.
-  bool m_may_exist = false;
-  bool m_is_writing = false;
-  std::unique_ptr<Timer> m_load_timer;
-  std::unique_ptr<Timer> m_update_timer;
+  FleetRow m_row;
 };
 
 }  // namespace bambooquay
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -146,6 +146,8 @@
       m_table_relay(deps.loop),
       m_stream_origin_table(deps.loop, deps.table, m_stream_origins,
                             [this] { return m_peers.IsPlanner(); }),
+      m_quarantine_table(deps.loop, deps.table, m_quarantine,
+                         [this] { return m_peers.IsPlanner(); }),
       m_expiry_grace(deps.loop.clock()),
       m_operator_rows(deps.loop, deps.table, deps.random,
                       {deps.document_codec.OperatorTableName(), kWatchTime,
@@ -337,6 +339,7 @@
     mirror->Start();
   }
   m_stream_origin_table.Start();
+  m_quarantine_table.Start();
   RegisterMember();
   m_last_tick_at = m_deps.loop.clock().Now();
   m_tick_timer = m_deps.loop.Every(kTickPeriod, [this] { Tick(); });
--- a/packages/serving/src/stream_origin_table.cc
+++ b/packages/serving/src/stream_origin_table.cc
@@ -16,7 +16,6 @@
 
 constexpr const char* kTable = "streams";
 constexpr const char* kRowKey = "in progress";
-constexpr Duration kLoadRetryDelay = milliseconds(200);
 // Streams that began less than this before a loss of all entries can't be taken
 // up.
 constexpr Duration kWritePeriod = milliseconds(250);
@@ -60,59 +59,27 @@
 StreamOriginTable::StreamOriginTable(EventLoop& loop, FleetTable& table,
                                      StreamOrigins& origins,
                                      std::function<bool()> is_writer)
-    : m_loop(loop),
-      m_table(table),
-      m_origins(origins),
-      m_is_writer(std::move(is_writer)) {}
+    : m_origins(origins),
+      m_row(loop, table, *this, {kTable, kRowKey, kWritePeriod},
+            std::move(is_writer)) {}
 
-void StreamOriginTable::Start() {
-  Load();
-  m_update_timer = m_loop.Every(kWritePeriod, [this] { Update(); });
+std::string StreamOriginTable::State() const {
+  const std::vector<StreamVersionReport> reports = m_origins.Snapshot();
+  return reports.empty() ? "" : EncodeStreamVersions(reports);
 }
 
-void StreamOriginTable::Load() {
-  m_table.List(kTable, "", [this](const TableResult& result) {
-    const auto* page = std::get_if<TablePage>(&result);
-    if (page == nullptr) {
-      m_load_timer = m_loop.After(kLoadRetryDelay, [this] { Load(); });
-      return;
-    }
-    const auto row = std::ranges::find(page->rows, kRowKey, &TableRow::key);
-    if (row != page->rows.end()) {
-      m_may_exist = true;
-      if (const auto reports = DecodeStreamVersions(row->value)) {
-        m_origins.Merge(*reports);
-      }
-    }
-    m_origins.SetLoaded();
-  });
+std::string StreamOriginTable::Encode(milliseconds /*store_time*/) const {
+  return EncodeStreamVersions(m_origins.Snapshot());
 }
 
-void StreamOriginTable::Update() {
-  const std::vector<StreamVersionReport> reports = m_origins.Snapshot();
-  m_may_exist = m_may_exist || !reports.empty();
-  if (m_is_writing || !m_may_exist || !m_is_writer()) {
-    return;
+void StreamOriginTable::Load(std::optional<std::string_view> value,
+                             milliseconds /*store_time*/) {
+  const auto reports =
+      value.has_value() ? DecodeStreamVersions(*value) : std::nullopt;
+  if (reports.has_value()) {
+    m_origins.Merge(*reports);
   }
-  const std::string value =
-      reports.empty() ? "" : EncodeStreamVersions(reports);
-  if (value.empty() || value != m_written) {
-    Write(value);
-  }
-}
-
-void StreamOriginTable::Write(const std::string& value) {
-  TableWrite write;
-  (value.empty() ? write.deletes : write.puts)
-      .push_back({kTable, kRowKey, value, 0, false});
-  m_is_writing = true;
-  m_table.Write(write, [this, value](const TableWriteResult& result) {
-    m_is_writing = false;
-    if (std::holds_alternative<TablePage>(result)) {
-      m_written = value;
-      m_may_exist = !value.empty();
-    }
-  });
+  m_origins.SetLoaded();
 }
 
 }  // namespace bambooquay
--- a/packages/serving/tests/prompt_quarantine_test.cc
+++ b/packages/serving/tests/prompt_quarantine_test.cc
@@ -11,6 +11,9 @@
 #include <variant>
 #include <vector>
 
+#include "bambooquay/serving/quarantine_table.h"
+#include "support/fake_table.h"
+
 namespace bambooquay {
 namespace {
 
@@ -417,6 +420,49 @@
   BOOST_TEST(fixture.Allows({kDeadly}));
 }
 
+BOOST_AUTO_TEST_CASE(
+    entries_that_all_restart_read_a_quarantine_from_the_store) {
+  Fixture before;
+  before.CrashThrice({kBeginning, kDeadly});
+  before.clock.Advance(seconds(1));
+  BOOST_TEST(before.Refuses({kBeginning, kDeadly}));
+  EventLoop loop;
+  testing::FakeTable table(loop);
+  QuarantineTable writer(loop, table, before.quarantine, [] { return true; });
+  writer.Start();
+  BOOST_REQUIRE(loop.RunUntil([&] { return table.Has("quarantine", "parts"); },
+                              seconds(5)));
+
+  table.now += seconds(10);
+  Fixture after;
+  QuarantineTable reader(loop, table, after.quarantine, [] { return false; });
+  reader.Start();
+  BOOST_REQUIRE(loop.RunUntil(
+      [&] { return after.quarantine.quarantined_count() > 0; }, seconds(5)));
+  const Prompt prompt = MakePrompt({kBeginning, kDeadly});
+  BOOST_TEST((after.quarantine.Judge(prompt) == PromptVerdict::kQuarantined));
+  const Duration passed =
+      before.quarantine.TimeLeft(prompt) - after.quarantine.TimeLeft(prompt);
+  BOOST_TEST((passed > seconds(9) && passed <= seconds(10)));
+  // The companions are known, too.
+  BOOST_TEST((after.quarantine.Judge(MakePrompt({kBeginning})) ==
+              PromptVerdict::kTrial));
+}
+
+BOOST_AUTO_TEST_CASE(the_store_forgets_a_quarantine_that_has_ended) {
+  Fixture fixture;
+  fixture.CrashThrice({kDeadly});
+  EventLoop loop;
+  testing::FakeTable table(loop);
+  QuarantineTable writer(loop, table, fixture.quarantine, [] { return true; });
+  writer.Start();
+  const auto is_listed = [&] { return table.Has("quarantine", "parts"); };
+  BOOST_REQUIRE(loop.RunUntil(is_listed, seconds(5)));
+  fixture.Survive(MakePrompt({kDeadly}));
+  BOOST_TEST(loop.RunUntil([&] { return !is_listed(); }, seconds(5)));
+  BOOST_TEST(!DecodeQuarantines("no row", {}).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(
     an_entry_that_missed_a_survival_does_not_spread_its_error) {
   Fixture fixture;
--- a/testing/support/fake_table.h
+++ b/testing/support/fake_table.h
@@ -85,6 +85,9 @@
       for (const TableRow& row : write.puts) {
         Put(row.table, row.key, row.value);
       }
+      for (const TableRow& row : write.deletes) {
+        Delete(row.table, row.key);
+      }
       if (lose_responses) {
         done(TableFailure::kUnavailable);
         return;
@@ -104,6 +107,10 @@
     m_changes.push_back({table, key, "", ++version, true});
     NotifyWatches();
   }
+  [[nodiscard]] bool Has(const std::string& table,
+                         const std::string& key) const {
+    return m_rows.contains({table, key});
+  }
   /// Returns from a copy that has the changes up to `copied_version`. Watches
   /// that wait fail.
   void ReturnFrom(std::uint64_t copied_version) {
