An ended run that one entry knows of counts at all entries

Cause: an entry whose call broke beside the deadly one learned at its next connection that the server had ended; the entry of the deadly call learned it from the server's row, up to 3 s later (call_broken_by_crash, broke_ms_ago 3016 and 3121). Until then the crash was known without the deadly part, and after 400 ms that counted as proof that the first part crashes servers alone. Class: a fact that one entry knows is needed by all.

Calls of an entry that broke on such a run, before or up to 0.5 s after its end, are its crashes, too, and are reported at once.

--- a/packages/serving/include/bambooquay/serving/prompt_quarantine.h
+++ b/packages/serving/include/bambooquay/serving/prompt_quarantine.h
@@ -193,6 +193,9 @@
   /// Logs a crash with the evidence against the part that it is most likely by,
   /// once for each run of an upstream.
   void LogCrash(const Crash& crash);
+  /// Records the crashes of calls whose run has ended since they broke, as far
+  /// as any entry knows.
+  void RecordCertainCrashes();
   /// Tells a crash, and what is known of the same one, each other's parts: the
   /// calls that broke in it may have none in common.
   void ShareParts(Crash& crash);
--- a/packages/serving/src/prompt_quarantine.cc
+++ b/packages/serving/src/prompt_quarantine.cc
@@ -693,24 +693,37 @@
   LogEvent(LogLevel::kInfo, "prompt_part_cleared").With("part", ToText(id));
 }
 
-void PromptQuarantine::Update() {
+void PromptQuarantine::RecordCertainCrashes() {
+  if (!m_find_present_run) {
+    return;
+  }
   const TimePoint now = m_clock.Now();
-  if (m_find_present_run) {
-    for (const BrokenCall& call :
-         m_broken_calls.TakeCrashed(m_find_present_run)) {
-      LogEvent(LogLevel::kInfo, "call_broken_by_crash")
-          .With("upstream", call.run.id.value())
-          .With("run", call.run.started_at_ms)
-          .WithMilliseconds("progress_ms", call.progress)
-          .With("broke_ms_ago", (now - call.broke_at) / milliseconds(1));
-      RecordCrash({call.parts, ToRunNumber(call.run), call.begun_at,
-                   call.broke_at, call.progress});
-    }
-    for (const BrokenRun& ended :
-         m_broken_calls.TakeEndedRuns(m_find_present_run)) {
-      RecordCrash({{}, ToRunNumber(ended.run), ended.broke_at, ended.broke_at});
+  for (const BrokenRun& open : m_broken_calls.FindOpenRuns()) {
+    const auto ended = m_ended_runs.find(ToRunNumber(open.run));
+    if (ended != m_ended_runs.end() &&
+        open.broke_at <= ended->second.ended_at + kLossWindow) {
+      m_broken_calls.RecordUnreachable(open.run);
     }
   }
+  for (const BrokenCall& call :
+       m_broken_calls.TakeCrashed(m_find_present_run)) {
+    LogEvent(LogLevel::kInfo, "call_broken_by_crash")
+        .With("upstream", call.run.id.value())
+        .With("run", call.run.started_at_ms)
+        .WithMilliseconds("progress_ms", call.progress)
+        .With("broke_ms_ago", (now - call.broke_at) / milliseconds(1));
+    RecordCrash({call.parts, ToRunNumber(call.run), call.begun_at,
+                 call.broke_at, call.progress});
+  }
+  for (const BrokenRun& ended :
+       m_broken_calls.TakeEndedRuns(m_find_present_run)) {
+    RecordCrash({{}, ToRunNumber(ended.run), ended.broke_at, ended.broke_at});
+  }
+}
+
+void PromptQuarantine::Update() {
+  const TimePoint now = m_clock.Now();
+  RecordCertainCrashes();
   m_recent_survivals.RemoveExpired();
   std::erase_if(m_ended_runs, [&](const auto& item) {
     return now - item.second.ended_at > kEvidenceLifetime;
@@ -769,6 +782,9 @@
     AddCrash({crash.parts, crash.upstream_run, now - crash.begun_age,
               now - crash.crash_age, crash.progress, crash.is_certain});
   }
+  if (!reports.crashes.empty()) {
+    RecordCertainCrashes();
+  }
   for (const PartQuarantine& reported : reports.quarantines) {
     Part& part = FindOrAdd(reported.part);
     const TimePoint last_crash_at = now - reported.last_crash_age;
--- a/packages/serving/tests/prompt_quarantine_test.cc
+++ b/packages/serving/tests/prompt_quarantine_test.cc
@@ -373,6 +373,38 @@
   BOOST_TEST(trials == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(an_ended_run_that_one_entry_knows_of_is_known_to_all) {
+  Fleet fleet(2);
+  PromptQuarantine& informed = *fleet.entries[0];
+  PromptQuarantine& other = *fleet.entries[1];
+  informed.SetRunFinder([](const UpstreamId& /*id*/) { return std::nullopt; });
+  other.SetRunFinder([](const UpstreamId& id) {
+    return std::optional(UpstreamRun{id, 1});
+  });
+  for (std::uint64_t i = 0; i < 3; ++i) {
+    const UpstreamRun run{UpstreamId("u" + std::to_string(i)), 1};
+    const TimePoint begun_at = fleet.clock.Now();
+    fleet.clock.Advance(milliseconds(50));
+    informed.RecordBroken(MakePrompt({kBeginning, 10 + i}), run, begun_at, true,
+                          milliseconds(10));
+    other.RecordBroken(MakePrompt({kBeginning, kDeadly}), run, begun_at, false,
+                       kNoEvent);
+    informed.Update();
+    fleet.Exchange();
+    fleet.clock.Advance(milliseconds(500));
+    fleet.Exchange();
+  }
+  // Sound calls are not refused, but tell the parts apart.
+  BOOST_TEST((informed.Judge(MakePrompt({kBeginning, kNeighbour})) !=
+              PromptVerdict::kQuarantined));
+  informed.RecordSurvival(MakePrompt({kBeginning, kNeighbour}),
+                          fleet.clock.Now(), kCompleteCall);
+  fleet.Exchange();
+  BOOST_TEST((other.Judge(MakePrompt({kBeginning, kNeighbour})) ==
+              PromptVerdict::kAllowed));
+  BOOST_TEST(fleet.JudgeAtAll({kBeginning, kDeadly}).empty());
+}
+
 BOOST_AUTO_TEST_CASE(reports_that_take_long_do_not_make_a_trial_last) {
   Fleet fleet(2);
   fleet.CrashThrice({kDeadly});
