A half-known crash doesn't hide the cause from the companions of a part

Cause: companions were looked for in the oldest crash only. If the report of the deadly call there hadn't come yet, the deadly part was no companion, though it was in all other crashes. Class: what has not arrived is taken for what was not.

Change: candidates come from all crashes; as before, one that is missing in a crash whose reports should all have arrived is none.

--- a/packages/serving/src/prompt_quarantine.cc
+++ b/packages/serving/src/prompt_quarantine.cc
@@ -628,15 +628,22 @@
       std::ranges::count_if(part.crashes, [&](const Crash& crash) {
         return now - crash.recorded_at < kSettlingTime;
       }));
-  std::vector<PromptPartId> companions = part.crashes.front().parts;
-  std::erase_if(companions, [&](PromptPartId other_id) {
-    const Part* other = Find(other_id);
-    const bool is_suspect =
-        other != nullptr &&
-        (other->quarantine.has_value() ||
-         static_cast<int>(other->crashes.size()) >= min_crashes);
-    return other_id == id || !is_suspect || !IsInSettledCrashes(other_id, part);
+  // A crash that is half known may lack the cause, so all are searched.
+  std::set<PromptPartId> candidates;
+  std::ranges::for_each(part.crashes, [&](const Crash& crash) {
+    candidates.insert(crash.parts.begin(), crash.parts.end());
   });
+  std::vector<PromptPartId> companions;
+  std::ranges::copy_if(
+      candidates, std::back_inserter(companions), [&](PromptPartId other_id) {
+        const Part* other = Find(other_id);
+        const bool is_suspect =
+            other != nullptr &&
+            (other->quarantine.has_value() ||
+             static_cast<int>(other->crashes.size()) >= min_crashes);
+        return other_id != id && is_suspect &&
+               IsInSettledCrashes(other_id, part);
+      });
   return companions;
 }
 
--- a/packages/serving/tests/prompt_quarantine_test.cc
+++ b/packages/serving/tests/prompt_quarantine_test.cc
@@ -286,6 +286,29 @@
 }
 
 // The third crash breaks a sound call with the part beside the deadly one.
+BOOST_AUTO_TEST_CASE(a_crash_that_is_half_known_does_not_hide_the_cause) {
+  Fixture fixture;
+  fixture.Crash(MakePrompt({kBeginning, kDeadly}));
+  fixture.clock.Advance(milliseconds(300));
+  fixture.Crash(MakePrompt({kBeginning, kDeadly}));
+  fixture.clock.Advance(milliseconds(300));
+  // The deadly call of an earlier crash is reported by another entry, later.
+  PartCrash crash{{PromptPartId{kBeginning}, PromptPartId{10}},
+                  100,
+                  seconds(1),
+                  milliseconds(950),
+                  kNoEvent,
+                  true};
+  fixture.quarantine.Merge({{crash}, {}, {}});
+  fixture.Crash(MakePrompt({kBeginning, kDeadly}));
+  crash.parts.back() = PromptPartId{kDeadly};
+  fixture.quarantine.Merge({{crash}, {}, {}});
+  fixture.clock.Advance(seconds(1));
+  BOOST_TEST(fixture.Refuses({kBeginning, kDeadly}));
+  BOOST_TEST((fixture.quarantine.Judge(MakePrompt({kBeginning, kNeighbour})) ==
+              PromptVerdict::kTrial));
+}
+
 BOOST_AUTO_TEST_CASE(a_part_that_was_beside_the_cause_is_not_taken_for_it) {
   Fixture fixture;
   for (int i = 0; i < 2; ++i) {
