A trial that did not run is made again at once

Cause: a trial counted from its decision on. If its call reached no server, or one that turned it away, no other trial was made for 5 s. Class: an intention counts as an event.

Change: a call that is refused as not run withdraws its trial at its entry.

--- a/packages/serving/include/bambooquay/serving/prompt_quarantine.h
+++ b/packages/serving/include/bambooquay/serving/prompt_quarantine.h
@@ -77,6 +77,8 @@
 
   /// Decides on a new call. A trial counts as started.
   [[nodiscard]] PromptVerdict Judge(const std::vector<PromptPart>& prompt);
+  /// Records that the call of a trial has ended and did not run.
+  void WithdrawTrial(const std::vector<PromptPart>& prompt);
   /// @returns whether `prompt` is under quarantine, also if a trial is due.
   [[nodiscard]] bool IsQuarantined(const std::vector<PromptPart>& prompt) const;
   /// @returns whether a call whose attempt has failed may be sent again. A call
--- a/packages/serving/src/forwarded_call.cc
+++ b/packages/serving/src/forwarded_call.cc
@@ -512,6 +512,9 @@
   const bool outcome_unknown = status == ToCode(HttpStatus::kBadGateway) ||
                                status == ToCode(HttpStatus::kGatewayTimeout);
   body += outcome_unknown ? "unknown" : "not_run";
+  if (m_is_trial && !outcome_unknown) {
+    m_context.quarantine.WithdrawTrial(m_call.prompt);
+  }
   body += R"("}})";
   m_exchange->Respond(status, headers, body);
   Finish(std::to_string(status), code);
--- a/packages/serving/src/prompt_quarantine.cc
+++ b/packages/serving/src/prompt_quarantine.cc
@@ -188,6 +188,15 @@
   return trials.empty() ? PromptVerdict::kAllowed : PromptVerdict::kTrial;
 }
 
+void PromptQuarantine::WithdrawTrial(const std::vector<PromptPart>& prompt) {
+  for (const PromptPart& item : SharedParts(prompt)) {
+    const auto found = m_parts.find(item.id);
+    if (found != m_parts.end() && found->second.quarantine.has_value()) {
+      found->second.quarantine->trial_started_at.reset();
+    }
+  }
+}
+
 bool PromptQuarantine::HasCompanions(
     const std::vector<PromptPartId>& companions,
     const std::vector<PromptPart>& prompt) {
