A trial that did not run is forgotten by all entries

Cause: entries reported each other's trials, so the entry that had withdrawn one heard of it again, and the others did not hear that it was over.

Change: an entry reports its own trial only, and only while it is under way; the others take it for over 1 s after the last report. With this, reports that take long can't make a trial last either.

--- a/packages/peers/include/bambooquay/peers/status_messages.h
+++ b/packages/peers/include/bambooquay/peers/status_messages.h
@@ -61,8 +61,7 @@
   std::vector<PromptPartId> companions;
   /// How far calls had come that broke in the crashes.
   CallProgress progress = kNoEvent;
-  /// Time since a trial began somewhere in the fleet; nothing if there was
-  /// none.
+  /// Time since a trial began at the sender; nothing if none is under way.
   std::optional<Duration> trial_age;
 };
 
--- a/packages/peers/status.capnp
+++ b/packages/peers/status.capnp
@@ -51,7 +51,7 @@
   # Parts that may be the cause instead. Prompts without one of them are allowed.
   companions @4 :List(UInt64);
   progressMs @5 :UInt32;    # of its crashes, as in PartCrash
-  # Since a trial began at any entry, and 1; 0: there was none.
+  # Since a trial began at the sender, and 1; 0: none is under way.
   trialAgeMs @6 :UInt32;
 }
 
--- a/packages/serving/include/bambooquay/serving/prompt_quarantine.h
+++ b/packages/serving/include/bambooquay/serving/prompt_quarantine.h
@@ -166,8 +166,11 @@
     /// Parts that may be the cause instead: each was in all prompts that count
     /// against this part, and has not been cleared.
     std::vector<PromptPartId> companions;
-    /// Of the last trial, at any entry.
+    /// Of this entry's last trial.
     std::optional<TimePoint> trial_started_at;
+    /// Until then another entry's trial is under way, unless it is reported
+    /// again.
+    TimePoint other_trial_until{};
   };
   struct Part {
     /// By time; none is older than the last survival.
@@ -230,8 +233,9 @@
   ///   outlived `broken`.
   [[nodiscard]] bool HasSurvived(PromptPartId id, TimePoint since,
                                  const CallProgress& broken) const;
-  /// Takes over that another entry has reported a trial.
-  void MergeTrial(Quarantine& quarantine, Duration age) const;
+  /// @returns the time since this entry's trial began, if it is under way.
+  [[nodiscard]] std::optional<Duration> TrialAge(
+      const Quarantine& quarantine) const;
   /// Puts the part under quarantine if the evidence is sufficient.
   void Evaluate(PromptPartId id, Part& part);
   void StartQuarantine(PromptPartId id, Part& part, Quarantine quarantine);
--- a/packages/serving/src/prompt_quarantine.cc
+++ b/packages/serving/src/prompt_quarantine.cc
@@ -54,8 +54,8 @@
 constexpr Duration kMaxTrialWait = std::chrono::minutes(10);
 // A trial whose call ends without an outcome is repeated after this time.
 constexpr Duration kTrialTimeout = seconds(5);
-// Reports of a trial that are older repeat what is known.
-constexpr Duration kMaxNewTrialAge = kTrialTimeout / 2;
+// A trial that its entry reports no longer is over after this time.
+constexpr Duration kTrialReportLifetime = seconds(1);
 // The entry that makes the trial changes after this time, as calls with the
 // part may not come to it. The others hear of a trial sooner.
 constexpr Duration kTrialTurn = seconds(1);
@@ -209,8 +209,7 @@
 bool PromptQuarantine::IsTrialDue(PromptPartId id, const Quarantine& quarantine,
                                   const std::vector<PromptPart>& prompt) const {
   const TimePoint now = m_clock.Now();
-  if (quarantine.trial_started_at.has_value() &&
-      now - *quarantine.trial_started_at < kTrialTimeout) {
+  if (TrialAge(quarantine).has_value() || now < quarantine.other_trial_until) {
     return false;
   }
   if (now < quarantine.until && HasCompanions(quarantine.companions, prompt)) {
@@ -582,6 +581,7 @@
                        {},
                        1,
                        FindCompanions(id, part, kCrashesToQuarantine),
+                       {},
                        {}});
     }
     return;
@@ -595,6 +595,7 @@
                      {},
                      quarantine.round + 1,
                      quarantine.companions,
+                     {},
                      {}});
     if (!part.quarantine.has_value()) {
       return;
@@ -780,13 +781,10 @@
     }
     if (part.quarantine.has_value() &&
         reports.quarantines.size() < kMaxReports) {
-      const auto& trial = part.quarantine->trial_started_at;
-      const auto trial_age =
-          trial.has_value() ? std::optional(now - *trial) : std::nullopt;
       reports.quarantines.push_back(
           {id, part.quarantine->round, now - part.quarantine->last_crash_at,
            part.quarantine->until - now, part.quarantine->companions,
-           part.quarantine->progress, trial_age});
+           part.quarantine->progress, TrialAge(*part.quarantine)});
     }
   }
   return reports;
@@ -819,10 +817,13 @@
                        now + reported.time_left,
                        reported.round,
                        reported.companions,
+                       {},
                        {}});
     }
     if (part.quarantine.has_value() && reported.trial_age.has_value()) {
-      MergeTrial(*part.quarantine, *reported.trial_age);
+      part.quarantine->other_trial_until =
+          now +
+          std::min(kTrialReportLifetime, kTrialTimeout - *reported.trial_age);
     }
   }
   for (const PartSurvival& survival : reports.survivals) {
@@ -834,15 +835,13 @@
   }
 }
 
-void PromptQuarantine::MergeTrial(Quarantine& quarantine, Duration age) const {
-  // Entries report each other's trials, later by their way each time, which
-  // must not make a trial last.
-  auto& trial = quarantine.trial_started_at;
-  const TimePoint now = m_clock.Now();
-  const bool is_under_way = trial.has_value() && now - *trial < kTrialTimeout;
-  if (!is_under_way && age <= kMaxNewTrialAge) {
-    trial = now - age;
+std::optional<Duration> PromptQuarantine::TrialAge(
+    const Quarantine& quarantine) const {
+  if (!quarantine.trial_started_at.has_value()) {
+    return std::nullopt;
   }
+  const Duration age = m_clock.Now() - *quarantine.trial_started_at;
+  return age < kTrialTimeout ? std::optional(age) : std::nullopt;
 }
 
 std::size_t PromptQuarantine::quarantined_count() const {
--- a/packages/serving/tests/prompt_quarantine_test.cc
+++ b/packages/serving/tests/prompt_quarantine_test.cc
@@ -446,6 +446,23 @@
   BOOST_TEST(trials <= 3U);
 }
 
+BOOST_AUTO_TEST_CASE(a_trial_that_did_not_run_is_forgotten_by_all_entries) {
+  Fleet fleet(2);
+  fleet.CrashThrice({kDeadly});
+  fleet.clock.Advance(seconds(30));
+  const std::vector<std::size_t> first = fleet.JudgeAtAll({kDeadly});
+  BOOST_REQUIRE(first.size() == 1U);
+  fleet.Exchange();
+  fleet.entries[first[0]]->WithdrawTrial(MakePrompt({kDeadly}));
+  std::size_t trials = 0;
+  for (int i = 0; i < 10; ++i) {
+    fleet.Exchange();
+    fleet.clock.Advance(milliseconds(150));
+    trials += fleet.JudgeAtAll({kDeadly}).size();
+  }
+  BOOST_TEST(trials == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(only_the_chosen_entry_makes_a_trial) {
   Fixture fixture;
   bool is_chosen = false;
