One estimate of the store's time for rows and load permits

FleetRow wrote again what ModelLoadLimiter had: the time in the store's last response, when it was received, and the sum with what has passed since. Both use StoreTime now.

--- a/packages/serving/include/bambooquay/serving/fleet_row.h
+++ b/packages/serving/include/bambooquay/serving/fleet_row.h
@@ -12,6 +12,7 @@
 #include "bambooquay/core/clock.h"
 #include "bambooquay/runtime/event_loop.h"
 #include "bambooquay/serving/fleet_table.h"
+#include "bambooquay/serving/store_time.h"
 
 namespace bambooquay {
 
@@ -61,15 +62,13 @@
   void HandleLoaded(const TablePage& page);
   void Update();
   void Write(const std::string& state);
-  [[nodiscard]] std::chrono::milliseconds EstimatedStoreTime() const;
 
   EventLoop& m_loop;
   FleetTable& m_table;
   FleetRowContent& m_content;
   const Settings m_settings;
   std::function<bool()> m_is_writer;
-  std::chrono::milliseconds m_store_time{};
-  TimePoint m_store_time_read_at{};
+  StoreTime m_store_time{m_loop.clock()};
   /// The state that was last written; empty if the row should not exist.
   std::string m_written;
   TimePoint m_written_at{};
--- a/packages/serving/include/bambooquay/serving/model_load_limiter.h
+++ b/packages/serving/include/bambooquay/serving/model_load_limiter.h
@@ -13,6 +13,7 @@
 #include "bambooquay/core/ids.h"
 #include "bambooquay/runtime/event_loop.h"
 #include "bambooquay/serving/fleet_table.h"
+#include "bambooquay/serving/store_time.h"
 
 namespace bambooquay {
 
@@ -71,7 +72,6 @@
   void ApplyPage(const TablePage& page);
   void TryWrite(const ModelLoadRecord& requested, const LoadRateLimit& limit,
                 int attempts, std::function<void(bool)> done);
-  [[nodiscard]] std::chrono::milliseconds EstimatedStoreTime() const;
 
   EventLoop& m_loop;
   FleetTable& m_table;
@@ -79,10 +79,7 @@
   std::optional<StorePosition> m_position;
   std::uint64_t m_row_version = 0;
   std::vector<ModelLoadRecord> m_records;
-  /// Time on the store's clock in its last response, and the local time at
-  /// which that response was received.
-  std::chrono::milliseconds m_store_time{};
-  TimePoint m_store_time_read_at{};
+  StoreTime m_store_time{m_loop.clock()};
 };
 
 }  // namespace bambooquay
--- a/packages/serving/src/fleet_row.cc
+++ b/packages/serving/src/fleet_row.cc
@@ -38,8 +38,7 @@
 }
 
 void FleetRow::HandleLoaded(const TablePage& page) {
-  m_store_time = page.store_time;
-  m_store_time_read_at = m_loop.clock().Now();
+  m_store_time.Set(page.store_time);
   const auto row = std::ranges::find(page.rows, m_settings.key, &TableRow::key);
   m_may_exist = row != page.rows.end();
   m_content.Load(
@@ -48,11 +47,6 @@
   m_update_timer = m_loop.Every(m_settings.write_period, [this] { Update(); });
 }
 
-milliseconds FleetRow::EstimatedStoreTime() const {
-  return m_store_time + std::chrono::duration_cast<milliseconds>(
-                            m_loop.clock().Now() - m_store_time_read_at);
-}
-
 void FleetRow::Update() {
   const std::string state = m_content.State();
   m_may_exist = m_may_exist || !state.empty();
@@ -68,17 +62,16 @@
 void FleetRow::Write(const std::string& state) {
   TableWrite write;
   const std::string value =
-      state.empty() ? "" : m_content.Encode(EstimatedStoreTime());
+      state.empty() ? "" : m_content.Encode(m_store_time.Now());
   (state.empty() ? write.deletes : write.puts)
       .push_back({m_settings.table, m_settings.key, value, 0, false});
   m_is_writing = true;
   m_table.Write(write, [this, state](const TableWriteResult& result) {
     m_is_writing = false;
     if (const auto* page = std::get_if<TablePage>(&result)) {
-      m_store_time = page->store_time;
-      m_store_time_read_at = m_loop.clock().Now();
+      m_store_time.Set(page->store_time);
       m_written = state;
-      m_written_at = m_store_time_read_at;
+      m_written_at = m_loop.clock().Now();
       m_may_exist = !state.empty();
     }
   });
--- a/packages/serving/src/model_load_limiter.cc
+++ b/packages/serving/src/model_load_limiter.cc
@@ -76,8 +76,7 @@
   const bool has_returned =
       m_position.has_value() && page.position.era > m_position->era;
   m_position = std::max(m_position.value_or(page.position), page.position);
-  m_store_time = page.store_time;
-  m_store_time_read_at = m_loop.clock().Now();
+  m_store_time.Set(page.store_time);
   const auto row = std::ranges::find(page.rows, kRowKey, &TableRow::key);
   const bool is_listed = row != page.rows.end();
   m_row_version = is_listed ? row->version : 0;
@@ -95,16 +94,11 @@
   m_records = std::move(listed);
 }
 
-std::chrono::milliseconds ModelLoadLimiter::EstimatedStoreTime() const {
-  return m_store_time + std::chrono::duration_cast<std::chrono::milliseconds>(
-                            m_loop.clock().Now() - m_store_time_read_at);
-}
-
 void ModelLoadLimiter::Acquire(const ModelName& model, const UpstreamId& engine,
                                const LoadRateLimit& limit,
                                std::function<void(bool)> done) {
   m_pending = true;
-  TryWrite({EstimatedStoreTime(), model, engine}, limit, 0,
+  TryWrite({m_store_time.Now(), model, engine}, limit, 0,
            [this, done = std::move(done)](bool granted) {
              m_pending = false;
              done(granted);
@@ -114,7 +108,7 @@
 void ModelLoadLimiter::TryWrite(const ModelLoadRecord& requested,
                                 const LoadRateLimit& limit, int attempts,
                                 std::function<void(bool)> done) {
-  const std::chrono::milliseconds now = EstimatedStoreTime();
+  const std::chrono::milliseconds now = m_store_time.Now();
   if (attempts >= kMaxAttempts || !MayStartLoad(m_records, now, limit)) {
     done(false);
     return;
@@ -136,8 +130,7 @@
       m_position = page->position;
       m_row_version = page->position.version;
       m_records = records;
-      m_store_time = page->store_time;
-      m_store_time_read_at = m_loop.clock().Now();
+      m_store_time.Set(page->store_time);
       done(true);
     } else if (const auto* conflict = std::get_if<TableConflict>(&result)) {
       ApplyPage(conflict->current);
