Only the entry that writes a row of the store encodes it

Since each entry encoded the streams in progress, and made its whole report of prompt parts, four times a second, to learn whether there should be a row. Before, an entry that doesn't write encoded nothing. Now the content says cheaply whether it is empty, and only the writer asks for its state; the row of quarantines makes no list of crashes and survivals. Rows are the same; serving_tests pass.

--- a/packages/serving/include/bambooquay/serving/fleet_row.h
+++ b/packages/serving/include/bambooquay/serving/fleet_row.h
@@ -24,8 +24,9 @@
   FleetRowContent& operator=(const FleetRowContent&) = delete;
   virtual ~FleetRowContent() = default;
 
-  /// @returns a text that differs whenever the row has to be written again;
-  ///   empty if there should be no row.
+  /// @returns whether there should be no row.
+  [[nodiscard]] virtual bool IsEmpty() const = 0;
+  /// @returns a text that differs whenever the row has to be written again.
   [[nodiscard]] virtual std::string State() const = 0;
   /// @returns the value of the row.
   /// @param store_time  the present time on the store's clock.
--- a/packages/serving/include/bambooquay/serving/prompt_quarantine.h
+++ b/packages/serving/include/bambooquay/serving/prompt_quarantine.h
@@ -121,7 +121,9 @@
   /// Counts the crashes that are certain now, and forgets parts that were not
   /// suspected for a while.
   void Update();
-  /// @returns what the other entries need to know.
+  /// @returns the quarantines that the other entries need to know of.
+  [[nodiscard]] std::vector<PartQuarantine> MakeQuarantineReports() const;
+  /// @returns all that the other entries need to know.
   [[nodiscard]] PromptPartReports MakeReports() const;
   /// Takes over what another entry has reported.
   void Merge(const PromptPartReports& reports);
--- a/packages/serving/include/bambooquay/serving/quarantine_table.h
+++ b/packages/serving/include/bambooquay/serving/quarantine_table.h
@@ -38,6 +38,7 @@
   void Start() { m_row.Start(); }
 
  private:
+  [[nodiscard]] bool IsEmpty() const override;
   [[nodiscard]] std::string State() const override;
   [[nodiscard]] std::string Encode(
       std::chrono::milliseconds store_time) const override;
--- a/packages/serving/include/bambooquay/serving/stream_origin_table.h
+++ b/packages/serving/include/bambooquay/serving/stream_origin_table.h
@@ -34,6 +34,7 @@
   void Start() { m_row.Start(); }
 
  private:
+  [[nodiscard]] bool IsEmpty() const override;
   [[nodiscard]] std::string State() const override;
   [[nodiscard]] std::string Encode(
       std::chrono::milliseconds store_time) const override;
--- a/packages/serving/include/bambooquay/serving/stream_origins.h
+++ b/packages/serving/include/bambooquay/serving/stream_origins.h
@@ -53,6 +53,8 @@
               const SoftwareVersion& version);
   /// Records that a stream of this entry has ended, well or not.
   void RecordEnd(StreamKey stream);
+  /// @returns whether any service has several versions.
+  [[nodiscard]] bool HasSeveralVersions() const;
   /// Adds what another entry, or an earlier process, has reported.
   void Merge(const std::vector<StreamVersionReport>& reports);
   /// @returns the versions of services that have several, with this entry's
--- a/packages/serving/src/fleet_row.cc
+++ b/packages/serving/src/fleet_row.cc
@@ -48,11 +48,12 @@
 }
 
 void FleetRow::Update() {
-  const std::string state = m_content.State();
-  m_may_exist = m_may_exist || !state.empty();
+  const bool is_empty = m_content.IsEmpty();
+  m_may_exist = m_may_exist || !is_empty;
   if (m_is_writing || !m_may_exist || !m_is_writer()) {
     return;
   }
+  const std::string state = is_empty ? "" : m_content.State();
   if (state.empty() || state != m_written ||
       m_loop.clock().Now() - m_written_at >= kRefreshPeriod) {
     Write(state);
--- a/packages/serving/src/prompt_quarantine.cc
+++ b/packages/serving/src/prompt_quarantine.cc
@@ -779,12 +779,20 @@
             {id, now - survival.begun_at, survival.lasted});
       }
     }
-    if (part.quarantine.has_value() &&
-        reports.quarantines.size() < kMaxReports) {
-      reports.quarantines.push_back(
-          {id, part.quarantine->round, now - part.quarantine->last_crash_at,
-           part.quarantine->until - now, part.quarantine->companions,
-           part.quarantine->progress, TrialAge(*part.quarantine)});
+  }
+  reports.quarantines = MakeQuarantineReports();
+  return reports;
+}
+
+std::vector<PartQuarantine> PromptQuarantine::MakeQuarantineReports() const {
+  const TimePoint now = m_clock.Now();
+  std::vector<PartQuarantine> reports;
+  for (const auto& [id, part] : m_parts) {
+    if (part.quarantine.has_value() && reports.size() < kMaxReports) {
+      const Quarantine& quarantine = *part.quarantine;
+      reports.push_back({id, quarantine.round, now - quarantine.last_crash_at,
+                         quarantine.until - now, quarantine.companions,
+                         quarantine.progress, TrialAge(quarantine)});
     }
   }
   return reports;
--- a/packages/serving/src/quarantine_table.cc
+++ b/packages/serving/src/quarantine_table.cc
@@ -94,19 +94,23 @@
       m_row(loop, table, *this, {kTable, kRowKey, kWritePeriod},
             std::move(is_writer)) {}
 
+bool QuarantineTable::IsEmpty() const {
+  return m_quarantine.quarantined_count() == 0;
+}
+
 std::string QuarantineTable::State() const {
   std::vector<PartQuarantine> quarantines =
-      m_quarantine.MakeReports().quarantines;
+      m_quarantine.MakeQuarantineReports();
   // Ages change without an event.
   std::ranges::for_each(quarantines, [](PartQuarantine& item) {
     item.last_crash_age = {};
     item.time_left = {};
   });
-  return quarantines.empty() ? "" : EncodeQuarantines(quarantines, {});
+  return EncodeQuarantines(quarantines, {});
 }
 
 std::string QuarantineTable::Encode(milliseconds store_time) const {
-  return EncodeQuarantines(m_quarantine.MakeReports().quarantines, store_time);
+  return EncodeQuarantines(m_quarantine.MakeQuarantineReports(), store_time);
 }
 
 void QuarantineTable::Load(std::optional<std::string_view> value,
--- a/packages/serving/src/stream_origin_table.cc
+++ b/packages/serving/src/stream_origin_table.cc
@@ -63,13 +63,16 @@
       m_row(loop, table, *this, {kTable, kRowKey, kWritePeriod},
             std::move(is_writer)) {}
 
+bool StreamOriginTable::IsEmpty() const {
+  return !m_origins.HasSeveralVersions();
+}
+
 std::string StreamOriginTable::State() const {
-  const std::vector<StreamVersionReport> reports = m_origins.Snapshot();
-  return reports.empty() ? "" : EncodeStreamVersions(reports);
+  return EncodeStreamVersions(m_origins.Snapshot());
 }
 
 std::string StreamOriginTable::Encode(milliseconds /*store_time*/) const {
-  return EncodeStreamVersions(m_origins.Snapshot());
+  return State();
 }
 
 void StreamOriginTable::Load(std::optional<std::string_view> value,
--- a/packages/serving/src/stream_origins.cc
+++ b/packages/serving/src/stream_origins.cc
@@ -87,6 +87,11 @@
   }
 }
 
+bool StreamOrigins::HasSeveralVersions() const {
+  return std::ranges::any_of(
+      m_versions, [](const auto& item) { return item.second.size() > 1; });
+}
+
 bool StreamOrigins::HasSeveral(const ServiceName& service) const {
   const auto versions = m_versions.find(service);
   return versions != m_versions.end() && versions->second.size() > 1;
