Log where a stream is resumed, and the software version of listed upstreams

The hypotheses of docs/incidents/2026-12-08-stream-events-out-of-order.md differ in the service and version at which a stream goes on, and in the event after which it does. No line had these. stream_resumed has them for each attempt that resumes a stream; the attempt that began it leads to upstream_listed.

--- a/packages/serving/src/forwarded_call.cc
+++ b/packages/serving/src/forwarded_call.cc
@@ -447,6 +447,15 @@
           "event_interval_ms",
           work.has_value() ? std::optional(work->event_interval) : std::nullopt)
       .With("time_left_ms", TimeLeft() / milliseconds(1));
+  if (!metadata.last_event_id.empty()) {
+    LogEvent(LogLevel::kInfo, "stream_resumed")
+        .With("request", m_call.id.value())
+        .With("begun_by", m_call.resumed_request.value())
+        .With("upstream", id.value())
+        .With("service", m_service->name.value())
+        .With("software_version", m_attempt_version.value())
+        .With("last_event_id", metadata.last_event_id);
+  }
   if (m_context.upstreams.IsElsewhere(*upstream)) {
     m_context.metrics.Increment("calls_left_data_centre_total{service=\"" +
                                 m_service->name.value() + "\"}");
--- a/packages/serving/src/serving_entry_tables.cc
+++ b/packages/serving/src/serving_entry_tables.cc
@@ -101,6 +101,7 @@
         .With("upstream", row.key)
         .With("address", record.address.ToString())
         .With("service", record.service.value())
+        .With("software_version", record.software_version.value())
         .With("draining", record.draining ? "yes" : "no")
         .With("cold_ms", record.cold_remaining / milliseconds(1));
   }
