Event streams go on only with increasing ids

What callers saw: the numbers of a stream went back. An upstream that ignored Last-Event-Id, or repeated the last event, was relayed as it was, within one response and in a response that took a stream up.

Cause: the id of an event was read to ask for what comes next, and what came was not compared with it. The class: what a peer is asked for is taken for what it sends.

Change: EventStreamSplitter holds the order of ids, starts after the event that the caller has, and returns no event that goes back. Such an attempt has failed (event_out_of_order): the stream goes on at another upstream, or the response is cut. Ids that are no numbers may have any order, but are not repeated. Gaps are left alone: ids only have to increase, so that a gap does not show that an event is missing.

--- a/packages/serving/include/bambooquay/serving/event_stream.h
+++ b/packages/serving/include/bambooquay/serving/event_stream.h
@@ -4,11 +4,22 @@
 #include <cstddef>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace bambooquay {
 
+/// @returns whether an event with `id` may come after one with `last_id`: ids
+/// of
+///   a stream increase if they are decimal numbers, and differ otherwise.
+[[nodiscard]] bool MayFollow(std::string_view last_id,
+                             std::string_view id) noexcept;
+
 /// Holds back the bytes of an incomplete event, so that a stream that breaks
-/// can be resumed with the next complete event.
+/// can be resumed with the next complete event. Events that repeat earlier ones
+/// are not returned.
+///
+/// Invariant: the ids of all events returned are in order (MayFollow()), also
+/// those of several runs that follow each other.
 ///
 /// @code
 /// EventStreamSplitter events;
@@ -17,9 +28,17 @@
 /// @endcode
 class EventStreamSplitter {
  public:
+  /// Sets the id of the last event that the reader of the stream has.
+  void StartAfter(std::string id) { m_last_id = std::move(id); }
   /// Appends bytes of the stream.
-  /// @returns the bytes of all events that they complete.
+  /// @returns the bytes of all events that they complete, up to the first one
+  ///   that is out of order.
   [[nodiscard]] std::string Append(std::string_view bytes);
+  /// @returns the id of an event that is out of order; empty if there was none
+  ///   since TakeRemainder().
+  [[nodiscard]] const std::string& out_of_order_id() const noexcept {
+    return m_out_of_order_id;
+  }
   /// Clears the buffer.
   /// @returns the bytes of the incomplete event in it.
   [[nodiscard]] std::string TakeRemainder();
@@ -27,7 +46,8 @@
   [[nodiscard]] std::size_t pending_bytes() const noexcept {
     return m_pending.size();
   }
-  /// @returns the id of the last complete event that has one.
+  /// @returns the id of the last event returned that has one, or else that of
+  ///   StartAfter().
   [[nodiscard]] const std::string& last_id() const noexcept {
     return m_last_id;
   }
@@ -42,6 +62,7 @@
   /// Id of the incomplete event.
   std::string m_event_id;
   std::string m_last_id;
+  std::string m_out_of_order_id;
 };
 
 }  // namespace bambooquay
--- a/packages/serving/src/forwarded_call.cc
+++ b/packages/serving/src/forwarded_call.cc
@@ -45,7 +45,9 @@
       m_on_finished(std::move(finished)),
       m_arrived_at(context.loop.clock().Now()),
       m_call(context.codec.DecodeCall(m_exchange->request())),
-      m_held_bytes(context.response_buffers) {}
+      m_held_bytes(context.response_buffers) {
+  m_events.StartAfter(m_call.last_event_id);
+}
 
 ForwardedCall::~ForwardedCall() = default;
 
@@ -423,8 +425,7 @@
   if (m_service->engine.has_value()) {
     metadata.priority = m_route->priority;
   }
-  metadata.last_event_id =
-      m_events.last_id().empty() ? m_call.last_event_id : m_events.last_id();
+  metadata.last_event_id = m_events.last_id();
   LogEvent(LogLevel::kInfo, "attempt")
       .With("request", m_call.id.value())
       .With("number", m_attempt_count)
--- a/packages/serving/src/forwarded_response.cc
+++ b/packages/serving/src/forwarded_response.cc
@@ -232,6 +232,15 @@
       RestartStallTimer();
     }
     UpdateHeldBytes();
+    if (!m_events.out_of_order_id().empty()) {
+      LogEvent(LogLevel::kWarning, "event_out_of_order")
+          .With("request", m_call.id.value())
+          .With("upstream", m_upstream->value())
+          .With("last_event_id", m_events.last_id())
+          .With("event_id", m_events.out_of_order_id());
+      HandleFailedAttempt(AttemptResult::kBroken, true, "event_out_of_order");
+      return;
+    }
     if (m_events.pending_bytes() > std::min(kMaxEventBytes, max_holding)) {
       HandleFailedAttempt(AttemptResult::kBroken, true, "event_too_large");
     }
@@ -369,8 +378,7 @@
 }
 
 bool ForwardedCall::IsStreamBrokenOff() const {
-  const bool is_fresh =
-      m_events.last_id().empty() && m_call.last_event_id.empty();
+  const bool is_fresh = m_events.last_id().empty();
   return m_event_stream &&
          (m_events.pending_bytes() > 0 || (is_fresh && m_attempt_events == 0));
 }
