Entries judge whether they know all software versions when they are asked

Cause: IsInTouch was asked by the tick only, each 100 ms, and its result kept for 0.5 s. Before the first tick it stood as no. The class: a copy of a condition, made at intervals, stands for the condition.

Change: StreamOrigins asks for it when it needs it. A tick that is overdue counts as a pause of the event loop, as a call may be handled before that tick; and the list has to be complete, as the first page of it may lack a version.

--- a/packages/serving/include/bambooquay/serving/serving_entry.h
+++ b/packages/serving/include/bambooquay/serving/serving_entry.h
@@ -132,10 +132,12 @@
   void EndDrainIfDue(TimePoint now);
   [[nodiscard]] RetryBudget& RetryBudgetFor(const ServiceName& service);
   [[nodiscard]] EntryStatus MakeStatus();
-  /// @returns whether this entry tries a part of prompts again, the choice of
-  ///   which all entries agree on without communication.
   /// @returns what this entry hears of the others and of the store.
   [[nodiscard]] FleetContact Contact() const;
+  /// @returns whether this entry knows all software versions that serve now.
+  [[nodiscard]] bool KnowsVersions() const;
+  /// @returns whether this entry tries a part of prompts again, the choice of
+  ///   which all entries agree on without communication.
   [[nodiscard]] bool MakesTrial(PromptPartId part, std::uint64_t turn) const;
 
   ServingSettings m_settings;
--- a/packages/serving/include/bambooquay/serving/stream_origins.h
+++ b/packages/serving/include/bambooquay/serving/stream_origins.h
@@ -2,9 +2,11 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "bambooquay/core/clock.h"
@@ -25,28 +27,28 @@
 /// stream that is not known must not go on: its version is a guess.
 ///
 /// Invariant: Find() never returns a version that did not begin the stream, as
-/// long as each version has been noted before it began one, or before the last
-/// call of NoteCurrent() after that.
+/// long as each version has been noted before it began one, or before
+/// `is_current` has returned true after that.
 ///
 /// @code
-/// StreamOrigins origins(clock);
+/// StreamOrigins origins(clock, [] { return HearsOfAllChanges(); });
 /// origins.NoteVersion(service, version);
 /// origins.SetLoaded();
-/// origins.NoteCurrent();  // again and again, while that is so
 /// origins.Record(MakeStreamKey(call.id), service, version);
 /// if (const auto version = origins.Find(service, key)) { ... }
 /// @endcode
 class StreamOrigins {
  public:
-  explicit StreamOrigins(const Clock& clock) noexcept : m_clock(clock) {}
+  /// @param is_current  returns whether all versions that serve now have been
+  ///   noted.
+  StreamOrigins(const Clock& clock, std::function<bool()> is_current)
+      : m_clock(clock), m_is_current(std::move(is_current)) {}
 
   /// Records that an upstream of that version is listed.
   void NoteVersion(const ServiceName& service, const SoftwareVersion& version);
   /// Records that what earlier processes knew has been merged. Before that the
   /// versions of the recent past are not known.
   void SetLoaded() noexcept { m_is_loaded = true; }
-  /// Records that all versions that serve now have been noted.
-  void NoteCurrent() { m_current_at = m_clock.Now(); }
   /// Records that an upstream of that version has sent the first event of a
   /// stream, or goes on with it, to this entry.
   void Record(StreamKey stream, const ServiceName& service,
@@ -90,8 +92,8 @@
   MakeEmptyReports() const;
 
   const Clock& m_clock;
+  std::function<bool()> m_is_current;
   bool m_is_loaded = false;
-  std::optional<TimePoint> m_current_at;
   std::map<ServiceName, ListedAt> m_versions;
   std::unordered_map<std::uint64_t, Stream> m_streams;
 };
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -116,7 +116,7 @@
                   }),
       m_allowance(deps.loop.input_clock()),
       m_quarantine(deps.loop.clock()),
-      m_stream_origins(deps.loop.clock()),
+      m_stream_origins(deps.loop.clock(), [this] { return KnowsVersions(); }),
       m_demand(deps.loop.clock()),
       m_planner(deps.loop.clock(), m_upstreams),
       m_response_buffers(kMaxResponseBytes),
@@ -531,8 +531,15 @@
   const auto heard = std::ranges::count_if(
       m_peers.peers(),
       [this](const auto& item) { return !m_peers.IsSilent(item.second); });
+  // A call may come before the first tick after a pause.
+  const bool is_paused = now - m_last_tick_at > kTickPeriod + kNotableLoopDelay;
   return {m_peers.peers().size(), static_cast<std::size_t>(heard),
-          age(m_upstream_rows.last_response_at()), age(m_paused_until)};
+          age(m_upstream_rows.last_response_at()),
+          is_paused ? std::optional(Duration::zero()) : age(m_paused_until)};
+}
+
+bool ServingEntry::KnowsVersions() const {
+  return m_upstream_rows.is_complete() && IsInTouch(Contact());
 }
 
 void ServingEntry::Tick() {
@@ -548,9 +555,6 @@
   }
   m_upstreams.Tick();
   m_quarantine.Update();
-  if (IsInTouch(Contact())) {
-    m_stream_origins.NoteCurrent();
-  }
   const std::vector<InstanceId> members = m_peers.Members();
   std::ranges::for_each(m_budgets, [this](auto& item) {
     item.second.SetEntryCount(m_peers.known_count());
--- a/packages/serving/src/stream_origins.cc
+++ b/packages/serving/src/stream_origins.cc
@@ -15,9 +15,6 @@
 // listed: the time that upstreams serve after they have left, and that of a
 // stream.
 constexpr Duration kVersionTime = std::chrono::seconds(60);
-// A version that is not known yet may have begun streams this long after the
-// known ones were those that serve.
-constexpr Duration kCurrentTime = std::chrono::milliseconds(500);
 // A stream in progress is reported again after this time, as reports may be
 // lost.
 constexpr Duration kReportInterval = std::chrono::seconds(1);
@@ -160,10 +157,8 @@
     return found->second.version;
   }
   const auto versions = m_versions.find(service);
-  const bool is_current =
-      m_current_at.has_value() && m_clock.Now() - *m_current_at <= kCurrentTime;
-  if (!m_is_loaded || !is_current || versions == m_versions.end() ||
-      versions->second.size() != 1) {
+  if (!m_is_loaded || versions == m_versions.end() ||
+      versions->second.size() != 1 || !m_is_current()) {
     return std::nullopt;
   }
   return versions->second.begin()->first;
--- a/packages/serving/tests/stream_origins_test.cc
+++ b/packages/serving/tests/stream_origins_test.cc
@@ -24,11 +24,11 @@
   OriginsFixture() {
     origins.NoteVersion(kService, kOld);
     origins.SetLoaded();
-    origins.NoteCurrent();
   }
 
   ManualClock clock;
-  StreamOrigins origins{clock};
+  bool is_current = true;
+  StreamOrigins origins{clock, [this] { return is_current; }};
 };
 
 }  // namespace
@@ -50,17 +50,16 @@
   }
   fixture.clock.Advance(seconds(1));
   fixture.origins.RemoveExpired();
-  fixture.origins.NoteCurrent();
   BOOST_TEST((fixture.origins.Find(kService, kStream) == kNew));
 }
 
 BOOST_AUTO_TEST_CASE(an_entry_out_of_touch_does_not_guess_the_only_version) {
   OriginsFixture fixture;
   fixture.origins.Record(kOtherStream, kService, kOld);
-  fixture.clock.Advance(seconds(2));
+  fixture.is_current = false;
   BOOST_TEST(!fixture.origins.Find(kService, kStream).has_value());
   BOOST_TEST((fixture.origins.Find(kService, kOtherStream) == kOld));
-  fixture.origins.NoteCurrent();
+  fixture.is_current = true;
   BOOST_TEST((fixture.origins.Find(kService, kStream) == kOld));
 }
 
@@ -83,7 +82,7 @@
 
 BOOST_AUTO_TEST_CASE(nothing_is_known_before_the_earlier_versions_are_read) {
   const ManualClock clock;
-  StreamOrigins origins(clock);
+  StreamOrigins origins(clock, [] { return true; });
   origins.NoteVersion(kService, kNew);
   BOOST_TEST(!origins.Find(kService, kStream).has_value());
   origins.Record(kOtherStream, kService, kNew);
@@ -128,8 +127,6 @@
     other.origins.NoteVersion(kService, kNew);
     fixture.origins.RemoveExpired();
     other.origins.RemoveExpired();
-    fixture.origins.NoteCurrent();
-    other.origins.NoteCurrent();
   }
   BOOST_TEST((fixture.origins.Find(kService, kStream) == kNew));
   BOOST_TEST((other.origins.Find(kService, kStream) == kNew));
@@ -147,7 +144,7 @@
   BOOST_REQUIRE(
       loop.RunUntil([&] { return table.version > version; }, seconds(5)));
   const ManualClock clock;
-  StreamOrigins after(clock);
+  StreamOrigins after(clock, [] { return true; });
   after.NoteVersion(kService, kNew);
   StreamOriginTable reader(loop, table, after, [] { return false; });
   reader.Start();
