A stream goes on only at the service that began it

What callers saw: a stream that they took up went on with events of another service.

Cause: a service of the route was drawn by weight for each call, also for one that takes up a stream. StreamOrigins knew which service began the stream, and ignored that if another one was drawn: it returned the only software version of the service drawn. The class: part of the identity of a conversation (its software version) outlives a connection, and another part (its service) is chosen anew.

Change: the origin of a stream is its service together with its software version. StreamRouteHistory tells which services get, or got in the last minute, streams of the same path, by all configurations that this entry has applied. Streams of such services are known one by one: their entries report them, one keeps them in the store, and an unknown one is refused as not run. A stream whose service is on its route goes on there. If its route has moved away from that service, neither the old service (the operators have taken it off) nor a new one (it would send other events) may go on with it: the call is refused at once (stream_route_moved). An entry that knows of a newer configuration at a peer guesses nothing. Where each route has one service, nothing is sent, written or refused that was not before.

--- a/packages/peers/include/bambooquay/peers/status_messages.h
+++ b/packages/peers/include/bambooquay/peers/status_messages.h
@@ -87,13 +87,17 @@
   friend auto operator<=>(const StreamKey&, const StreamKey&) = default;
 };
 
-/// A software version of a service, and streams that it began.
+/// A software version of a service, and streams that it began. Sent while the
+/// service has several versions, or shares streams with another service.
 struct StreamVersionReport {
   ServiceName service;
   SoftwareVersion version;
   /// Time since an upstream of this version was last listed.
   Duration listed_age{};
   std::vector<StreamKey> streams;
+  /// If the service shares streams of its routes with another one, the time
+  /// since that one last got some.
+  std::optional<Duration> shared_age = std::nullopt;
 };
 
 /// Sent by each entry to the other entries.
@@ -107,7 +111,7 @@
   Duration uptime{};
   PromptPartReports prompt_parts;
   std::vector<CallLimitReport> call_limits;
-  /// Of services that have several software versions.
+  /// Of services whose streams have to be known one by one.
   std::vector<StreamVersionReport> stream_versions;
   DataCentreId data_centre;  ///< Empty if the sender does not say.
   /// Tokens spent since the entry started. An organisation whose total has not
--- a/packages/peers/src/status_messages.cc
+++ b/packages/peers/src/status_messages.cc
@@ -74,16 +74,12 @@
   return parts;
 }
 
-// On the wire, 0 means no event.
-std::uint32_t ToProgressMs(const CallProgress& progress) {
-  return progress.has_value() ? ToMs(*progress) + 1 : 0;
+// On the wire, 0 means nothing.
+std::uint32_t ToOptionalMs(const std::optional<Duration>& time) {
+  return time.has_value() ? ToMs(*time) + 1 : 0;
 }
 
-CallProgress ReadProgress(std::uint32_t ms) {
-  return ms == 0 ? kNoEvent : CallProgress(std::chrono::milliseconds(ms - 1));
-}
-
-std::optional<Duration> ReadTrialAge(std::uint32_t ms) {
+std::optional<Duration> ReadOptionalMs(std::uint32_t ms) {
   return ms == 0 ? std::nullopt
                  : std::optional<Duration>(std::chrono::milliseconds(ms - 1));
 }
@@ -98,7 +94,7 @@
     out.setUpstreamRun(item.upstream_run);
     out.setBegunAgeMs(ToMs(item.begun_age));
     out.setCrashAgeMs(ToMs(item.crash_age));
-    out.setProgressMs(ToProgressMs(item.progress));
+    out.setProgressMs(ToOptionalMs(item.progress));
     out.setCertain(item.is_certain);
   }
   auto survivals =
@@ -123,9 +119,8 @@
     WriteParts(
         out.initCompanions(static_cast<unsigned>(item.companions.size())),
         item.companions);
-    out.setProgressMs(ToProgressMs(item.progress));
-    out.setTrialAgeMs(item.trial_age.has_value() ? ToMs(*item.trial_age) + 1
-                                                 : 0);
+    out.setProgressMs(ToOptionalMs(item.progress));
+    out.setTrialAgeMs(ToOptionalMs(item.trial_age));
   }
 }
 
@@ -136,7 +131,7 @@
     to.crashes.push_back(
         {ReadParts(item.getParts()), item.getUpstreamRun(),
          milliseconds(item.getBegunAgeMs()), milliseconds(item.getCrashAgeMs()),
-         ReadProgress(item.getProgressMs()), item.getCertain()});
+         ReadOptionalMs(item.getProgressMs()), item.getCertain()});
   }
   for (const auto item : from.getPartSurvivals()) {
     to.survivals.push_back({PromptPartId{item.getPart()},
@@ -147,8 +142,8 @@
     to.quarantines.push_back(
         {PromptPartId{item.getPart()}, static_cast<int>(item.getRound()),
          milliseconds(item.getLastCrashAgeMs()), milliseconds(item.getLeftMs()),
-         ReadParts(item.getCompanions()), ReadProgress(item.getProgressMs()),
-         ReadTrialAge(item.getTrialAgeMs())});
+         ReadParts(item.getCompanions()), ReadOptionalMs(item.getProgressMs()),
+         ReadOptionalMs(item.getTrialAgeMs())});
   }
   return to;
 }
@@ -192,6 +187,7 @@
     out.setService(item.service.value().c_str());
     out.setVersion(item.version.value().c_str());
     out.setListedAgeMs(ToMs(item.listed_age));
+    out.setSharedAgeMs(ToOptionalMs(item.shared_age));
     auto streams = out.initStreams(static_cast<unsigned>(item.streams.size()));
     unsigned position = 0;
     for (const StreamKey stream : item.streams) {
@@ -208,6 +204,7 @@
     report.service = ServiceName(ToString(item.getService()));
     report.version = SoftwareVersion(ToString(item.getVersion()));
     report.listed_age = std::chrono::milliseconds(item.getListedAgeMs());
+    report.shared_age = ReadOptionalMs(item.getSharedAgeMs());
     for (const std::uint64_t stream : item.getStreams()) {
       report.streams.push_back({stream});
     }
--- a/packages/peers/status.capnp
+++ b/packages/peers/status.capnp
@@ -64,12 +64,16 @@
   ageMs @3 :UInt32;     # age of the response at the time of sending
 }
 
-# A software version of a service that has several.
+# A software version of a service that has several, or that shares the streams of
+# its routes with another service.
 struct StreamVersion {
   service @0 :Text;
   version @1 :Text;
   listedAgeMs @2 :UInt32;   # since an upstream of this version was last listed
   streams @3 :List(UInt64);  # begun by it, and in progress at the sender
+  # If the service shares streams with another one, 1 + the time since that one
+  # last got some; else 0.
+  sharedAgeMs @4 :UInt32;
 }
 
 # Sent by each entry to the other entries.
--- a/packages/serving/include/bambooquay/serving/fleet_configuration.h
+++ b/packages/serving/include/bambooquay/serving/fleet_configuration.h
@@ -52,6 +52,8 @@
     return kind == CallKind::kIdempotent ||
            (kind == CallKind::kStream && resumable);
   }
+  /// @returns the services that get any of the route's calls.
+  [[nodiscard]] std::vector<ServiceName> UsedServices() const;
 };
 
 struct ServingModel {
--- a/packages/serving/include/bambooquay/serving/forwarded_call.h
+++ b/packages/serving/include/bambooquay/serving/forwarded_call.h
@@ -19,30 +19,19 @@
 #include "bambooquay/runtime/metrics.h"
 #include "bambooquay/scheduling/call_lengths.h"
 #include "bambooquay/scheduling/room_search.h"
+#include "bambooquay/serving/active_configuration.h"
 #include "bambooquay/serving/call_codec.h"
 #include "bambooquay/serving/event_stream.h"
 #include "bambooquay/serving/fleet_allowance.h"
 #include "bambooquay/serving/prompt_quarantine.h"
 #include "bambooquay/serving/repeat_obstacle.h"
 #include "bambooquay/serving/retry_budget.h"
-#include "bambooquay/serving/route_table.h"
 #include "bambooquay/serving/stall_policy.h"
 #include "bambooquay/serving/stream_origins.h"
 #include "bambooquay/serving/upstream_set.h"
 
 namespace bambooquay {
 
-/// The active configuration with its indexes.
-struct ActiveConfiguration {
-  explicit ActiveConfiguration(FleetConfiguration decoded)
-      : configuration(std::move(decoded)), routes(configuration) {}
-  ActiveConfiguration(const ActiveConfiguration&) = delete;
-  ActiveConfiguration& operator=(const ActiveConfiguration&) = delete;
-
-  FleetConfiguration configuration;
-  RouteTable routes;
-};
-
 /// What has become of a request for room on an engine.
 struct RoomOutcome {
   enum class Kind : std::uint8_t {
@@ -191,9 +180,13 @@
   [[nodiscard]] CallProgress AttemptProgress() const;
   /// Ends the call because its prompt is under quarantine.
   void RefuseQuarantined();
-  /// Chooses one of the route's services by weight. Leaves m_service null if
-  /// the configuration lacks the chosen service.
-  void ChooseService();
+  /// Chooses one of the route's services by weight, or the one that began the
+  /// stream that the caller takes up. Refuses the call if there is none, or the
+  /// configuration lacks it.
+  /// @returns whether the call may go on.
+  [[nodiscard]] bool ChooseService();
+  /// @returns one of the route's services by weight; null without any.
+  [[nodiscard]] const ServingService* DrawService();
   void TryUpstream();
   /// @returns the delay after which a caller should retry if no upstream can
   ///   take its call now.
@@ -275,8 +268,10 @@
   void CountRun();
   /// @returns the key of the stream that the call begins or takes up.
   [[nodiscard]] StreamKey OwnStreamKey() const;
-  /// Finds the software version of a stream that the caller takes up, or
-  /// refuses the call.
+  /// @returns whether the caller takes up a stream that another call began.
+  [[nodiscard]] bool TakesUpStream() const;
+  /// Finds the service and the software version of a stream that the caller
+  /// takes up, or refuses the call.
   /// @returns whether the call may go on.
   [[nodiscard]] bool FindStreamOrigin();
   /// Lets the call go on only at the software version of this attempt.
--- a/packages/serving/include/bambooquay/serving/serving_entry.h
+++ b/packages/serving/include/bambooquay/serving/serving_entry.h
@@ -27,6 +27,7 @@
 #include "bambooquay/serving/serving_settings.h"
 #include "bambooquay/serving/shared_table.h"
 #include "bambooquay/serving/stream_origin_table.h"
+#include "bambooquay/serving/stream_route_history.h"
 #include "bambooquay/serving/table_mirror.h"
 #include "bambooquay/serving/table_relay.h"
 
@@ -121,8 +122,9 @@
   /// Records by how much the event loop is late.
   void ObserveLoopDelay();
   void Plan();
-  /// Records which software versions are listed.
-  void NoteVersions();
+  /// Records which software versions are listed, and which services share the
+  /// streams of a route.
+  void NoteStreamOrigins();
   /// @returns whether the entry drains and takes no more calls.
   [[nodiscard]] bool RefusesCalls() const;
   /// Ends draining once all calls have ended or the drain limit is near.
@@ -134,8 +136,13 @@
   [[nodiscard]] EntryStatus MakeStatus();
   /// @returns what this entry hears of the others and of the store.
   [[nodiscard]] FleetContact Contact() const;
-  /// @returns whether this entry knows all software versions that serve now.
-  [[nodiscard]] bool KnowsVersions() const;
+  /// @returns the version of the configuration in force; 0 without one.
+  [[nodiscard]] std::uint64_t ActiveVersion() const;
+  /// @returns whether a peer applies a newer configuration.
+  [[nodiscard]] bool HasOlderConfiguration() const;
+  /// @returns whether this entry knows all services and software versions that
+  ///   streams may begin at now.
+  [[nodiscard]] bool KnowsStreamOrigins() const;
   /// @returns whether this entry tries a part of prompts again, the choice of
   ///   which all entries agree on without communication.
   [[nodiscard]] bool MakesTrial(PromptPartId part, std::uint64_t turn) const;
@@ -150,6 +157,7 @@
   FleetAllowance m_allowance;
   PromptQuarantine m_quarantine;
   StreamOrigins m_stream_origins;
+  StreamRouteHistory m_stream_routes;
   DemandMeter m_demand;
   FleetPlanner m_planner;
   BufferBudget m_response_buffers;
@@ -199,7 +207,7 @@
   std::unique_ptr<Timer> m_drain_timer;
   std::unique_ptr<Timer> m_tick_timer;
   std::unique_ptr<Timer> m_plan_timer;
-  std::unique_ptr<Timer> m_version_timer;
+  std::unique_ptr<Timer> m_origins_timer;
   /// Plans ahead of m_plan_timer, after the first report of an engine.
   std::unique_ptr<Timer> m_early_plan_timer;
   std::unique_ptr<Timer> m_register_timer;
--- a/packages/serving/include/bambooquay/serving/stream_origin_table.h
+++ b/packages/serving/include/bambooquay/serving/stream_origin_table.h
@@ -1,5 +1,5 @@
-// Keeps in the store which software version began the streams in progress, for
-// entries that start.
+// Keeps in the store which service and software version began the streams in
+// progress, for entries that start.
 #pragma once
 
 #include <chrono>
@@ -23,8 +23,8 @@
 [[nodiscard]] std::optional<std::vector<StreamVersionReport>>
 DecodeStreamVersions(std::string_view value);
 
-/// Written only while a service has several software versions, so that callers
-/// can take up their streams at entries that start.
+/// Written only while the streams of a service have to be known one by one, so
+/// that callers can take them up at entries that start.
 class StreamOriginTable final : private FleetRowContent {
  public:
   /// @param is_writer  returns whether this entry is the one that writes.
--- a/packages/serving/src/forwarded_call.cc
+++ b/packages/serving/src/forwarded_call.cc
@@ -86,13 +86,7 @@
     Refuse(ToCode(HttpStatus::kBadRequest), "bad_model", Duration::zero());
     return;
   }
-  ChooseService();
-  if (m_service == nullptr) {
-    Refuse(ToCode(HttpStatus::kServiceUnavailable), "unknown_service",
-           kRetryAfter);
-    return;
-  }
-  if (!FindStreamOrigin() || !PassQuarantine() || !SpendAllowance()) {
+  if (!ChooseService() || !PassQuarantine() || !SpendAllowance()) {
     return;
   }
   BuildQuery();
@@ -126,17 +120,21 @@
   return MakeStreamKey(is_taken_up ? m_call.resumed_request : m_call.id);
 }
 
+bool ForwardedCall::TakesUpStream() const {
+  return m_route->kind == CallKind::kStream && !m_call.last_event_id.empty();
+}
+
 bool ForwardedCall::FindStreamOrigin() {
-  if (m_route->kind != CallKind::kStream || m_call.last_event_id.empty()) {
-    return true;
-  }
-  m_query.software_version =
-      m_context.stream_origins.Find(m_service->name, OwnStreamKey());
-  if (!m_query.software_version.has_value()) {
-    Refuse(ToCode(HttpStatus::kServiceUnavailable), "stream_origin_unknown",
+  const auto found =
+      m_context.stream_origins.Find(m_route->UsedServices(), OwnStreamKey());
+  if (const auto* obstacle = std::get_if<StreamObstacle>(&found)) {
+    Refuse(ToCode(HttpStatus::kServiceUnavailable), ToString(*obstacle),
            kRetryAfter);
     return false;
   }
+  const auto& origin = std::get<StreamOrigin>(found);
+  m_query.software_version = origin.version;
+  m_service = m_active_configuration->routes.FindService(origin.service);
   return true;
 }
 
@@ -192,10 +190,24 @@
   return false;
 }
 
-void ForwardedCall::ChooseService() {
+bool ForwardedCall::ChooseService() {
+  if (!TakesUpStream()) {
+    m_service = DrawService();
+  } else if (!FindStreamOrigin()) {
+    return false;
+  }
+  if (m_service == nullptr) {
+    Refuse(ToCode(HttpStatus::kServiceUnavailable), "unknown_service",
+           kRetryAfter);
+    return false;
+  }
+  return true;
+}
+
+const ServingService* ForwardedCall::DrawService() {
   const auto& shares = m_route->services;
   if (shares.empty()) {
-    return;
+    return nullptr;
   }
   double total = 0.0;
   std::ranges::for_each(
@@ -208,7 +220,7 @@
         remainder -= share.weight;
         return remainder < 0.0;
       });
-  m_service = m_active_configuration->routes.FindService(
+  return m_active_configuration->routes.FindService(
       chosen == shares.end() ? shares.back().service : chosen->service);
 }
 
--- a/packages/serving/src/forwarded_response.cc
+++ b/packages/serving/src/forwarded_response.cc
@@ -282,8 +282,8 @@
     m_query.software_version = m_attempt_version;
   }
   if (m_route->repeatable()) {
-    m_context.stream_origins.Record(OwnStreamKey(), m_service->name,
-                                    *m_query.software_version);
+    m_context.stream_origins.Record(
+        OwnStreamKey(), {m_service->name, *m_query.software_version});
   }
 }
 
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -43,7 +43,7 @@
 // A later tick is logged.
 constexpr Duration kNotableLoopDelay = milliseconds(200);
 constexpr Duration kPlanPeriod = milliseconds(300);
-constexpr Duration kVersionPeriod = std::chrono::seconds(1);
+constexpr Duration kOriginsPeriod = std::chrono::seconds(1);
 // Delay of the planning after an engine's first report. The first reports of
 // other engines often follow within some milliseconds.
 constexpr Duration kEarlyPlanDelay = milliseconds(40);
@@ -116,7 +116,9 @@
                   }),
       m_allowance(deps.loop.input_clock()),
       m_quarantine(deps.loop.clock()),
-      m_stream_origins(deps.loop.clock(), [this] { return KnowsVersions(); }),
+      m_stream_origins(deps.loop.clock(),
+                       [this] { return KnowsStreamOrigins(); }),
+      m_stream_routes(deps.loop.clock()),
       m_demand(deps.loop.clock()),
       m_planner(deps.loop.clock(), m_upstreams),
       m_response_buffers(kMaxResponseBytes),
@@ -344,8 +346,8 @@
   m_last_tick_at = m_deps.loop.clock().Now();
   m_tick_timer = m_deps.loop.Every(kTickPeriod, [this] { Tick(); });
   m_plan_timer = m_deps.loop.Every(kPlanPeriod, [this] { Plan(); });
-  m_version_timer =
-      m_deps.loop.Every(kVersionPeriod, [this] { NoteVersions(); });
+  m_origins_timer =
+      m_deps.loop.Every(kOriginsPeriod, [this] { NoteStreamOrigins(); });
   return true;
 }
 
@@ -372,16 +374,13 @@
 }
 
 std::string ServingEntry::StatusJson() const {
-  return nlohmann::json{
-      {"instance", m_settings.id.value()},
-      {"configuration", m_active_configuration == nullptr
-                            ? 0
-                            : m_active_configuration->configuration.version},
-      {"upstreams", m_upstreams.all().size()},
-      {"entries", m_peers.member_count()},
-      {"calls", m_calls.size()},
-      {"store_lost", m_upstream_rows.is_store_lost()},
-      {"not_ready", NotReadyReason()}}
+  return nlohmann::json{{"instance", m_settings.id.value()},
+                        {"configuration", ActiveVersion()},
+                        {"upstreams", m_upstreams.all().size()},
+                        {"entries", m_peers.member_count()},
+                        {"calls", m_calls.size()},
+                        {"store_lost", m_upstream_rows.is_store_lost()},
+                        {"not_ready", NotReadyReason()}}
       .dump();
 }
 
@@ -482,9 +481,7 @@
   EntryStatus status;
   status.leaving = m_draining_since.has_value();
   status.data_centre = m_settings.data_centre;
-  status.configuration = m_active_configuration == nullptr
-                             ? 0
-                             : m_active_configuration->configuration.version;
+  status.configuration = ActiveVersion();
   status.operators_version = m_operator_rows.last_change();
   status.prompt_parts = m_quarantine.MakeReports();
   status.call_limits = m_upstreams.notices().MakeReports();
@@ -535,10 +532,11 @@
   const bool is_paused = now - m_last_tick_at > kTickPeriod + kNotableLoopDelay;
   return {m_peers.peers().size(), static_cast<std::size_t>(heard),
           age(m_upstream_rows.last_response_at()),
-          is_paused ? std::optional(Duration::zero()) : age(m_paused_until)};
+          is_paused ? std::optional(Duration::zero()) : age(m_paused_until),
+          HasOlderConfiguration()};
 }
 
-bool ServingEntry::KnowsVersions() const {
+bool ServingEntry::KnowsStreamOrigins() const {
   return m_upstream_rows.is_complete() && IsInTouch(Contact());
 }
 
@@ -578,7 +576,7 @@
   return demand;
 }
 
-void ServingEntry::NoteVersions() {
+void ServingEntry::NoteStreamOrigins() {
   std::ranges::for_each(m_upstreams.all(), [this](const auto& item) {
     const Upstream& upstream = item.second;
     if (upstream.listed) {
@@ -586,7 +584,14 @@
                                    upstream.record.software_version);
     }
   });
+  for (const auto& [service, shared_at] : m_stream_routes.SharedServices()) {
+    if (m_stream_origins.NoteShared(service, shared_at)) {
+      LogEvent(LogLevel::kInfo, "stream_service_shared")
+          .With("service", service.value());
+    }
+  }
   m_stream_origins.RemoveExpired();
+  m_stream_routes.RemoveExpired();
 }
 
 void ServingEntry::Plan() {
--- a/packages/serving/src/serving_entry_tables.cc
+++ b/packages/serving/src/serving_entry_tables.cc
@@ -47,6 +47,8 @@
   }
   m_active_configuration =
       std::make_shared<const ActiveConfiguration>(std::move(configuration));
+  m_stream_routes.Apply(m_active_configuration);
+  NoteStreamOrigins();
   const FleetConfiguration& active = m_active_configuration->configuration;
   for (const ServingOrganisation& organisation : active.organisations) {
     m_allowance.Configure(organisation.name, organisation.rate,
@@ -128,18 +130,27 @@
   }
 }
 
+std::uint64_t ServingEntry::ActiveVersion() const {
+  return m_active_configuration == nullptr
+             ? 0
+             : m_active_configuration->configuration.version;
+}
+
+bool ServingEntry::HasOlderConfiguration() const {
+  return std::ranges::any_of(m_peers.peers(), [this](const auto& item) {
+    return !m_peers.IsSilent(item.second) &&
+           item.second.status.configuration > ActiveVersion();
+  });
+}
+
 void ServingEntry::FetchTablesIfBehind() {
   const TimePoint now = m_deps.loop.clock().Now();
-  const std::uint64_t active_version =
-      m_active_configuration == nullptr
-          ? 0
-          : m_active_configuration->configuration.version;
   const bool behind =
-      std::ranges::any_of(m_peers.peers(), [&](const auto& item) {
-        const EntryStatus& status = item.second.status;
+      HasOlderConfiguration() ||
+      std::ranges::any_of(m_peers.peers(), [this](const auto& item) {
         return !m_peers.IsSilent(item.second) &&
-               (status.configuration > active_version ||
-                status.operators_version > m_operator_rows.position().version);
+               item.second.status.operators_version >
+                   m_operator_rows.position().version;
       });
   if (!behind) {
     m_behind_since.reset();
@@ -148,7 +159,7 @@
   } else if (now - *m_behind_since > kMaxTimeBehind) {
     m_behind_since = now;
     LogEvent(LogLevel::kWarning, "operators_rows_outdated")
-        .With("configuration", active_version)
+        .With("configuration", ActiveVersion())
         .With("version", m_operator_rows.position().version);
     m_operator_rows.WatchNow();
     m_operator_rows.ListFromFallback();
--- a/packages/serving/src/stream_origin_table.cc
+++ b/packages/serving/src/stream_origin_table.cc
@@ -1,5 +1,5 @@
-// Keeps in the store which software version began the streams in progress, for
-// entries that start.
+// Keeps in the store which service and software version began the streams in
+// progress, for entries that start.
 #include "bambooquay/serving/stream_origin_table.h"
 
 #include <algorithm>
@@ -29,7 +29,8 @@
     std::vector<std::uint64_t> streams(report.streams.size());
     std::ranges::transform(report.streams, streams.begin(), &StreamKey::value);
     std::ranges::sort(streams);
-    json.push_back({report.service.value(), report.version.value(), streams});
+    json.push_back({report.service.value(), report.version.value(), streams,
+                    report.shared_age.has_value()});
   }
   const std::vector<std::uint8_t> bytes = Json::to_cbor(json);
   return {bytes.begin(), bytes.end()};
@@ -46,6 +47,10 @@
       for (const Json& stream : item.at(2)) {
         report.streams.push_back({stream.get<std::uint64_t>()});
       }
+      // Rows of earlier releases end before this.
+      if (item.size() > 3 && item.at(3).get<bool>()) {
+        report.shared_age = Duration::zero();
+      }
       reports.push_back(std::move(report));
     }
     return reports;
@@ -63,9 +68,7 @@
       m_row(loop, table, *this, {kTable, kRowKey, kWritePeriod},
             std::move(is_writer)) {}
 
-bool StreamOriginTable::IsEmpty() const {
-  return !m_origins.HasSeveralVersions();
-}
+bool StreamOriginTable::IsEmpty() const { return !m_origins.HasAmbiguous(); }
 
 std::string StreamOriginTable::State() const {
   return EncodeStreamVersions(m_origins.Snapshot());
--- a/packages/serving/src/stream_origins.cc
+++ b/packages/serving/src/stream_origins.cc
@@ -1,4 +1,5 @@
-// Which software version began a stream, so that it goes on only there.
+// Which service and software version began a stream, so that it goes on only
+// there.
 #include "bambooquay/serving/stream_origins.h"
 
 #include <algorithm>
@@ -11,10 +12,6 @@
 
 // A stream may be taken up this long after it was last in progress.
 constexpr Duration kTakeUpTime = std::chrono::seconds(30);
-// Streams of a version may be taken up this long after its last upstream was
-// listed: the time that upstreams serve after they have left, and that of a
-// stream.
-constexpr Duration kVersionTime = std::chrono::seconds(60);
 // A stream in progress is reported again after this time, as reports may be
 // lost.
 constexpr Duration kReportInterval = std::chrono::seconds(1);
@@ -24,8 +21,8 @@
 constexpr std::size_t kMaxReported = 400;
 // Streams in a snapshot, which is one row of the store.
 constexpr std::size_t kMaxInSnapshot = 4000;
-// Bounds the memory for streams; those beyond can't be taken up while several
-// versions serve.
+// Bounds the memory for streams; those beyond can't be taken up while their
+// service is ambiguous.
 constexpr std::size_t kMaxStreams = 20'000;
 
 template <typename Reports>
@@ -39,6 +36,11 @@
 
 }  // namespace
 
+std::string_view ToString(StreamObstacle obstacle) noexcept {
+  return obstacle == StreamObstacle::kOriginUnknown ? "stream_origin_unknown"
+                                                    : "stream_route_moved";
+}
+
 StreamKey MakeStreamKey(const RequestId& id) {
   return {boost::hash<std::string>()(id.value())};
 }
@@ -48,12 +50,16 @@
   m_versions[service][version] = m_clock.Now();
 }
 
-void StreamOrigins::Record(StreamKey stream, const ServiceName& service,
-                           const SoftwareVersion& version) {
-  NoteVersion(service, version);
+bool StreamOrigins::NoteShared(const ServiceName& service, TimePoint at) {
+  const auto [shared, is_new] = m_shared.try_emplace(service, at);
+  shared->second = std::max(shared->second, at);
+  return is_new;
+}
+
+void StreamOrigins::Record(StreamKey stream, const StreamOrigin& origin) {
+  NoteVersion(origin.service, origin.version);
   if (m_streams.size() < kMaxStreams || m_streams.contains(stream.value)) {
-    m_streams[stream.value] = {service, version, true, m_clock.Now(),
-                               std::nullopt};
+    m_streams[stream.value] = {origin, true, m_clock.Now(), std::nullopt};
   }
 }
 
@@ -72,26 +78,30 @@
             .try_emplace(report.version, now - report.listed_age)
             .first->second;
     listed_at = std::max(listed_at, now - report.listed_age);
+    if (report.shared_age.has_value()) {
+      NoteShared(report.service, now - *report.shared_age);
+    }
     for (const StreamKey stream : report.streams) {
       const auto found = m_streams.find(stream.value);
       if (found != m_streams.end()) {
         found->second.seen_at = now;
       } else if (m_streams.size() < kMaxStreams) {
-        m_streams[stream.value] = {report.service, report.version, false, now,
-                                   std::nullopt};
+        m_streams[stream.value] = {
+            {report.service, report.version}, false, now, std::nullopt};
       }
     }
   }
 }
 
-bool StreamOrigins::HasSeveralVersions() const {
+bool StreamOrigins::HasAmbiguous() const {
   return std::ranges::any_of(
-      m_versions, [](const auto& item) { return item.second.size() > 1; });
+      m_versions, [this](const auto& item) { return IsAmbiguous(item.first); });
 }
 
-bool StreamOrigins::HasSeveral(const ServiceName& service) const {
+bool StreamOrigins::IsAmbiguous(const ServiceName& service) const {
   const auto versions = m_versions.find(service);
-  return versions != m_versions.end() && versions->second.size() > 1;
+  return m_shared.contains(service) ||
+         (versions != m_versions.end() && versions->second.size() > 1);
 }
 
 std::map<std::pair<ServiceName, SoftwareVersion>, StreamVersionReport>
@@ -99,12 +109,18 @@
   std::map<std::pair<ServiceName, SoftwareVersion>, StreamVersionReport>
       reports;
   for (const auto& [service, versions] : m_versions) {
-    if (!HasSeveral(service)) {
+    if (!IsAmbiguous(service)) {
       continue;
     }
+    const auto shared = m_shared.find(service);
     for (const auto& [version, listed_at] : versions) {
-      reports[{service, version}] = {
-          service, version, m_clock.Now() - listed_at, {}};
+      StreamVersionReport& report = reports[{service, version}];
+      report.service = service;
+      report.version = version;
+      report.listed_age = m_clock.Now() - listed_at;
+      if (shared != m_shared.end()) {
+        report.shared_age = m_clock.Now() - shared->second;
+      }
     }
   }
   return reports;
@@ -121,7 +137,8 @@
     auto& [key, stream] = item;
     const bool is_due = !stream.reported_at.has_value() ||
                         now - *stream.reported_at >= kReportInterval;
-    const auto report = reports.find({stream.service, stream.version});
+    const auto report =
+        reports.find({stream.origin.service, stream.origin.version});
     if (stream.is_own && is_due && left > 0 && report != reports.end()) {
       report->second.streams.push_back({key});
       stream.reported_at = now;
@@ -140,7 +157,8 @@
   std::size_t left = kMaxInSnapshot;
   std::ranges::for_each(m_streams, [&](const auto& item) {
     const auto& [key, stream] = item;
-    const auto report = reports.find({stream.service, stream.version});
+    const auto report =
+        reports.find({stream.origin.service, stream.origin.version});
     if ((stream.is_own || now - stream.seen_at < kInProgressTime) && left > 0 &&
         report != reports.end()) {
       report->second.streams.push_back({key});
@@ -150,27 +168,37 @@
   return TakeReports(std::move(reports));
 }
 
-std::optional<SoftwareVersion> StreamOrigins::Find(const ServiceName& service,
-                                                   StreamKey stream) const {
+std::variant<StreamOrigin, StreamObstacle> StreamOrigins::Find(
+    const std::vector<ServiceName>& services, StreamKey stream) const {
   const auto found = m_streams.find(stream.value);
-  if (found != m_streams.end() && found->second.service == service) {
-    return found->second.version;
+  if (found != m_streams.end()) {
+    const StreamOrigin& origin = found->second.origin;
+    if (std::ranges::find(services, origin.service) == services.end()) {
+      return StreamObstacle::kRouteMoved;
+    }
+    return origin;
   }
-  const auto versions = m_versions.find(service);
-  if (!m_is_loaded || versions == m_versions.end() ||
-      versions->second.size() != 1 || !m_is_current()) {
-    return std::nullopt;
+  if (!m_is_loaded || services.size() != 1 || IsAmbiguous(services.front()) ||
+      !m_is_current()) {
+    return StreamObstacle::kOriginUnknown;
   }
-  return versions->second.begin()->first;
+  const auto versions = m_versions.find(services.front());
+  if (versions == m_versions.end() || versions->second.empty()) {
+    return StreamObstacle::kOriginUnknown;
+  }
+  return StreamOrigin{services.front(), versions->second.begin()->first};
 }
 
 void StreamOrigins::RemoveExpired() {
   const TimePoint now = m_clock.Now();
   std::ranges::for_each(m_versions, [&](auto& item) {
     std::erase_if(item.second, [&](const auto& listed) {
-      return now - listed.second >= kVersionTime;
+      return now - listed.second >= kMaxOriginAge;
     });
   });
+  std::erase_if(m_shared, [&](const auto& item) {
+    return now - item.second >= kMaxOriginAge;
+  });
   std::erase_if(m_streams, [&](const auto& item) {
     return !item.second.is_own && now - item.second.seen_at >= kTakeUpTime;
   });
--- a/packages/serving/tests/stream_origins_test.cc
+++ b/packages/serving/tests/stream_origins_test.cc
@@ -1,8 +1,11 @@
-// Tests of which software version a stream may go on at.
+// Tests of which service and software version a stream may go on at.
 #include "bambooquay/serving/stream_origins.h"
 
 #include <boost/test/unit_test.hpp>
 #include <chrono>
+#include <optional>
+#include <variant>
+#include <vector>
 
 #include "bambooquay/serving/fleet_contact.h"
 #include "bambooquay/serving/stream_origin_table.h"
@@ -15,17 +18,30 @@
 using std::chrono::seconds;
 
 const ServiceName kService("s");
+const ServiceName kOtherService("t");
 const SoftwareVersion kOld("v1");
 const SoftwareVersion kNew("v1.1");
 const StreamKey kStream = MakeStreamKey(RequestId("a"));
 const StreamKey kOtherStream = MakeStreamKey(RequestId("b"));
 
+std::optional<SoftwareVersion> FindVersion(const StreamOrigins& origins,
+                                           StreamKey stream) {
+  const auto found = origins.Find({kService}, stream);
+  const auto* origin = std::get_if<StreamOrigin>(&found);
+  return origin == nullptr ? std::nullopt : std::optional(origin->version);
+}
+
 struct OriginsFixture {
   OriginsFixture() {
     origins.NoteVersion(kService, kOld);
     origins.SetLoaded();
   }
 
+  /// @returns the version at which a stream of kService may go on.
+  [[nodiscard]] std::optional<SoftwareVersion> Find(StreamKey stream) const {
+    return FindVersion(origins, stream);
+  }
+
   ManualClock clock;
   bool is_current = true;
   StreamOrigins origins{clock, [this] { return is_current; }};
@@ -37,30 +53,30 @@
 
 BOOST_AUTO_TEST_CASE(unknown_streams_go_on_only_while_one_version_serves) {
   OriginsFixture fixture;
-  BOOST_TEST((fixture.origins.Find(kService, kStream) == kOld));
+  BOOST_TEST((fixture.Find(kStream) == kOld));
   BOOST_TEST(fixture.origins.MakeReports().empty());
   fixture.origins.NoteVersion(kService, kNew);
-  BOOST_TEST(!fixture.origins.Find(kService, kStream).has_value());
+  BOOST_TEST(!fixture.Find(kStream).has_value());
   // Streams of the old version may be taken up for a while after it has left.
   for (int i = 0; i < 59; ++i) {
     fixture.clock.Advance(seconds(1));
     fixture.origins.NoteVersion(kService, kNew);
     fixture.origins.RemoveExpired();
-    BOOST_TEST(!fixture.origins.Find(kService, kStream).has_value());
+    BOOST_TEST(!fixture.Find(kStream).has_value());
   }
   fixture.clock.Advance(seconds(1));
   fixture.origins.RemoveExpired();
-  BOOST_TEST((fixture.origins.Find(kService, kStream) == kNew));
+  BOOST_TEST((fixture.Find(kStream) == kNew));
 }
 
 BOOST_AUTO_TEST_CASE(an_entry_out_of_touch_does_not_guess_the_only_version) {
   OriginsFixture fixture;
-  fixture.origins.Record(kOtherStream, kService, kOld);
+  fixture.origins.Record(kOtherStream, {kService, kOld});
   fixture.is_current = false;
-  BOOST_TEST(!fixture.origins.Find(kService, kStream).has_value());
-  BOOST_TEST((fixture.origins.Find(kService, kOtherStream) == kOld));
+  BOOST_TEST(!fixture.Find(kStream).has_value());
+  BOOST_TEST((fixture.Find(kOtherStream) == kOld));
   fixture.is_current = true;
-  BOOST_TEST((fixture.origins.Find(kService, kStream) == kOld));
+  BOOST_TEST((fixture.Find(kStream) == kOld));
 }
 
 BOOST_AUTO_TEST_CASE(an_entry_is_in_touch_with_most_others_or_the_store) {
@@ -78,21 +94,23 @@
                          .since_pause = milliseconds(100)}));
   BOOST_TEST(IsInTouch(
       {.known_peers = 2, .heard_peers = 2, .since_pause = seconds(1)}));
+  BOOST_TEST(!IsInTouch(
+      {.known_peers = 2, .heard_peers = 2, .has_older_configuration = true}));
 }
 
 BOOST_AUTO_TEST_CASE(nothing_is_known_before_the_earlier_versions_are_read) {
   const ManualClock clock;
   StreamOrigins origins(clock, [] { return true; });
   origins.NoteVersion(kService, kNew);
-  BOOST_TEST(!origins.Find(kService, kStream).has_value());
-  origins.Record(kOtherStream, kService, kNew);
-  BOOST_TEST((origins.Find(kService, kOtherStream) == kNew));
+  BOOST_TEST(!FindVersion(origins, kStream).has_value());
+  origins.Record(kOtherStream, {kService, kNew});
+  BOOST_TEST((FindVersion(origins, kOtherStream) == kNew));
 }
 
 BOOST_AUTO_TEST_CASE(other_entries_learn_of_streams_in_progress) {
   OriginsFixture fixture;
-  fixture.origins.Record(kStream, kService, kOld);
-  fixture.origins.Record(kOtherStream, kService, kNew);
+  fixture.origins.Record(kStream, {kService, kOld});
+  fixture.origins.Record(kOtherStream, {kService, kNew});
   fixture.origins.RecordEnd(kOtherStream);
   EntryStatus status;
   status.stream_versions = fixture.origins.MakeReports();
@@ -101,8 +119,8 @@
   BOOST_REQUIRE(message.has_value());
   OriginsFixture other;
   other.origins.Merge(std::get<EntryStatus>(message->body).stream_versions);
-  BOOST_TEST((other.origins.Find(kService, kStream) == kOld));
-  BOOST_TEST(!other.origins.Find(kService, kOtherStream).has_value());
+  BOOST_TEST((other.Find(kStream) == kOld));
+  BOOST_TEST(!other.Find(kOtherStream).has_value());
   // A stream is reported again only after a while, and so is what was heard of
   // others.
   const auto reports = fixture.origins.MakeReports();
@@ -113,6 +131,63 @@
   BOOST_TEST(fixture.origins.MakeReports()[0].streams.size() == 1U);
 }
 
+// Services `s` and `t` share the streams of a route.
+BOOST_AUTO_TEST_CASE(a_stream_goes_on_only_at_the_service_that_began_it) {
+  OriginsFixture fixture;
+  fixture.origins.NoteVersion(kOtherService, kNew);
+  fixture.origins.Record(kStream, {kService, kOld});
+  const auto find = [&](const std::vector<ServiceName>& services,
+                        StreamKey stream) {
+    return fixture.origins.Find(services, stream);
+  };
+  const StreamOrigin begun_by{kService, kOld};
+  BOOST_TEST((find({kOtherService, kService}, kStream) ==
+              std::variant<StreamOrigin, StreamObstacle>(begun_by)));
+  BOOST_TEST((
+      find({kOtherService}, kStream) ==
+      std::variant<StreamOrigin, StreamObstacle>(StreamObstacle::kRouteMoved)));
+  const std::variant<StreamOrigin, StreamObstacle> unknown =
+      StreamObstacle::kOriginUnknown;
+  BOOST_TEST((find({kOtherService, kService}, kOtherStream) == unknown));
+  BOOST_TEST((find({}, kOtherStream) == unknown));
+  // The route has moved to one of them.
+  fixture.origins.NoteShared(kService, fixture.clock.Now());
+  BOOST_TEST((find({kService}, kOtherStream) == unknown));
+  fixture.clock.Advance(StreamOrigins::kMaxOriginAge);
+  fixture.origins.NoteVersion(kService, kOld);
+  fixture.origins.RemoveExpired();
+  BOOST_TEST((find({kService}, kOtherStream) ==
+              std::variant<StreamOrigin, StreamObstacle>(begun_by)));
+}
+
+BOOST_AUTO_TEST_CASE(other_entries_learn_of_shared_services_and_their_streams) {
+  OriginsFixture fixture;
+  fixture.origins.Record(kStream, {kService, kOld});
+  fixture.origins.NoteShared(kService, fixture.clock.Now());
+  fixture.clock.Advance(seconds(50));
+  EntryStatus status;
+  status.stream_versions = fixture.origins.MakeReports();
+  const auto message =
+      DecodeStatus(EncodeStatus({InstanceId("entry-1"), 1, status}));
+  BOOST_REQUIRE(message.has_value());
+  OriginsFixture other;
+  other.origins.Merge(std::get<EntryStatus>(message->body).stream_versions);
+  BOOST_TEST((other.Find(kStream) == kOld));
+  BOOST_TEST(!other.Find(kOtherStream).has_value());
+  // Its age does not begin anew at each entry.
+  other.clock.Advance(seconds(10));
+  other.origins.RemoveExpired();
+  BOOST_TEST((other.Find(kOtherStream) == kOld));
+  // An entry that starts reads it from the store.
+  const auto row =
+      DecodeStreamVersions(EncodeStreamVersions(fixture.origins.Snapshot()));
+  BOOST_REQUIRE(row.has_value());
+  OriginsFixture started;
+  started.origins.Merge(*row);
+  BOOST_TEST((started.Find(kStream) == kOld));
+  BOOST_TEST(!started.Find(kOtherStream).has_value());
+}
+
 // The age of a version that has left doesn't begin anew at each entry.
 BOOST_AUTO_TEST_CASE(entries_do_not_keep_a_version_alive_for_each_other) {
   OriginsFixture fixture;
@@ -128,14 +203,14 @@
     fixture.origins.RemoveExpired();
     other.origins.RemoveExpired();
   }
-  BOOST_TEST((fixture.origins.Find(kService, kStream) == kNew));
-  BOOST_TEST((other.origins.Find(kService, kStream) == kNew));
+  BOOST_TEST((fixture.Find(kStream) == kNew));
+  BOOST_TEST((other.Find(kStream) == kNew));
 }
 
 BOOST_AUTO_TEST_CASE(an_entry_that_starts_reads_the_streams_from_the_store) {
   OriginsFixture before;
-  before.origins.Record(kStream, kService, kOld);
-  before.origins.Record(kOtherStream, kService, kNew);
+  before.origins.Record(kStream, {kService, kOld});
+  before.origins.Record(kOtherStream, {kService, kNew});
   EventLoop loop;
   testing::FakeTable table(loop);
   StreamOriginTable writer(loop, table, before.origins, [] { return true; });
@@ -149,10 +224,10 @@
   StreamOriginTable reader(loop, table, after, [] { return false; });
   reader.Start();
   BOOST_REQUIRE(loop.RunUntil(
-      [&] { return after.Find(kService, kStream).has_value(); }, seconds(5)));
-  BOOST_TEST((after.Find(kService, kStream) == kOld));
-  BOOST_TEST((after.Find(kService, kOtherStream) == kNew));
-  BOOST_TEST(!after.Find(kService, MakeStreamKey(RequestId("c"))).has_value());
+      [&] { return FindVersion(after, kStream).has_value(); }, seconds(5)));
+  BOOST_TEST((FindVersion(after, kStream) == kOld));
+  BOOST_TEST((FindVersion(after, kOtherStream) == kNew));
+  BOOST_TEST(!FindVersion(after, MakeStreamKey(RequestId("c"))).has_value());
   BOOST_TEST(!DecodeStreamVersions("no row").has_value());
 }
 
