Entries don't keep the origins of streams alive for each other

An entry forgets a version that has left, or a service that shares streams, after 60 s, at a tick of its own; another one whose tick comes later reported it once more, and it was learned again, without end. So unknown streams of a service were refused, and its streams reported and written to the store, long after one origin was left. An item as old as that is no longer learned.

Evidence: stream_origins/an_origin_is_not_learned_again_from_an_entry_that_is_later fails before (2 checks) and passes. The older test has both entries forget at one moment.

--- a/packages/serving/src/stream_origins.cc
+++ b/packages/serving/src/stream_origins.cc
@@ -73,12 +73,16 @@
 void StreamOrigins::Merge(const std::vector<StreamVersionReport>& reports) {
   const TimePoint now = m_clock.Now();
   for (const StreamVersionReport& report : reports) {
+    // This entry may have forgotten the origin just before its sender does.
+    if (report.listed_age >= kMaxOriginAge) {
+      continue;
+    }
     TimePoint& listed_at =
         m_versions[report.service]
             .try_emplace(report.version, now - report.listed_age)
             .first->second;
     listed_at = std::max(listed_at, now - report.listed_age);
-    if (report.shared_age.has_value()) {
+    if (report.shared_age.value_or(kMaxOriginAge) < kMaxOriginAge) {
       NoteShared(report.service, now - *report.shared_age);
     }
     for (const StreamKey stream : report.streams) {
--- a/packages/serving/tests/stream_origins_test.cc
+++ b/packages/serving/tests/stream_origins_test.cc
@@ -207,6 +207,28 @@
   BOOST_TEST((other.Find(kStream) == kNew));
 }
 
+// Each entry forgets what is too old at a time of its own.
+BOOST_AUTO_TEST_CASE(
+    an_origin_is_not_learned_again_from_an_entry_that_is_later) {
+  OriginsFixture fixture;
+  OriginsFixture other;
+  for (OriginsFixture* entry : {&fixture, &other}) {
+    entry->origins.NoteVersion(kService, kNew);
+    entry->origins.NoteShared(kService, entry->clock.Now());
+  }
+  for (int half_seconds = 1; half_seconds <= 130; ++half_seconds) {
+    fixture.clock.Advance(milliseconds(500));
+    other.clock.Advance(milliseconds(500));
+    OriginsFixture& due = half_seconds % 2 == 0 ? fixture : other;
+    due.origins.NoteVersion(kService, kNew);
+    due.origins.RemoveExpired();
+    fixture.origins.Merge(other.origins.MakeReports());
+    other.origins.Merge(fixture.origins.MakeReports());
+  }
+  BOOST_TEST((fixture.Find(kStream) == kNew));
+  BOOST_TEST((other.Find(kStream) == kNew));
+}
+
 BOOST_AUTO_TEST_CASE(an_entry_that_starts_reads_the_streams_from_the_store) {
   OriginsFixture before;
   before.origins.Record(kStream, {kService, kOld});
