A caller's Last-Event-Id does not count against upstreams

A caller that claims to have more events than there are made each upstream look broken, which lowers its share of calls. An event that goes back behind what the caller names, rather than behind what this entry has relayed, no longer counts as a failure of the upstream. The attempt still ends, and is repeated once.

--- a/packages/serving/src/forwarded_response.cc
+++ b/packages/serving/src/forwarded_response.cc
@@ -238,7 +238,10 @@
           .With("upstream", m_upstream->value())
           .With("last_event_id", m_events.last_id())
           .With("event_id", m_events.out_of_order_id());
-      HandleFailedAttempt(AttemptResult::kBroken, true, "event_out_of_order");
+      // What the caller claims to have got does not count against an upstream.
+      HandleFailedAttempt(m_first_event.has_value() ? AttemptResult::kBroken
+                                                    : AttemptResult::kCancelled,
+                          true, "event_out_of_order");
       return;
     }
     if (m_events.pending_bytes() > std::min(kMaxEventBytes, max_holding)) {
