Entries compare the routes of streams, not the versions of configurations

An entry guessed no origin while a peer applied a newer configuration. That refused all unknown streams beside any change, of a key or a limit too, and did not see a peer with an older configuration, whose streams may have begun at another service. Statuses now have a digest of which services get the streams of which routes, and an entry guesses nothing while that of a peer differs.

Evidence: stream_route_history/the_digest_tells_routes_of_streams_apart, stream_versions/* (real processes) and stream_origins/* pass. Routes that differ only at an entry that has died before its first status remain (postmortem).

--- a/packages/peers/include/bambooquay/peers/status_messages.h
+++ b/packages/peers/include/bambooquay/peers/status_messages.h
@@ -113,6 +113,9 @@
   std::vector<CallLimitReport> call_limits;
   /// Of services whose streams have to be known one by one.
   std::vector<StreamVersionReport> stream_versions;
+  /// Identifies which services get the streams of which routes; 0 if the sender
+  /// does not say.
+  std::uint64_t stream_routes = 0;
   DataCentreId data_centre;  ///< Empty if the sender does not say.
   /// Tokens spent since the entry started. An organisation whose total has not
   /// changed since the last messages may be omitted.
--- a/packages/peers/src/status_messages.cc
+++ b/packages/peers/src/status_messages.cc
@@ -220,6 +220,7 @@
   to.setLeaving(from.leaving);
   to.setConfiguration(from.configuration);
   to.setOperatorsVersion(from.operators_version);
+  to.setStreamRoutes(from.stream_routes);
   to.setUptimeSeconds(ToSeconds(from.uptime));
   to.setDataCentre(from.data_centre.value().c_str());
   auto spending = to.initSpending(static_cast<unsigned>(from.spent.size()));
@@ -246,6 +247,7 @@
   to.leaving = from.getLeaving();
   to.configuration = from.getConfiguration();
   to.operators_version = from.getOperatorsVersion();
+  to.stream_routes = from.getStreamRoutes();
   to.prompt_parts = ReadPromptParts(from);
   to.call_limits = ReadCallLimits(from);
   to.stream_versions = ReadStreamVersions(from);
--- a/packages/peers/status.capnp
+++ b/packages/peers/status.capnp
@@ -92,6 +92,9 @@
   partQuarantines @9 :List(PartQuarantine);
   callLimits @10 :List(CallLimit);
   streamVersions @11 :List(StreamVersion);
+  # Identifies which services get the streams of which routes; 0 if the sender
+  # does not say.
+  streamRoutes @12 :UInt64;
 }
 
 # Sent by each entry to each agent. `models` is valid only if `planned` is set,
--- a/packages/serving/include/bambooquay/serving/fleet_contact.h
+++ b/packages/serving/include/bambooquay/serving/fleet_contact.h
@@ -16,8 +16,8 @@
   std::optional<Duration> list_age = std::nullopt;
   /// Time since the process last stood still; nothing if it never has.
   std::optional<Duration> since_pause = std::nullopt;
-  /// Whether a peer applies a newer configuration.
-  bool has_older_configuration = false;
+  /// Whether a peer that is not silent sends streams to other services.
+  bool has_other_routes = false;
 };
 
 /// @returns whether the entry would know by now of what the others have known
--- a/packages/serving/include/bambooquay/serving/stream_route_history.h
+++ b/packages/serving/include/bambooquay/serving/stream_route_history.h
@@ -1,6 +1,7 @@
 // Which services share the streams of a route, now or in the recent past.
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <set>
@@ -34,6 +35,9 @@
   /// @returns the services that share streams with another service, with the
   ///   time at which that one last got streams of the same path.
   [[nodiscard]] std::map<ServiceName, TimePoint> SharedServices() const;
+  /// @returns a number that identifies which services get the streams of which
+  ///   routes now, the same in every process; 0 without a configuration.
+  [[nodiscard]] std::uint64_t digest() const noexcept { return m_digest; }
   /// Forgets what is older than any stream that may be taken up.
   void RemoveExpired();
 
@@ -45,12 +49,15 @@
 
   /// @returns the keys of all routes.
   static std::set<PathKey> KeysOf(const ActiveConfiguration& configuration);
+  static std::uint64_t DigestOf(const ActiveConfiguration& configuration);
   /// @returns the services that get streams of these paths.
   static std::set<ServiceName> ServicesAt(
       const ActiveConfiguration& configuration, const PathKey& key);
 
   const Clock& m_clock;
   std::shared_ptr<const ActiveConfiguration> m_present;
+  /// Of m_present.
+  std::uint64_t m_digest = 0;
   /// The services before the present configuration, and when each was last in
   /// use. Has only paths whose services have changed.
   std::map<PathKey, UsedAt> m_past;
--- a/packages/serving/src/fleet_contact.cc
+++ b/packages/serving/src/fleet_contact.cc
@@ -13,9 +13,8 @@
 }  // namespace
 
 bool IsInTouch(const FleetContact& contact) noexcept {
-  if (contact.has_older_configuration ||
-      (contact.since_pause.has_value() &&
-       *contact.since_pause < kCatchUpTime)) {
+  if (contact.has_other_routes || (contact.since_pause.has_value() &&
+                                   *contact.since_pause < kCatchUpTime)) {
     return false;
   }
   // Counts this entry with those that hear each other.
--- a/packages/serving/src/serving_entry.cc
+++ b/packages/serving/src/serving_entry.cc
@@ -483,6 +483,7 @@
   status.data_centre = m_settings.data_centre;
   status.configuration = ActiveVersion();
   status.operators_version = m_operator_rows.last_change();
+  status.stream_routes = m_stream_routes.digest();
   status.prompt_parts = m_quarantine.MakeReports();
   status.call_limits = m_upstreams.notices().MakeReports();
   status.stream_versions = m_stream_origins.MakeReports();
@@ -533,7 +534,7 @@
   return {m_peers.peers().size(), static_cast<std::size_t>(heard),
           age(m_upstream_rows.last_response_at()),
           is_paused ? std::optional(Duration::zero()) : age(m_paused_until),
-          HasOlderConfiguration()};
+          HasOtherStreamRoutes()};
 }
 
 bool ServingEntry::KnowsStreamOrigins() const {
--- a/packages/serving/src/serving_entry_tables.cc
+++ b/packages/serving/src/serving_entry_tables.cc
@@ -136,21 +136,23 @@
              : m_active_configuration->configuration.version;
 }
 
-bool ServingEntry::HasOlderConfiguration() const {
+bool ServingEntry::HasOtherStreamRoutes() const {
   return std::ranges::any_of(m_peers.peers(), [this](const auto& item) {
-    return !m_peers.IsSilent(item.second) &&
-           item.second.status.configuration > ActiveVersion();
+    const std::uint64_t routes = item.second.status.stream_routes;
+    return !m_peers.IsSilent(item.second) && routes != 0 &&
+           routes != m_stream_routes.digest();
   });
 }
 
 void ServingEntry::FetchTablesIfBehind() {
   const TimePoint now = m_deps.loop.clock().Now();
+  const std::uint64_t active_version = ActiveVersion();
   const bool behind =
-      HasOlderConfiguration() ||
-      std::ranges::any_of(m_peers.peers(), [this](const auto& item) {
+      std::ranges::any_of(m_peers.peers(), [&](const auto& item) {
+        const EntryStatus& status = item.second.status;
         return !m_peers.IsSilent(item.second) &&
-               item.second.status.operators_version >
-                   m_operator_rows.position().version;
+               (status.configuration > active_version ||
+                status.operators_version > m_operator_rows.position().version);
       });
   if (!behind) {
     m_behind_since.reset();
@@ -159,7 +161,7 @@
   } else if (now - *m_behind_since > kMaxTimeBehind) {
     m_behind_since = now;
     LogEvent(LogLevel::kWarning, "operators_rows_outdated")
-        .With("configuration", ActiveVersion())
+        .With("configuration", active_version)
         .With("version", m_operator_rows.position().version);
     m_operator_rows.WatchNow();
     m_operator_rows.ListFromFallback();
--- a/packages/serving/src/stream_route_history.cc
+++ b/packages/serving/src/stream_route_history.cc
@@ -2,6 +2,7 @@
 #include "bambooquay/serving/stream_route_history.h"
 
 #include <algorithm>
+#include <boost/container_hash/hash.hpp>
 #include <iterator>
 #include <vector>
 
@@ -32,6 +33,20 @@
   return {used.begin(), used.end()};
 }
 
+std::uint64_t StreamRouteHistory::DigestOf(
+    const ActiveConfiguration& configuration) {
+  std::size_t digest = 0;
+  for (const PathKey& key : KeysOf(configuration)) {
+    for (const ServiceName& service : ServicesAt(configuration, key)) {
+      boost::hash_combine(digest, key.first);
+      boost::hash_combine(digest, key.second);
+      boost::hash_combine(digest, service.value());
+    }
+  }
+  // 0 stands for no configuration.
+  return std::max<std::uint64_t>(digest, 1);
+}
+
 void StreamRouteHistory::Apply(
     std::shared_ptr<const ActiveConfiguration> configuration) {
   if (m_present != nullptr) {
@@ -47,6 +62,7 @@
     }
   }
   m_present = std::move(configuration);
+  m_digest = DigestOf(*m_present);
 }
 
 std::map<ServiceName, TimePoint> StreamRouteHistory::SharedServices() const {
--- a/packages/serving/tests/stream_origins_test.cc
+++ b/packages/serving/tests/stream_origins_test.cc
@@ -95,7 +95,7 @@
   BOOST_TEST(IsInTouch(
       {.known_peers = 2, .heard_peers = 2, .since_pause = seconds(1)}));
   BOOST_TEST(!IsInTouch(
-      {.known_peers = 2, .heard_peers = 2, .has_older_configuration = true}));
+      {.known_peers = 2, .heard_peers = 2, .has_other_routes = true}));
 }
 
 BOOST_AUTO_TEST_CASE(nothing_is_known_before_the_earlier_versions_are_read) {
--- a/packages/serving/tests/stream_route_history_test.cc
+++ b/packages/serving/tests/stream_route_history_test.cc
@@ -86,6 +86,25 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(the_digest_tells_routes_of_streams_apart) {
+  const auto digest_of = [](std::vector<ServingRoute> routes) {
+    HistoryFixture fixture;
+    fixture.Apply(std::move(routes));
+    return fixture.history.digest();
+  };
+  const HistoryFixture empty;
+  BOOST_TEST(empty.history.digest() == 0U);
+  ServingRoute other = MakeRoute("/b/", {{kSecond, 1.0}});
+  other.kind = CallKind::kIdempotent;
+  const ServingRoute route = MakeRoute("/a/", {{kFirst, 1.0}});
+  const std::uint64_t digest = digest_of({route});
+  BOOST_TEST(digest == digest_of({other, route}));
+  BOOST_TEST(digest != digest_of({MakeRoute("/a/", {{kSecond, 1.0}})}));
+  BOOST_TEST(digest !=
+             digest_of({MakeRoute("/a/", {{kFirst, 1.0}, {kSecond, 1.0}})}));
+  BOOST_TEST(digest != digest_of({MakeRoute("/c/", {{kFirst, 1.0}})}));
+}
+
 BOOST_AUTO_TEST_CASE(streams_that_may_not_be_resumed_are_not_shared) {
   HistoryFixture fixture;
   ServingRoute route = MakeRoute("/a/", {{kFirst, 1.0}, {kSecond, 1.0}});
