A stream cut inside an event does not end with an empty response

What was received of the event shows that the stream goes on, so an attempt that resumes it and ends without any event was broken off. Before, the caller got a complete response without the stream's rest. A stream that breaks between two events may still end with an empty response.

--- a/packages/serving/include/bambooquay/serving/forwarded_call.h
+++ b/packages/serving/include/bambooquay/serving/forwarded_call.h
@@ -337,6 +337,8 @@
   /// Buffered bytes of a response that is not relayed yet.
   std::string m_body;
   EventStreamSplitter m_events;
+  /// Whether an attempt was cut inside an event, which is still to come.
+  bool m_has_cut_event = false;
   /// Bytes relayed that the caller has not taken yet.
   std::size_t m_unsent_response_bytes = 0;
   /// Charges m_body, the incomplete event and m_unsent_response_bytes.
--- a/packages/serving/src/forwarded_response.cc
+++ b/packages/serving/src/forwarded_response.cc
@@ -221,6 +221,7 @@
     const std::string events = m_events.Append(bytes);
     if (!events.empty()) {
       CountRun();
+      m_has_cut_event = false;
       if (m_attempt_events++ == 0) {
         KeepSoftwareVersion();
         RecordFirstEvent();
@@ -263,6 +264,9 @@
 
 void ForwardedCall::DropPartialResponse() {
   m_body.clear();
+  // What is left of an event that repeats another one promises no more.
+  m_has_cut_event = m_has_cut_event || (m_events.pending_bytes() > 0 &&
+                                        m_events.out_of_order_id().empty());
   static_cast<void>(m_events.TakeRemainder());
   UpdateHeldBytes();
 }
@@ -381,9 +385,10 @@
 }
 
 bool ForwardedCall::IsStreamBrokenOff() const {
-  const bool is_fresh = m_events.last_id().empty();
+  // The caller of a stream that is taken up may have all of its events.
+  const bool has_more = m_events.last_id().empty() || m_has_cut_event;
   return m_event_stream &&
-         (m_events.pending_bytes() > 0 || (is_fresh && m_attempt_events == 0));
+         (m_events.pending_bytes() > 0 || (has_more && m_attempt_events == 0));
 }
 
 void ForwardedCall::HandleCompleteResponse() {
