The version of an upstream that has restarted is unknown until its row comes

An upstream may start again under its id with another version. Its report may come before its row; until then a stream went on there by the version of the run before.

--- a/packages/serving/include/bambooquay/serving/upstream_set.h
+++ b/packages/serving/include/bambooquay/serving/upstream_set.h
@@ -401,6 +401,9 @@
   ///   software version if it names one, and may get calls.
   [[nodiscard]] bool IsEligible(const Upstream& upstream,
                                 const PickQuery& query) const;
+  /// @returns whether the upstream's present run is known to be of `version`.
+  [[nodiscard]] static bool RunsVersion(const Upstream& upstream,
+                                        const SoftwareVersion& version);
   /// @returns whether the upstream has what the query asks for and may get
   ///   calls.
   [[nodiscard]] bool CanServe(const Upstream& upstream,
--- a/packages/serving/src/upstream_choice.cc
+++ b/packages/serving/src/upstream_choice.cc
@@ -72,10 +72,20 @@
   const UpstreamRecord& record = upstream.record;
   return record.service == query.service &&
          (!query.software_version.has_value() ||
-          record.software_version == *query.software_version) &&
+          RunsVersion(upstream, *query.software_version)) &&
          IsUsable(upstream);
 }
 
+bool UpstreamSet::RunsVersion(const Upstream& upstream,
+                              const SoftwareVersion& version) {
+  const UpstreamRecord& record = upstream.record;
+  // The report of a new run may come before its row, which names its version.
+  const bool has_restarted =
+      upstream.report.has_value() && record.started_at_ms != 0 &&
+      upstream.report->started_at_ms > record.started_at_ms;
+  return !has_restarted && record.software_version == version;
+}
+
 bool UpstreamSet::IsKnownMissing(const Upstream& upstream,
                                  const std::string& key) const {
   const auto found = upstream.missing_until.find(key);
--- a/packages/serving/tests/upstream_set_test.cc
+++ b/packages/serving/tests/upstream_set_test.cc
@@ -163,6 +163,29 @@
   BOOST_TEST(set.Pick().has_value());
 }
 
+// The report of a new run may come before its row, which has its version.
+BOOST_AUTO_TEST_CASE(
+    the_version_of_a_restarted_upstream_is_unknown_until_its_row_comes) {
+  UpstreamSetFixture set;
+  UpstreamRecord record = MakeRecord("a", 1, 5);
+  record.software_version = SoftwareVersion("v1");
+  set.upstreams.Put(record);
+  PickQuery query = MakeQuery("s");
+  query.software_version = SoftwareVersion("v1");
+  EngineReport report = MakeReport();
+  report.started_at_ms = 5;
+  set.upstreams.SetReport(UpstreamId("a"), report);
+  BOOST_TEST(set.Pick(query).has_value());
+  report.started_at_ms = 6;
+  set.upstreams.SetReport(UpstreamId("a"), report);
+  BOOST_TEST(!set.Pick(query).has_value());
+  // Calls that may go to any version are served.
+  BOOST_TEST(set.Pick().has_value());
+  record.started_at_ms = 6;
+  set.upstreams.Put(record);
+  BOOST_TEST(set.Pick(query).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(a_removed_upstream_stays_usable_during_its_grace_period) {
   UpstreamSetFixture set;
   set.upstreams.Put(MakeRecord("a", 1));
