A version is remembered while its streams are in progress

An upstream may serve a stream for long after it has left the list. 60 s later the version was forgotten, and with it the reports of its streams, so that other entries took them for streams of the version that serves now.

--- a/packages/serving/src/stream_origins.cc
+++ b/packages/serving/src/stream_origins.cc
@@ -195,6 +195,12 @@
 
 void StreamOrigins::RemoveExpired() {
   const TimePoint now = m_clock.Now();
+  // Upstreams may serve a stream for long after they have left the list.
+  std::ranges::for_each(m_streams, [this](const auto& item) {
+    if (item.second.is_own) {
+      NoteVersion(item.second.origin.service, item.second.origin.version);
+    }
+  });
   std::ranges::for_each(m_versions, [&](auto& item) {
     std::erase_if(item.second, [&](const auto& listed) {
       return now - listed.second >= kMaxOriginAge;
--- a/packages/serving/tests/stream_origins_test.cc
+++ b/packages/serving/tests/stream_origins_test.cc
@@ -229,6 +229,36 @@
   BOOST_TEST((other.Find(kStream) == kNew));
 }
 
+// An upstream may serve a stream for long after it has left the list.
+BOOST_AUTO_TEST_CASE(
+    a_version_is_remembered_while_its_streams_are_in_progress) {
+  OriginsFixture fixture;
+  OriginsFixture other;
+  fixture.origins.NoteVersion(kService, kNew);
+  other.origins.NoteVersion(kService, kNew);
+  fixture.origins.Record(kStream, {kService, kOld});
+  const auto pass = [&](int count) {
+    for (int i = 0; i < count; ++i) {
+      other.origins.Merge(fixture.origins.MakeReports());
+      fixture.origins.Merge(other.origins.MakeReports());
+      fixture.clock.Advance(seconds(1));
+      other.clock.Advance(seconds(1));
+      fixture.origins.NoteVersion(kService, kNew);
+      other.origins.NoteVersion(kService, kNew);
+      fixture.origins.RemoveExpired();
+      other.origins.RemoveExpired();
+    }
+  };
+  pass(120);
+  BOOST_TEST((fixture.Find(kStream) == kOld));
+  BOOST_TEST((other.Find(kStream) == kOld));
+  BOOST_TEST(!other.Find(kOtherStream).has_value());
+  fixture.origins.RecordEnd(kStream);
+  pass(62);
+  BOOST_TEST((other.Find(kOtherStream) == kNew));
+  BOOST_TEST((fixture.Find(kOtherStream) == kNew));
+}
+
 BOOST_AUTO_TEST_CASE(an_entry_that_starts_reads_the_streams_from_the_store) {
   OriginsFixture before;
   before.origins.Record(kStream, {kService, kOld});
