--- a/packages/serving/include/bambooquay/serving/event_stream.h
+++ b/packages/serving/include/bambooquay/serving/event_stream.h
@@ -8,9 +8,8 @@
 
 namespace bambooquay {
 
-/// @returns whether an event with `id` may come after one with `last_id`: ids
-/// of
-///   a stream increase if they are decimal numbers, and differ otherwise.
+/// @returns whether an event with `id` may come after one with `last_id`. Ids
+///   that are decimal numbers increase, and others differ.
 [[nodiscard]] bool MayFollow(std::string_view last_id,
                              std::string_view id) noexcept;
 
--- a/packages/serving/include/bambooquay/serving/serving_entry.h
+++ b/packages/serving/include/bambooquay/serving/serving_entry.h
@@ -139,8 +139,7 @@
   /// @returns the version of the configuration in force; 0 without one.
   [[nodiscard]] std::uint64_t ActiveVersion() const;
   /// @returns whether a peer that is not silent sends streams to other
-  /// services,
-  ///   as its configuration is newer or older.
+  ///   services, as its configuration is newer or older.
   [[nodiscard]] bool HasOtherStreamRoutes() const;
   /// @returns whether this entry knows all services and software versions that
   ///   streams may begin at now.
--- a/packages/serving/include/bambooquay/serving/stream_route_history.h
+++ b/packages/serving/include/bambooquay/serving/stream_route_history.h
@@ -42,8 +42,8 @@
   void RemoveExpired();
 
  private:
-  /// Host and path prefix of a route. Between two configurations, the paths for
-  /// which one of them is the longest match go together.
+  /// Host and path prefix of a route. All paths with the same longest match
+  /// among the routes of several configurations get the same services in each.
   using PathKey = std::pair<std::string, std::string>;
   using UsedAt = std::map<ServiceName, TimePoint>;
 
